--- /dev/null
+++ b/cmake/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/packages/config/include/basilspread/config/ini.h
@@ -0,0 +1,55 @@
+#ifndef BASILSPREAD_CONFIG_INI_H_
+#define BASILSPREAD_CONFIG_INI_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "basilspread/core/result.h"
+
+namespace basilspread::config {
+
+/// One "key = value" line.
+struct IniEntry {
+  std::string key;
+  std::string value;
+  int line = 0;
+};
+
+/// One "[name]" section with its lines, in file order.
+struct IniSection {
+  std::string name;
+  int line = 0;
+  std::vector<IniEntry> entries;
+};
+
+struct IniFile {
+  std::string name;
+  std::vector<IniSection> sections;
+};
+
+/// Collects the faults of one file, so that all are told at once.
+class Faults {
+ public:
+  explicit Faults(std::string file_name) : file(std::move(file_name)) {}
+
+  /// Adds "file:line: [section] key: reason"; an empty key is left out.
+  void Add(int line, std::string_view section, std::string_view key,
+           std::string_view reason);
+  bool empty() const { return this->text.empty(); }
+  /// All faults, one a line.
+  const std::string& Text() const { return this->text; }
+
+ private:
+  std::string file;
+  std::string text;
+};
+
+/// Splits INI text. Every fault of form goes to `faults`: a line that is
+/// neither section, entry nor comment, a section or key given twice, a
+/// control character, text after a value that looks like a comment.
+IniFile ParseIni(std::string_view text, std::string_view name, Faults& faults);
+
+}  // namespace basilspread::config
+
+#endif  // BASILSPREAD_CONFIG_INI_H_
--- /dev/null
+++ b/packages/config/src/ini.cc
@@ -0,0 +1,130 @@
+#include "basilspread/config/ini.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace basilspread::config {
+namespace {
+
+constexpr std::string_view kSpace = " \t\r";
+
+std::string_view Trim(std::string_view text) {
+  const std::size_t first = text.find_first_not_of(kSpace);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  const std::size_t last = text.find_last_not_of(kSpace);
+  return text.substr(first, last - first + 1);
+}
+
+bool HasControlCharacter(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](char character) {
+    const auto byte = static_cast<unsigned char>(character);
+    return byte < 0x20 && character != '\t' && character != '\r';
+  });
+}
+
+/// Takes the lines of a file one after another.
+class IniParser {
+ public:
+  IniParser(IniFile& target, Faults& fault_list)
+      : file(target), faults(fault_list) {}
+
+  void TakeLine(std::string_view raw) {
+    ++this->line;
+    const std::string_view text = Trim(raw);
+    if (HasControlCharacter(raw)) {
+      this->Fault("", "control character");
+    } else if (text.empty() || text.front() == '#' || text.front() == ';') {
+      return;
+    } else if (text.front() == '[') {
+      this->TakeSection(text);
+    } else {
+      this->TakeEntry(text);
+    }
+  }
+
+ private:
+  void Fault(std::string_view key, std::string_view reason) {
+    const bool has_section = !this->file.sections.empty();
+    this->faults.Add(this->line,
+                     has_section ? this->file.sections.back().name : "", key,
+                     reason);
+  }
+
+  void TakeSection(std::string_view text) {
+    if (text.back() != ']') {
+      this->Fault("", "section is not closed by ]");
+      return;
+    }
+    const std::string name(Trim(text.substr(1, text.size() - 2)));
+    const bool is_repeated = std::any_of(
+        this->file.sections.begin(), this->file.sections.end(),
+        [&name](const IniSection& section) { return section.name == name; });
+    this->file.sections.push_back(IniSection{name, this->line, {}});
+    if (name.empty()) {
+      this->Fault("", "section has no name");
+    }
+    if (is_repeated) {
+      this->Fault("", "section is given twice");
+    }
+  }
+
+  void TakeEntry(std::string_view text) {
+    const std::size_t equals = text.find('=');
+    if (equals == std::string_view::npos) {
+      this->Fault("", "line is neither [section] nor key = value");
+      return;
+    }
+    const std::string key(Trim(text.substr(0, equals)));
+    const std::string value(Trim(text.substr(equals + 1)));
+    if (this->file.sections.empty()) {
+      this->Fault(key, "key stands before the first section");
+      return;
+    }
+    IniSection& section = this->file.sections.back();
+    const bool is_repeated =
+        std::any_of(section.entries.begin(), section.entries.end(),
+                    [&key](const IniEntry& entry) { return entry.key == key; });
+    if (is_repeated) {
+      this->Fault(key, "key is given twice");
+    }
+    if (value.find(" ;") != std::string::npos ||
+        value.find(" #") != std::string::npos) {
+      this->Fault(key, "comment after a value; put it on a line of its own");
+    }
+    section.entries.push_back(IniEntry{key, value, this->line});
+  }
+
+  IniFile& file;
+  Faults& faults;
+  int line = 0;
+};
+
+}  // namespace
+
+void Faults::Add(int line, std::string_view section, std::string_view key,
+                 std::string_view reason) {
+  this->text += fmt::format("{}{}:{}: [{}]{}{}: {}",
+                            this->text.empty() ? "" : "\n", this->file, line,
+                            section, key.empty() ? "" : " ", key, reason);
+}
+
+IniFile ParseIni(std::string_view text, std::string_view name, Faults& faults) {
+  IniFile file;
+  file.name = name;
+  IniParser parser(file, faults);
+  while (!text.empty()) {
+    const std::size_t end = text.find('\n');
+    parser.TakeLine(text.substr(0, end));
+    if (end == std::string_view::npos) {
+      break;
+    }
+    text.remove_prefix(end + 1);
+  }
+  return file;
+}
+
+}  // namespace basilspread::config
--- /dev/null
+++ b/packages/config/src/reader.cc
@@ -0,0 +1,151 @@
+#include "basilspread/config/reader.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace basilspread::config {
+namespace {
+
+template <typename T>
+std::optional<T> ParseNumber(std::string_view text) {
+  T number{};
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+struct Unit {
+  std::string_view suffix;
+  Duration length;
+};
+
+// "ms" and "us" stand before "s", which ends both.
+constexpr Unit kUnits[] = {{"ms", std::chrono::milliseconds(1)},
+                           {"us", std::chrono::microseconds(1)},
+                           {"s", std::chrono::seconds(1)},
+                           {"m", std::chrono::minutes(1)},
+                           {"h", std::chrono::hours(1)}};
+
+/// Longest duration that a file may state.
+constexpr Duration kMaxDuration = std::chrono::hours(24 * 365);
+
+}  // namespace
+
+std::optional<Duration> ParseDuration(std::string_view text) {
+  for (const Unit& unit : kUnits) {
+    if (!text.ends_with(unit.suffix)) {
+      continue;
+    }
+    text.remove_suffix(unit.suffix.size());
+    const auto count = ParseNumber<std::uint32_t>(text);
+    if (!count || *count > kMaxDuration / unit.length) {
+      return std::nullopt;
+    }
+    return unit.length * *count;
+  }
+  return std::nullopt;
+}
+
+SectionReader::SectionReader(const IniSection& ini_section, Faults& fault_list)
+    : section(ini_section), faults(fault_list) {}
+
+const IniEntry* SectionReader::Find(std::string_view key) {
+  this->known.emplace(key);
+  for (const IniEntry& entry : this->section.entries) {
+    if (entry.key == key) {
+      return &entry;
+    }
+  }
+  return nullptr;
+}
+
+void SectionReader::Read(std::string_view key, std::string& target) {
+  if (const IniEntry* entry = this->Find(key)) {
+    target = entry->value;
+  }
+}
+
+void SectionReader::Read(std::string_view key, bool& target) {
+  this->Read(key, {{"yes", true}, {"no", false}}, target);
+}
+
+void SectionReader::Read(std::string_view key, Duration& target) {
+  const IniEntry* entry = this->Find(key);
+  if (entry == nullptr) {
+    return;
+  }
+  const auto parsed = ParseDuration(entry->value);
+  if (!parsed) {
+    this->Fault(key, fmt::format("\"{}\" is not a duration such as 250ms, 2s, "
+                                 "5m or 1h",
+                                 entry->value));
+    return;
+  }
+  target = *parsed;
+}
+
+void SectionReader::Read(std::string_view key, std::uint32_t low,
+                         std::uint32_t high, std::uint32_t& target) {
+  const IniEntry* entry = this->Find(key);
+  if (entry == nullptr) {
+    return;
+  }
+  const auto parsed = ParseNumber<std::uint32_t>(entry->value);
+  if (!parsed || *parsed < low || *parsed > high) {
+    this->Fault(key, fmt::format("\"{}\" is not a whole number from {} to {}",
+                                 entry->value, low, high));
+    return;
+  }
+  target = *parsed;
+}
+
+void SectionReader::Read(std::string_view key,
+                         std::vector<std::string>& target) {
+  const IniEntry* entry = this->Find(key);
+  if (entry == nullptr) {
+    return;
+  }
+  target.clear();
+  std::string_view rest = entry->value;
+  while (!rest.empty()) {
+    const std::size_t comma = rest.find(',');
+    std::string_view item = rest.substr(0, comma);
+    rest.remove_prefix(comma == std::string_view::npos ? rest.size()
+                                                       : comma + 1);
+    const std::size_t first = item.find_first_not_of(' ');
+    if (first == std::string_view::npos) {
+      this->Fault(key, "the list has an empty item");
+      continue;
+    }
+    item = item.substr(first, item.find_last_not_of(' ') - first + 1);
+    target.emplace_back(item);
+  }
+}
+
+void SectionReader::Require(std::string_view key) {
+  if (this->Find(key) == nullptr) {
+    this->faults.Add(this->section.line, this->section.name, key,
+                     "key is missing");
+  }
+}
+
+void SectionReader::Fault(std::string_view key, std::string_view reason) {
+  const IniEntry* entry = this->Find(key);
+  const int line = entry == nullptr ? this->section.line : entry->line;
+  this->faults.Add(line, this->section.name, key, reason);
+}
+
+void SectionReader::Finish() {
+  for (const IniEntry& entry : this->section.entries) {
+    if (!this->known.contains(entry.key)) {
+      this->faults.Add(entry.line, this->section.name, entry.key,
+                       "unknown key");
+    }
+  }
+}
+
+}  // namespace basilspread::config
--- /dev/null
+++ b/packages/core/include/basilspread/core/effect.h
@@ -0,0 +1,96 @@
+#ifndef BASILSPREAD_CORE_EFFECT_H_
+#define BASILSPREAD_CORE_EFFECT_H_
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "basilspread/core/error.h"
+#include "basilspread/core/ids.h"
+#include "basilspread/core/payload.h"
+#include "basilspread/core/peer_message.h"
+#include "basilspread/core/record.h"
+#include "basilspread/core/report.h"
+#include "basilspread/core/time.h"
+#include "basilspread/core/timer.h"
+
+namespace basilspread {
+
+/// Answers a caller of this process.
+struct AnswerCaller {
+  CallId call;
+  ErrorKind kind = ErrorKind::kNone;
+  std::string detail;
+  PayloadPtr payload;
+};
+
+/// Sends a request to a minion and reports with MinionAnswered.
+struct SendToMinion {
+  RequestKey request;
+  Attempt attempt;
+  HostName host;
+  std::string address;
+  bool idempotent = false;
+  /// Not written after this point; checked immediately before the write.
+  TimePoint not_after;
+  /// The exchange is given up at this point.
+  TimePoint deadline;
+  PayloadPtr payload;
+};
+
+struct SendToPeer {
+  NodeName peer;
+  PeerMessage message;
+};
+
+/// Appends a batch and reports with LogAppended.
+struct AppendLog {
+  StreamName stream;
+  LogBatch batch;
+};
+
+/// Reads a stream and reports with LogRead.
+struct ReadLog {
+  StreamName stream;
+  Offset from;
+};
+
+/// Reads the platform's host list and reports with HostsListed.
+struct ReadHosts {};
+
+/// Arms a timer, in place of its earlier point.
+struct SetTimer {
+  TimerKind kind;
+  TimePoint at;
+};
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+/// Writes one line to the process's log.
+struct WriteLine {
+  LogLevel level = LogLevel::kInfo;
+  /// The part that speaks; the fixed prefix of its lines.
+  std::string_view part;
+  /// A short sentence, then key=value fields.
+  std::string text;
+};
+
+/// Answers DumpRequested.
+struct AnswerDump {
+  CallId call;
+  StateReport report;
+};
+
+/// Ends the process: everything is drained.
+struct ExitProcess {};
+
+using Effect =
+    std::variant<AnswerCaller, SendToMinion, SendToPeer, AppendLog, ReadLog,
+                 ReadHosts, SetTimer, WriteLine, AnswerDump, ExitProcess>;
+
+using Effects = std::vector<Effect>;
+
+}  // namespace basilspread
+
+#endif  // BASILSPREAD_CORE_EFFECT_H_
--- /dev/null
+++ b/packages/core/include/basilspread/core/event.h
@@ -0,0 +1,126 @@
+#ifndef BASILSPREAD_CORE_EVENT_H_
+#define BASILSPREAD_CORE_EVENT_H_
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "basilspread/core/error.h"
+#include "basilspread/core/host.h"
+#include "basilspread/core/ids.h"
+#include "basilspread/core/payload.h"
+#include "basilspread/core/peer_message.h"
+#include "basilspread/core/record.h"
+#include "basilspread/core/time.h"
+#include "basilspread/core/timer.h"
+
+namespace basilspread {
+
+/// The first event of a process; arms the timers.
+struct Started {};
+
+/// A caller's request was read whole.
+struct RequestArrived {
+  CallId call;
+  RouteName route;
+  TeamName team;
+  /// Empty when the caller gave none.
+  std::string idempotency_key;
+  /// The caller's own deadline; zero means that of the route.
+  Duration deadline{};
+  PayloadPtr payload;
+};
+
+/// The caller closed its connection before the answer.
+struct CallerGone {
+  CallId call;
+};
+
+/// How an exchange with a minion ended.
+enum class MinionResult {
+  kAnswered,
+  /// No byte of the request was written.
+  kNotSent,
+  /// Bytes may have left and no whole answer came.
+  kLost,
+};
+
+struct MinionAnswered {
+  RequestKey request;
+  Attempt attempt;
+  HostName host;
+  MinionResult result = MinionResult::kLost;
+  /// Set with kAnswered.
+  PayloadPtr payload;
+  /// From the write of the request to the end of the answer.
+  Duration run_time{};
+};
+
+struct PeerReceived {
+  ProcessId from;
+  PeerMessage message;
+};
+
+/// A link to a peer opened or broke.
+struct PeerLinkChanged {
+  NodeName peer;
+  bool connected = false;
+};
+
+/// How an append ended as far as its writer can tell.
+enum class AppendResult { kStored, kRefused, kUnknown };
+
+struct LogAppended {
+  StreamName stream;
+  AppendId id;
+  AppendResult result = AppendResult::kUnknown;
+};
+
+/// A read of a stream ended.
+struct LogRead {
+  StreamName stream;
+  bool ok = false;
+  /// Where the read began.
+  Offset from;
+  /// Oldest offset that the log still keeps.
+  Offset first_kept;
+  /// Offset after the last record read.
+  Offset next;
+  /// Whether `next` was the end of the stream.
+  bool at_end = false;
+  std::vector<StoredBatch> batches;
+};
+
+/// A read of the platform's host list ended.
+struct HostsListed {
+  bool ok = false;
+  std::vector<Host> hosts;
+};
+
+struct TimerFired {
+  TimerKind kind;
+};
+
+/// An operator or the platform asked the process to stop gracefully.
+struct StopRequested {};
+
+/// An operator asked for the state.
+struct DumpRequested {
+  CallId call;
+};
+
+using EventBody =
+    std::variant<Started, RequestArrived, CallerGone, MinionAnswered,
+                 PeerReceived, PeerLinkChanged, LogAppended, LogRead,
+                 HostsListed, TimerFired, StopRequested, DumpRequested>;
+
+/// Everything that can change the state of a process.
+struct Event {
+  /// When the control thread took the event up.
+  TimePoint time;
+  EventBody body;
+};
+
+}  // namespace basilspread
+
+#endif  // BASILSPREAD_CORE_EVENT_H_
--- /dev/null
+++ b/packages/core/include/basilspread/core/hooks.h
@@ -0,0 +1,36 @@
+#ifndef BASILSPREAD_CORE_HOOKS_H_
+#define BASILSPREAD_CORE_HOOKS_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "basilspread/core/random.h"
+#include "basilspread/core/record.h"
+#include "basilspread/core/result.h"
+#include "basilspread/core/tables.h"
+
+namespace basilspread {
+
+struct Minion;
+
+/// Picks one of the minions that have a free slot; the list is never empty.
+using MinionChoice =
+    std::function<const Minion*(const std::vector<const Minion*>&, Random&)>;
+
+/// Turns the operators' text into tables, or says what is wrong with it.
+using TablesParser = std::function<Result<Tables>(const TablesRecord&)>;
+
+/// Behaviour that varies, by the names that the tables use.
+struct Hooks {
+  std::map<std::string, MinionChoice> minion_choices;
+  TablesParser parse_tables;
+};
+
+/// The built-in policies; the parser is left to the caller.
+Hooks DefaultHooks();
+
+}  // namespace basilspread
+
+#endif  // BASILSPREAD_CORE_HOOKS_H_
--- /dev/null
+++ b/packages/core/include/basilspread/core/peer_message.h
@@ -0,0 +1,69 @@
+#ifndef BASILSPREAD_CORE_PEER_MESSAGE_H_
+#define BASILSPREAD_CORE_PEER_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "basilspread/core/error.h"
+#include "basilspread/core/ids.h"
+#include "basilspread/core/payload.h"
+#include "basilspread/core/time.h"
+
+namespace basilspread {
+
+/// What an owner tells of one shard in its heartbeat.
+struct ShardReport {
+  ShardId shard;
+  Epoch epoch;
+  /// Minion slots without a request; 0 for worker pools.
+  std::uint32_t free_slots = 0;
+  /// Requests or tasks that wait.
+  std::uint32_t queued = 0;
+};
+
+/// Sent to every peer at the heartbeat interval.
+struct Heartbeat {
+  TablesVersion tables;
+  /// Set while the sender drains before it exits.
+  bool stopping = false;
+  /// The shards that the sender owns.
+  std::vector<ShardReport> shards;
+};
+
+/// Names one request across processes.
+struct RequestKey {
+  /// The process whose caller is waiting.
+  ProcessId origin;
+  CallId call;
+
+  friend auto operator<=>(const RequestKey&, const RequestKey&) = default;
+};
+
+/// Passes a request to the owner of a shard.
+struct ForwardRequest {
+  CallId call;
+  ShardId shard;
+  RouteName route;
+  TeamName team;
+  /// Empty when the caller gave none.
+  std::string idempotency_key;
+  /// What is left of the caller's deadline.
+  Duration time_left{};
+  PayloadPtr payload;
+};
+
+/// The owner's answer to ForwardRequest.
+struct ForwardAnswer {
+  CallId call;
+  ErrorKind kind = ErrorKind::kNone;
+  std::string detail;
+  PayloadPtr payload;
+};
+
+using PeerMessage = std::variant<Heartbeat, ForwardRequest, ForwardAnswer>;
+
+}  // namespace basilspread
+
+#endif  // BASILSPREAD_CORE_PEER_MESSAGE_H_
--- /dev/null
+++ b/packages/core/include/basilspread/core/record.h
@@ -0,0 +1,55 @@
+#ifndef BASILSPREAD_CORE_RECORD_H_
+#define BASILSPREAD_CORE_RECORD_H_
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "basilspread/core/ids.h"
+#include "basilspread/core/tables.h"
+
+namespace basilspread {
+
+/// An operator's edit. In force only if `base` is the version before it.
+struct TablesRecord {
+  TablesVersion base;
+  std::string author;
+  /// The tables as the operator wrote them.
+  std::string route_table;
+  std::string pool_table;
+};
+
+/// Takes a shard over. The first claim of an epoch in log order wins.
+struct ClaimRecord {
+  ShardId shard;
+  Epoch epoch;
+  ProcessId claimant;
+};
+
+/// Gives a shard up after a drain and names who should claim it.
+struct ReleaseRecord {
+  ShardId shard;
+  Epoch epoch;
+  ProcessId owner;
+  NodeName successor;
+};
+
+using LogRecord = std::variant<TablesRecord, ClaimRecord, ReleaseRecord>;
+
+/// What one append holds: the records of one writer, in order.
+struct LogBatch {
+  ProcessId writer;
+  /// Number of this batch among the writer's; settles lost answers.
+  AppendId id;
+  std::vector<LogRecord> records;
+};
+
+/// A batch as it was read back.
+struct StoredBatch {
+  Offset offset;
+  LogBatch batch;
+};
+
+}  // namespace basilspread
+
+#endif  // BASILSPREAD_CORE_RECORD_H_
--- /dev/null
+++ b/packages/core/include/basilspread/core/timer.h
@@ -0,0 +1,21 @@
+#ifndef BASILSPREAD_CORE_TIMER_H_
+#define BASILSPREAD_CORE_TIMER_H_
+
+namespace basilspread {
+
+/// The timers of a process; each is armed for at most one point.
+enum class TimerKind {
+  kHeartbeat,
+  kMembership,
+  kOwnership,
+  kHostList,
+  kLogRead,
+  kLogAppend,
+  kRequests,
+  kJobs,
+  kStop,
+};
+
+}  // namespace basilspread
+
+#endif  // BASILSPREAD_CORE_TIMER_H_
--- /dev/null
+++ b/packages/core/src/internal/ownership.h
@@ -0,0 +1,33 @@
+#ifndef BASILSPREAD_CORE_INTERNAL_OWNERSHIP_H_
+#define BASILSPREAD_CORE_INTERNAL_OWNERSHIP_H_
+
+#include <string>
+
+#include "basilspread/core/host.h"
+#include "basilspread/core/record.h"
+#include "basilspread/core/tables.h"
+#include "internal/context.h"
+
+namespace basilspread::internal::ownership {
+
+void Start(Context& context);
+void OnOwnershipTimer(Context& context);
+
+/// Matches the shards to the pools of the tables in force.
+void OnTablesChanged(Context& context);
+void OnClaim(Context& context, const ClaimRecord& record);
+void OnRelease(Context& context, const ReleaseRecord& record);
+
+/// The shard that a host belongs to: hosts of a rack stay together, and the
+/// list's order does not matter, so that every process decides alike.
+ShardId ShardOf(const Pool& pool, const Host& host);
+
+/// The stream that holds the claims and records of a shard.
+StreamName StreamOf(const ShardId& shard);
+
+/// Whether this process may act as owner of the shard now.
+bool OwnsShard(const Context& context, const ShardId& shard);
+
+}  // namespace basilspread::internal::ownership
+
+#endif  // BASILSPREAD_CORE_INTERNAL_OWNERSHIP_H_
--- /dev/null
+++ b/packages/core/src/internal/report.cc
@@ -0,0 +1,66 @@
+#include "internal/report.h"
+
+#include <fmt/format.h>
+
+#include "internal/membership.h"
+
+namespace basilspread::internal::report {
+namespace {
+
+ReportSection DescribeProcess(const Context& context) {
+  ReportSection section{"process", {}};
+  const State& state = context.state;
+  section.rows.push_back(
+      {{"node", state.settings.self.node.value},
+       {"incarnation", fmt::format("{}", state.settings.self.incarnation)},
+       {"zone", state.settings.zone.value},
+       {"tables", fmt::format("{}", state.configuration.tables.version.value)},
+       {"stopping", state.stopping ? "yes" : "no"}});
+  return section;
+}
+
+ReportSection DescribeMembers(const Context& context) {
+  ReportSection section{"members", {}};
+  for (const auto& [node, peer] : context.state.membership.peers) {
+    section.rows.push_back(
+        {{"node", node.value},
+         {"incarnation", fmt::format("{}", peer.incarnation)},
+         {"live", membership::IsLive(context, peer) ? "yes" : "no"},
+         {"tables", fmt::format("{}", peer.last_heartbeat.tables.value)}});
+  }
+  return section;
+}
+
+ReportSection DescribeShards(const Context& context) {
+  ReportSection section{"shards", {}};
+  for (const auto& [shard, ownership] : context.state.ownership.shards) {
+    section.rows.push_back(
+        {{"shard", shard.value},
+         {"epoch", fmt::format("{}", ownership.epoch.value)},
+         {"owner", ownership.owner ? ownership.owner->node.value : "-"}});
+  }
+  return section;
+}
+
+ReportSection DescribeMinions(const Context& context) {
+  ReportSection section{"minions", {}};
+  for (const auto& [shard, minions] : context.state.requests.shards) {
+    for (const auto& [name, minion] : minions.minions) {
+      section.rows.push_back({{"minion", name.value},
+                              {"shard", shard.value},
+                              {"slots", fmt::format("{}", minion.slots)},
+                              {"busy", fmt::format("{}", minion.busy)},
+                              {"leaving", minion.leaving ? "yes" : "no"}});
+    }
+  }
+  return section;
+}
+
+}  // namespace
+
+StateReport Describe(const Context& context) {
+  return {DescribeProcess(context), DescribeMembers(context),
+          DescribeShards(context), DescribeMinions(context)};
+}
+
+}  // namespace basilspread::internal::report
--- /dev/null
+++ b/packages/core/src/internal/requests.h
@@ -0,0 +1,29 @@
+#ifndef BASILSPREAD_CORE_INTERNAL_REQUESTS_H_
+#define BASILSPREAD_CORE_INTERNAL_REQUESTS_H_
+
+#include "basilspread/core/event.h"
+#include "internal/context.h"
+
+namespace basilspread::internal::requests {
+
+void OnArrived(Context& context, const RequestArrived& event);
+void OnCallerGone(Context& context, const CallerGone& event);
+void OnForwarded(Context& context, const ProcessId& from,
+                 const ForwardRequest& message);
+void OnForwardAnswered(Context& context, const ForwardAnswer& message);
+void OnMinionAnswered(Context& context, const MinionAnswered& event);
+void OnTimer(Context& context);
+
+/// Rebuilds the minions of the owned shards from hosts and tables.
+void OnHostsChanged(Context& context);
+void OnShardGained(Context& context, const ShardId& shard);
+void OnShardLost(Context& context, const ShardId& shard);
+/// Settles what was passed to a peer that is gone.
+void OnPeerLost(Context& context, const NodeName& peer);
+
+/// Whether nothing of any caller is in flight here.
+bool IsIdle(const Context& context);
+
+}  // namespace basilspread::internal::requests
+
+#endif  // BASILSPREAD_CORE_INTERNAL_REQUESTS_H_
--- /dev/null
+++ b/packages/node/src/control_loop.cc
@@ -0,0 +1,85 @@
+#include "control_loop.h"
+
+#include <utility>
+#include <variant>
+
+#include "basilspread/core/reducer.h"
+
+namespace basilspread::node {
+
+ControlLoop::ControlLoop(State& control_state, Interpreter effect_hook)
+    : state(control_state), interpret(std::move(effect_hook)) {}
+
+void ControlLoop::Post(EventBody body) {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->events.push_back(std::move(body));
+  }
+  this->has_events.notify_one();
+}
+
+void ControlLoop::Run() {
+  this->Handle(Started{});
+  while (this->running) {
+    std::optional<EventBody> body = this->Next();
+    if (body) {
+      this->Handle(*std::move(body));
+    }
+  }
+}
+
+std::optional<EventBody> ControlLoop::Next() {
+  // Timers go first, so that a flood of events cannot starve the heartbeat.
+  if (const auto timer = this->TakeDueTimer(std::chrono::steady_clock::now())) {
+    return TimerFired{*timer};
+  }
+  std::unique_lock lock(this->mutex);
+  const auto is_ready = [this] { return !this->events.empty(); };
+  if (const auto deadline = this->NextDeadline()) {
+    this->has_events.wait_until(lock, *deadline, is_ready);
+  } else {
+    this->has_events.wait(lock, is_ready);
+  }
+  if (this->events.empty()) {
+    return std::nullopt;
+  }
+  EventBody body = std::move(this->events.front());
+  this->events.pop_front();
+  return body;
+}
+
+std::optional<TimerKind> ControlLoop::TakeDueTimer(TimePoint now) {
+  for (const auto& [kind, at] : this->timers) {
+    if (at <= now) {
+      const TimerKind due = kind;
+      this->timers.erase(due);
+      return due;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<TimePoint> ControlLoop::NextDeadline() const {
+  std::optional<TimePoint> next;
+  for (const auto& [kind, at] : this->timers) {
+    if (!next || at < *next) {
+      next = at;
+    }
+  }
+  return next;
+}
+
+void ControlLoop::Handle(EventBody body) {
+  const Event event{std::chrono::steady_clock::now(), std::move(body)};
+  for (Effect& effect : Reduce(this->state, event)) {
+    if (const auto* timer = std::get_if<SetTimer>(&effect)) {
+      this->timers[timer->kind] = timer->at;
+    } else if (std::holds_alternative<ExitProcess>(effect)) {
+      this->running = false;
+    } else {
+      this->interpret(std::move(effect));
+    }
+  }
+}
+
+}  // namespace basilspread::node
--- /dev/null
+++ b/packages/node/src/control_loop.h
@@ -0,0 +1,50 @@
+#ifndef BASILSPREAD_NODE_CONTROL_LOOP_H_
+#define BASILSPREAD_NODE_CONTROL_LOOP_H_
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+
+#include "basilspread/core/effect.h"
+#include "basilspread/core/event.h"
+#include "basilspread/core/state.h"
+#include "basilspread/core/time.h"
+
+namespace basilspread::node {
+
+/// The one thread that owns the state. It waits for an event or the next
+/// timer, reduces, and hands the effects to the interpreter.
+class ControlLoop {
+ public:
+  /// Carries out one effect without blocking.
+  using Interpreter = std::function<void(Effect)>;
+
+  ControlLoop(State& control_state, Interpreter effect_hook);
+
+  /// Takes an event from any thread.
+  void Post(EventBody body);
+
+  /// Runs until an ExitProcess effect.
+  void Run();
+
+ private:
+  std::optional<EventBody> Next();
+  std::optional<TimerKind> TakeDueTimer(TimePoint now);
+  std::optional<TimePoint> NextDeadline() const;
+  void Handle(EventBody body);
+
+  State& state;
+  Interpreter interpret;
+  std::map<TimerKind, TimePoint> timers;
+  bool running = true;
+  std::mutex mutex;
+  std::condition_variable has_events;
+  std::deque<EventBody> events;
+};
+
+}  // namespace basilspread::node
+
+#endif  // BASILSPREAD_NODE_CONTROL_LOOP_H_
--- /dev/null
+++ b/packages/node/src/node.h
@@ -0,0 +1,49 @@
+#ifndef BASILSPREAD_NODE_NODE_H_
+#define BASILSPREAD_NODE_NODE_H_
+
+#include "admin.h"
+#include "basilspread/config/node_settings.h"
+#include "basilspread/core/effect.h"
+#include "basilspread/core/state.h"
+#include "basilspread/platform/host_list_client.h"
+#include "basilspread/platform/log_client.h"
+#include "basilspread/platform/minion_client.h"
+#include "control_loop.h"
+#include "executor.h"
+#include "front_end.h"
+#include "peer_links.h"
+
+namespace basilspread::node {
+
+/// One entry process: the control thread's loop and the traffic threads that
+/// carry out its effects.
+class Node {
+ public:
+  explicit Node(config::NodeSettings node_settings);
+
+  /// Serves until a stop was requested and everything is drained. Throws
+  /// Poco::Exception when an address cannot be bound.
+  void Run();
+
+  /// May be called from any thread.
+  void RequestStop();
+
+ private:
+  void Interpret(Effect effect);
+
+  config::NodeSettings settings;
+  State state;
+  ControlLoop loop;
+  platform::LogClient log;
+  platform::HostListClient host_list;
+  platform::MinionClient minions;
+  FrontEnd front_end;
+  Admin admin;
+  PeerLinks peers;
+  Executor platform_calls;
+  Executor minion_calls;
+};
+
+}  // namespace basilspread::node
+
+#endif  // BASILSPREAD_NODE_NODE_H_
--- /dev/null
+++ b/packages/node/src/outbound_link.cc
@@ -0,0 +1,139 @@
+#include "outbound_link.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace basilspread::node {
+namespace {
+
+constexpr std::size_t kMaxQueuedFrames = 4096;
+constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(100);
+constexpr Duration kMaxRetryDelay = std::chrono::seconds(2);
+const Poco::Timespan kConnectTimeout(1, 0);
+const Poco::Timespan kSendTimeout(5, 0);
+
+void SendAll(Poco::Net::StreamSocket& socket, const std::string& bytes) {
+  std::size_t sent = 0;
+  while (sent < bytes.size()) {
+    const int count = socket.sendBytes(bytes.data() + sent,
+                                       static_cast<int>(bytes.size() - sent));
+    if (count <= 0) {
+      throw Poco::IOException("the connection took no bytes");
+    }
+    sent += static_cast<std::size_t>(count);
+  }
+}
+
+/// Half to all of the delay, so that peers do not reconnect in step.
+Duration Jitter(Duration delay) {
+  thread_local std::minstd_rand generator(std::random_device{}());
+  std::uniform_int_distribution<std::int64_t> spread(delay.count() / 2,
+                                                     delay.count());
+  return Duration(spread(generator));
+}
+
+}  // namespace
+
+OutboundLink::OutboundLink(config::PeerEndpoint peer_endpoint,
+                           OnChange change_hook)
+    : peer(std::move(peer_endpoint)), on_change(std::move(change_hook)) {
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+OutboundLink::~OutboundLink() {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->stopping = true;
+  }
+  this->changed.notify_all();
+  this->thread.join();
+}
+
+bool OutboundLink::Send(std::string frame) {
+  {
+    const std::lock_guard lock(this->mutex);
+    if (!this->connected || this->frames.size() >= kMaxQueuedFrames) {
+      return false;
+    }
+    this->frames.push_back(std::move(frame));
+  }
+  this->changed.notify_all();
+  return true;
+}
+
+void OutboundLink::Run() {
+  Duration delay = kFirstRetryDelay;
+  while (true) {
+    try {
+      this->Serve();
+      return;
+    } catch (const Poco::Exception&) {
+      bool was_connected = false;
+      {
+        const std::lock_guard lock(this->mutex);
+        was_connected = this->connected;
+      }
+      delay = was_connected ? kFirstRetryDelay
+                            : std::min(delay * 2, kMaxRetryDelay);
+      this->SetConnected(false);
+    }
+    this->Wait(Jitter(delay));
+    const std::lock_guard lock(this->mutex);
+    if (this->stopping) {
+      return;
+    }
+  }
+}
+
+void OutboundLink::Serve() {
+  const Poco::Net::SocketAddress address(this->peer.endpoint.host,
+                                         this->peer.endpoint.port);
+  Poco::Net::StreamSocket socket;
+  socket.connect(address, kConnectTimeout);
+  socket.setNoDelay(true);
+  socket.setSendTimeout(kSendTimeout);
+  this->SetConnected(true);
+  while (true) {
+    const std::string frame = this->TakeFrame();
+    if (frame.empty()) {
+      return;
+    }
+    SendAll(socket, frame);
+  }
+}
+
+std::string OutboundLink::TakeFrame() {
+  std::unique_lock lock(this->mutex);
+  this->changed.wait(
+      lock, [this] { return this->stopping || !this->frames.empty(); });
+  if (this->frames.empty()) {
+    return {};
+  }
+  std::string frame = std::move(this->frames.front());
+  this->frames.pop_front();
+  return frame;
+}
+
+void OutboundLink::SetConnected(bool is_connected) {
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->connected == is_connected) {
+      return;
+    }
+    this->connected = is_connected;
+    this->frames.clear();
+  }
+  this->on_change(is_connected);
+}
+
+void OutboundLink::Wait(Duration delay) {
+  std::unique_lock lock(this->mutex);
+  this->changed.wait_for(lock, delay, [this] { return this->stopping; });
+}
+
+}  // namespace basilspread::node
--- /dev/null
+++ b/packages/platform/include/basilspread/platform/log_client.h
@@ -0,0 +1,30 @@
+#ifndef BASILSPREAD_PLATFORM_LOG_CLIENT_H_
+#define BASILSPREAD_PLATFORM_LOG_CLIENT_H_
+
+#include <cstdint>
+#include <string>
+
+#include "basilspread/core/event.h"
+#include "basilspread/core/record.h"
+#include "basilspread/core/time.h"
+
+namespace basilspread::platform {
+
+/// The platform's log service over HTTP, see docs/PLATFORM.md. The calls
+/// block for at most the timeout; they may be made from several threads.
+class LogClient {
+ public:
+  LogClient(std::string log_host, std::uint16_t log_port, Duration timeout);
+
+  LogAppended Append(const StreamName& stream, const LogBatch& batch) const;
+  LogRead Read(const StreamName& stream, Offset from) const;
+
+ private:
+  std::string host;
+  std::uint16_t port;
+  Duration call_timeout;
+};
+
+}  // namespace basilspread::platform
+
+#endif  // BASILSPREAD_PLATFORM_LOG_CLIENT_H_
--- /dev/null
+++ b/packages/wire/src/peer_codec.cc
@@ -0,0 +1,200 @@
+#include "basilspread/wire/peer_codec.h"
+
+#include <utility>
+#include <vector>
+
+#include "common.h"
+
+namespace basilspread::wire {
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+struct PackedBody {
+  fb::PeerBody type;
+  flatbuffers::Offset<void> offset;
+};
+
+flatbuffers::Offset<fb::Payload> Pack(Builder& builder,
+                                      const PayloadPtr& payload) {
+  if (!payload) {
+    return 0;
+  }
+  std::vector<flatbuffers::Offset<fb::Header>> headers;
+  for (const Header& header : payload->headers) {
+    const auto name = builder.CreateString(header.name);
+    const auto value = builder.CreateString(header.value);
+    headers.push_back(fb::CreateHeader(builder, name, value));
+  }
+  const auto method = builder.CreateString(payload->method);
+  const auto target = builder.CreateString(payload->target);
+  const auto packed_headers = builder.CreateVector(headers);
+  const auto* bytes =
+      reinterpret_cast<const std::uint8_t*>(payload->body.data());
+  const auto body = builder.CreateVector(bytes, payload->body.size());
+  return fb::CreatePayload(builder, method, target, payload->status,
+                           packed_headers, body);
+}
+
+std::string StringOf(const flatbuffers::String* text) {
+  return text == nullptr ? std::string() : text->str();
+}
+
+PayloadPtr Unpack(const fb::Payload* packed) {
+  if (packed == nullptr) {
+    return nullptr;
+  }
+  boost::intrusive_ptr<Payload> payload(new Payload);
+  payload->method = StringOf(packed->method());
+  payload->target = StringOf(packed->target());
+  payload->status = packed->status();
+  if (packed->headers() != nullptr) {
+    for (const fb::Header* header : *packed->headers()) {
+      payload->headers.push_back(
+          Header{header->name()->str(), header->value()->str()});
+    }
+  }
+  if (packed->body() != nullptr) {
+    payload->body.assign(packed->body()->begin(), packed->body()->end());
+  }
+  return payload;
+}
+
+PackedBody Pack(Builder& builder, const Heartbeat& message) {
+  std::vector<flatbuffers::Offset<fb::ShardReport>> shards;
+  for (const ShardReport& report : message.shards) {
+    const auto shard = builder.CreateString(report.shard.value);
+    shards.push_back(fb::CreateShardReport(builder, shard, report.epoch.value,
+                                           report.free_slots, report.queued));
+  }
+  const auto packed = builder.CreateVector(shards);
+  return {fb::PeerBody::Heartbeat,
+          fb::CreateHeartbeat(builder, message.tables.value, message.stopping,
+                              packed)
+              .Union()};
+}
+
+PackedBody Pack(Builder& builder, const ForwardRequest& message) {
+  const auto shard = builder.CreateString(message.shard.value);
+  const auto route = builder.CreateString(message.route.value);
+  const auto team = builder.CreateString(message.team.value);
+  const auto key = builder.CreateString(message.idempotency_key);
+  const auto payload = Pack(builder, message.payload);
+  return {
+      fb::PeerBody::ForwardRequest,
+      fb::CreateForwardRequest(builder, message.call.value, shard, route, team,
+                               key, message.time_left.count(), payload)
+          .Union()};
+}
+
+PackedBody Pack(Builder& builder, const ForwardAnswer& message) {
+  const auto error =
+      builder.CreateString(std::string(AnswerFor(message.kind).name));
+  const auto detail = builder.CreateString(message.detail);
+  const auto payload = Pack(builder, message.payload);
+  return {fb::PeerBody::ForwardAnswer,
+          fb::CreateForwardAnswer(builder, message.call.value, error, detail,
+                                  payload)
+              .Union()};
+}
+
+Heartbeat Unpack(const fb::Heartbeat& packed) {
+  Heartbeat message;
+  message.tables = TablesVersion{packed.tables()};
+  message.stopping = packed.stopping();
+  if (packed.shards() != nullptr) {
+    for (const fb::ShardReport* report : *packed.shards()) {
+      message.shards.push_back(
+          ShardReport{ShardId{report->shard()->str()}, Epoch{report->epoch()},
+                      report->free_slots(), report->queued()});
+    }
+  }
+  return message;
+}
+
+ForwardRequest Unpack(const fb::ForwardRequest& packed) {
+  ForwardRequest message;
+  message.call = CallId{packed.call()};
+  message.shard = ShardId{packed.shard()->str()};
+  message.route = RouteName{packed.route()->str()};
+  message.team = TeamName{packed.team()->str()};
+  message.idempotency_key = packed.idempotency_key()->str();
+  message.time_left = Duration(packed.time_left_ns());
+  message.payload = Unpack(packed.payload());
+  return message;
+}
+
+ForwardAnswer Unpack(const fb::ForwardAnswer& packed) {
+  ForwardAnswer message;
+  message.call = CallId{packed.call()};
+  message.kind = ErrorKindNamed(packed.error()->string_view());
+  message.detail = packed.detail()->str();
+  message.payload = Unpack(packed.payload());
+  return message;
+}
+
+Result<PeerMessage> UnpackBody(const fb::Frame& frame) {
+  switch (frame.body_type()) {
+    case fb::PeerBody::Heartbeat:
+      return PeerMessage(Unpack(*frame.body_as_Heartbeat()));
+    case fb::PeerBody::ForwardRequest:
+      return PeerMessage(Unpack(*frame.body_as_ForwardRequest()));
+    case fb::PeerBody::ForwardAnswer:
+      return PeerMessage(Unpack(*frame.body_as_ForwardAnswer()));
+    case fb::PeerBody::NONE:
+      break;
+  }
+  return Error{ErrorKind::kBadRequest, "the frame has no message"};
+}
+
+}  // namespace
+
+Result<std::string> EncodeFrame(const PeerFrame& frame) {
+  Builder builder;
+  const auto sender = wire::Pack(builder, frame.sender);
+  const PackedBody body = std::visit(
+      [&builder](const auto& message) { return Pack(builder, message); },
+      frame.message);
+  fb::FrameBuilder frame_builder(builder);
+  frame_builder.add_version(kProtocolVersion);
+  frame_builder.add_sender(sender);
+  frame_builder.add_body_type(body.type);
+  frame_builder.add_body(body.offset);
+  builder.Finish(frame_builder.Finish());
+  if (builder.GetSize() > kMaxFrameBytes) {
+    return Error{ErrorKind::kTooLarge, "the frame exceeds its limit"};
+  }
+  // The length is written apart: a prefix inside the buffer would shift the
+  // alignment that the verifier checks.
+  std::string bytes(kLengthBytes, '\0');
+  flatbuffers::WriteScalar<std::uint32_t>(bytes.data(), builder.GetSize());
+  return bytes + ToString(builder);
+}
+
+Result<std::uint32_t> DecodeLength(std::string_view prefix) {
+  const auto length = flatbuffers::ReadScalar<std::uint32_t>(prefix.data());
+  if (length == 0) {
+    return Error{ErrorKind::kBadRequest, "the frame is empty"};
+  }
+  if (length > kMaxFrameBytes) {
+    return Error{ErrorKind::kTooLarge, "the frame exceeds its limit"};
+  }
+  return length;
+}
+
+Result<PeerFrame> DecodeFrame(std::string_view bytes) {
+  flatbuffers::Verifier verifier = MakeVerifier(bytes);
+  if (!verifier.VerifyBuffer<fb::Frame>(nullptr)) {
+    return Error{ErrorKind::kBadRequest, "the frame is malformed"};
+  }
+  const auto* frame = flatbuffers::GetRoot<fb::Frame>(bytes.data());
+  if (frame->version() != kProtocolVersion) {
+    return Error{ErrorKind::kProtocolMismatch,
+                 "the peer speaks version " + std::to_string(frame->version()) +
+                     ", not " + std::to_string(kProtocolVersion)};
+  }
+  BOOST_OUTCOME_TRY(message, UnpackBody(*frame));
+  return PeerFrame{wire::Unpack(*frame->sender()), std::move(message)};
+}
+
+}  // namespace basilspread::wire
--- /dev/null
+++ b/packages/wire/src/record_codec.cc
@@ -0,0 +1,117 @@
+#include "basilspread/wire/record_codec.h"
+
+#include <utility>
+#include <vector>
+
+#include "basilspread/wire/peer_codec.h"
+#include "common.h"
+
+namespace basilspread::wire {
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+struct PackedRecord {
+  fb::RecordBody type;
+  flatbuffers::Offset<void> offset;
+};
+
+PackedRecord PackRecord(Builder& builder, const TablesRecord& record) {
+  const auto author = builder.CreateString(record.author);
+  const auto routes = builder.CreateString(record.route_table);
+  const auto pools = builder.CreateString(record.pool_table);
+  return {
+      fb::RecordBody::TablesRecord,
+      fb::CreateTablesRecord(builder, record.base.value, author, routes, pools)
+          .Union()};
+}
+
+PackedRecord PackRecord(Builder& builder, const ClaimRecord& record) {
+  const auto shard = builder.CreateString(record.shard.value);
+  const auto claimant = Pack(builder, record.claimant);
+  return {fb::RecordBody::ClaimRecord,
+          fb::CreateClaimRecord(builder, shard, record.epoch.value, claimant)
+              .Union()};
+}
+
+PackedRecord PackRecord(Builder& builder, const ReleaseRecord& record) {
+  const auto shard = builder.CreateString(record.shard.value);
+  const auto owner = Pack(builder, record.owner);
+  const auto successor = builder.CreateString(record.successor.value);
+  return {fb::RecordBody::ReleaseRecord,
+          fb::CreateReleaseRecord(builder, shard, record.epoch.value, owner,
+                                  successor)
+              .Union()};
+}
+
+LogRecord UnpackRecord(const fb::TablesRecord& packed) {
+  return TablesRecord{TablesVersion{packed.base()}, packed.author()->str(),
+                      packed.route_table()->str(), packed.pool_table()->str()};
+}
+
+LogRecord UnpackRecord(const fb::ClaimRecord& packed) {
+  return ClaimRecord{ShardId{packed.shard()->str()}, Epoch{packed.epoch()},
+                     Unpack(*packed.claimant())};
+}
+
+LogRecord UnpackRecord(const fb::ReleaseRecord& packed) {
+  return ReleaseRecord{ShardId{packed.shard()->str()}, Epoch{packed.epoch()},
+                       Unpack(*packed.owner()),
+                       NodeName{packed.successor()->str()}};
+}
+
+Result<LogRecord> UnpackBody(const fb::Record& record) {
+  switch (record.body_type()) {
+    case fb::RecordBody::TablesRecord:
+      return UnpackRecord(*record.body_as_TablesRecord());
+    case fb::RecordBody::ClaimRecord:
+      return UnpackRecord(*record.body_as_ClaimRecord());
+    case fb::RecordBody::ReleaseRecord:
+      return UnpackRecord(*record.body_as_ReleaseRecord());
+    case fb::RecordBody::NONE:
+      break;
+  }
+  return Error{ErrorKind::kBadRequest, "the log record has no body"};
+}
+
+}  // namespace
+
+std::string EncodeBatch(const LogBatch& batch) {
+  Builder builder;
+  std::vector<flatbuffers::Offset<fb::Record>> records;
+  for (const LogRecord& record : batch.records) {
+    const PackedRecord packed = std::visit(
+        [&builder](const auto& body) { return PackRecord(builder, body); },
+        record);
+    records.push_back(fb::CreateRecord(builder, packed.type, packed.offset));
+  }
+  const auto writer = Pack(builder, batch.writer);
+  const auto packed_records = builder.CreateVector(records);
+  builder.Finish(fb::CreateBatch(builder, kProtocolVersion, writer,
+                                 batch.id.value, packed_records));
+  return ToString(builder);
+}
+
+Result<LogBatch> DecodeBatch(std::string_view bytes) {
+  flatbuffers::Verifier verifier = MakeVerifier(bytes);
+  if (!verifier.VerifyBuffer<fb::Batch>(nullptr)) {
+    return Error{ErrorKind::kBadRequest, "the log record is malformed"};
+  }
+  const auto* packed = flatbuffers::GetRoot<fb::Batch>(bytes.data());
+  if (packed->version() != kProtocolVersion) {
+    return Error{ErrorKind::kProtocolMismatch,
+                 "the log record is of another version"};
+  }
+  LogBatch batch;
+  batch.writer = Unpack(*packed->writer());
+  batch.id = AppendId{packed->id()};
+  if (packed->records() != nullptr) {
+    for (const fb::Record* record : *packed->records()) {
+      BOOST_OUTCOME_TRY(body, UnpackBody(*record));
+      batch.records.push_back(std::move(body));
+    }
+  }
+  return batch;
+}
+
+}  // namespace basilspread::wire
--- /dev/null
+++ b/packages/wire/tests/peer_codec_test.cc
@@ -0,0 +1,61 @@
+#include "basilspread/wire/peer_codec.h"
+
+#include <catch2/catch.hpp>
+
+namespace basilspread::wire {
+namespace {
+
+PeerFrame MakeForward() {
+  boost::intrusive_ptr<Payload> payload(new Payload);
+  payload->method = "POST";
+  payload->target = "/preview";
+  payload->headers.push_back(Header{"Content-Type", "text/plain"});
+  payload->body = std::string("\0binary\xff", 8);
+  ForwardRequest forward;
+  forward.call = CallId{7};
+  forward.shard = ShardId{"layout#1"};
+  forward.route = RouteName{"preview"};
+  forward.time_left = std::chrono::milliseconds(1500);
+  forward.payload = payload;
+  return PeerFrame{ProcessId{NodeName{"glasgow-1"}, 42}, forward};
+}
+
+std::string Body(const std::string& frame) {
+  return frame.substr(kLengthBytes);
+}
+
+TEST_CASE("A frame survives encoding and decoding", "[wire][peer]") {
+  const std::string bytes = EncodeFrame(MakeForward()).value();
+  REQUIRE(DecodeLength(bytes).value() == bytes.size() - kLengthBytes);
+
+  const PeerFrame frame = DecodeFrame(Body(bytes)).value();
+  REQUIRE(frame.sender == ProcessId{NodeName{"glasgow-1"}, 42});
+  const auto& forward = std::get<ForwardRequest>(frame.message);
+  REQUIRE(forward.call == CallId{7});
+  REQUIRE(forward.time_left == std::chrono::milliseconds(1500));
+  REQUIRE(forward.payload->body == std::string("\0binary\xff", 8));
+  REQUIRE(forward.payload->headers.at(0).value == "text/plain");
+}
+
+TEST_CASE("Malformed frames are refused", "[wire][peer]") {
+  const std::string bytes = Body(EncodeFrame(MakeForward()).value());
+
+  SECTION("every truncation that loses more than padding") {
+    // Up to 7 bytes at the end only align the buffer.
+    constexpr std::size_t kMaxPaddingBytes = 7;
+    for (std::size_t size = 0; size + kMaxPaddingBytes < bytes.size(); ++size) {
+      REQUIRE_FALSE(DecodeFrame(bytes.substr(0, size)));
+    }
+  }
+  SECTION("a length of zero") {
+    REQUIRE(DecodeLength(std::string(4, '\0')).error().kind ==
+            ErrorKind::kBadRequest);
+  }
+  SECTION("a length above the limit") {
+    REQUIRE(DecodeLength(std::string(4, '\xff')).error().kind ==
+            ErrorKind::kTooLarge);
+  }
+}
+
+}  // namespace
+}  // namespace basilspread::wire
--- /dev/null
+++ b/tests/standin/minion.cc
@@ -0,0 +1,75 @@
+#include <fmt/format.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "standin.h"
+
+namespace standin {
+namespace {
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+/// Runs requests, each for the time its X-Work header states in
+/// milliseconds, and keeps count of what a scheduler must never do.
+class Minion {
+ public:
+  Minion(std::string minion_name, int slot_count)
+      : name(std::move(minion_name)), slots(slot_count) {}
+
+  void Handle(HTTPServerRequest& request, HTTPServerResponse& response) {
+    if (request.getURI() == "/stats") {
+      Reply(response, 200, this->Stats());
+      return;
+    }
+    const std::string body = ReadBody(request);
+    const int work = std::stoi(request.get("X-Work", "0"));
+    this->Work(std::chrono::milliseconds(work));
+    response.set("X-Minion", this->name);
+    Reply(response, 200, body);
+  }
+
+ private:
+  std::string Stats() {
+    const std::lock_guard lock(this->mutex);
+    return fmt::format(
+        R"({{"ran":{},"running":{},"peak":{},"overcommits":{}}})", this->ran,
+        this->running, this->peak, this->overcommits);
+  }
+
+  void Work(std::chrono::milliseconds duration) {
+    std::unique_lock lock(this->mutex);
+    ++this->ran;
+    ++this->running;
+    this->peak = std::max(this->peak, this->running);
+    if (this->running > this->slots) {
+      ++this->overcommits;
+    }
+    this->never.wait_for(lock, duration, [] { return false; });
+    --this->running;
+  }
+
+  const std::string name;
+  const int slots;
+  std::mutex mutex;
+  std::condition_variable never;
+  int ran = 0;
+  int running = 0;
+  int peak = 0;
+  int overcommits = 0;
+};
+
+}  // namespace
+
+Handler MakeMinion(const std::string& name, int slots) {
+  const auto minion = std::make_shared<Minion>(name, slots);
+  return [minion](HTTPServerRequest& request, HTTPServerResponse& response) {
+    minion->Handle(request, response);
+  };
+}
+
+}  // namespace standin
--- /dev/null
+++ b/tests/support/cluster.cc
@@ -0,0 +1,158 @@
+#include "support/cluster.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "support/http.h"
+
+namespace test {
+namespace {
+
+constexpr std::array kZones = {"glasgow", "dundee", "inverness"};
+
+std::string MakeFolder() {
+  static std::atomic<int> last = 0;
+  const auto path = std::filesystem::temp_directory_path() /
+                    fmt::format("basilspread-{}-{}", getpid(), ++last);
+  std::filesystem::create_directories(path);
+  return path.string();
+}
+
+}  // namespace
+
+Cluster::Cluster()
+    : log_port(FreePort()), hosts_port(FreePort()), folder(MakeFolder()) {
+  this->log = std::make_unique<Process>(std::vector<std::string>{
+      STANDIN_BINARY, "log", std::to_string(this->log_port)});
+  this->hosts = std::make_unique<Process>(std::vector<std::string>{
+      STANDIN_BINARY, "hosts", std::to_string(this->hosts_port)});
+  Eventually([this] {
+    return Call(this->log_port, "GET", "/streams/tables").status == 200 &&
+           Call(this->hosts_port, "GET", "/hosts").status == 200;
+  });
+}
+
+Cluster::~Cluster() { std::filesystem::remove_all(this->folder); }
+
+void Cluster::AddEntries(int count) {
+  for (int i = 0; i < count; ++i) {
+    EntryProcess entry;
+    entry.name = fmt::format("entry-{}", this->entries.size() + 1);
+    entry.http = FreePort();
+    entry.admin = FreePort();
+    entry.peer = FreePort();
+    entry.settings_path = fmt::format("{}/{}.ini", this->folder, entry.name);
+    entry.log_path = fmt::format("{}/{}.log", this->folder, entry.name);
+    this->entries.push_back(std::move(entry));
+  }
+}
+
+void Cluster::WriteSettings(const EntryProcess& entry) const {
+  std::ofstream file(entry.settings_path);
+  const auto index = static_cast<std::size_t>(&entry - this->entries.data());
+  file << fmt::format("[node]\nname = {}\nzone = {}\n", entry.name,
+                      kZones.at(index % kZones.size()));
+  file << fmt::format(
+      "[listen]\nhttp = 127.0.0.1:{}\nadmin = 127.0.0.1:{}\n"
+      "peer = 127.0.0.1:{}\n",
+      entry.http, entry.admin, entry.peer);
+  file << fmt::format("[platform]\nlog = 127.0.0.1:{}\nhosts = 127.0.0.1:{}\n",
+                      this->log_port, this->hosts_port);
+  file << "[peers]\n";
+  for (const EntryProcess& other : this->entries) {
+    if (other.name != entry.name) {
+      file << fmt::format("{} = 127.0.0.1:{}\n", other.name, other.peer);
+    }
+  }
+}
+
+void Cluster::StartEntry(std::size_t index) {
+  EntryProcess& entry = this->entries.at(index);
+  this->WriteSettings(entry);
+  entry.process = std::make_unique<Process>(
+      std::vector<std::string>{BASILSPREAD_BINARY, "--config",
+                               entry.settings_path},
+      entry.log_path);
+}
+
+void Cluster::AddMinions(int count, int slots, int per_rack) {
+  for (int i = 0; i < count; ++i) {
+    MinionProcess minion;
+    const auto number = static_cast<int>(this->minions.size());
+    minion.name = fmt::format("minion-{}", number + 1);
+    minion.port = FreePort();
+    minion.slots = slots;
+    minion.rack = fmt::format("rack-{}", number / per_rack + 1);
+    minion.process = std::make_unique<Process>(std::vector<std::string>{
+        STANDIN_BINARY, "minion", std::to_string(minion.port), minion.name,
+        std::to_string(slots)});
+    this->minions.push_back(std::move(minion));
+  }
+}
+
+void Cluster::PublishHosts() const {
+  Poco::JSON::Array list;
+  for (const MinionProcess& minion : this->minions) {
+    Poco::JSON::Object host;
+    host.set("name", minion.name);
+    host.set("address", fmt::format("127.0.0.1:{}", minion.port));
+    host.set("group", "minions");
+    host.set("rack", minion.rack);
+    host.set("leaving", minion.leaving);
+    host.set("slots", minion.slots);
+    host.set("connections", 64);
+    list.add(host);
+  }
+  Poco::JSON::Object root;
+  root.set("hosts", list);
+  std::ostringstream out;
+  root.stringify(out);
+  Call(this->hosts_port, "PUT", "/hosts", out.str());
+}
+
+std::string Cluster::WriteFile(const std::string& name,
+                               const std::string& text) const {
+  std::string path = this->folder + "/" + name;
+  std::ofstream(path) << text;
+  return path;
+}
+
+int Cluster::RunCtl(const std::vector<std::string>& arguments) const {
+  std::vector<std::string> command{BASILCTL_BINARY};
+  command.insert(command.end(), arguments.begin(), arguments.end());
+  Process process(command, this->folder + "/basilctl.log");
+  return process.WaitForExit(std::chrono::seconds(30)).value_or(-1);
+}
+
+int Cluster::PublishTables(const std::string& routes, const std::string& pools,
+                           std::uint64_t base) const {
+  return this->RunCtl({"publish", "--log",
+                       fmt::format("127.0.0.1:{}", this->log_port), "--routes",
+                       this->WriteFile("routes.ini", routes), "--pools",
+                       this->WriteFile("pools.ini", pools), "--base",
+                       std::to_string(base), "--author", "test"});
+}
+
+bool Cluster::AllServe(std::uint64_t version) const {
+  for (const EntryProcess& entry : this->entries) {
+    if (!entry.process) {
+      continue;
+    }
+    const Response dump = Call(entry.admin, "GET", "/dump.json");
+    const std::string expected = fmt::format("\"tables\": \"{}\"", version);
+    if (dump.body.find(expected) == std::string::npos) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace test
--- /dev/null
+++ b/tests/support/cluster.h
@@ -0,0 +1,69 @@
+#ifndef BASILSPREAD_TESTS_SUPPORT_CLUSTER_H_
+#define BASILSPREAD_TESTS_SUPPORT_CLUSTER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "support/process.h"
+
+namespace test {
+
+struct EntryProcess {
+  std::string name;
+  std::uint16_t http = 0;
+  std::uint16_t admin = 0;
+  std::uint16_t peer = 0;
+  std::string settings_path;
+  std::string log_path;
+  std::unique_ptr<Process> process;
+};
+
+struct MinionProcess {
+  std::string name;
+  std::uint16_t port = 0;
+  int slots = 0;
+  std::string rack;
+  bool leaving = false;
+  std::unique_ptr<Process> process;
+};
+
+/// Stand-ins and entry processes on free loopback ports.
+class Cluster {
+ public:
+  /// Starts the platform's stand-ins.
+  Cluster();
+  ~Cluster();
+
+  /// Describes entry processes in turn over three zones, without starting.
+  void AddEntries(int count);
+  void StartEntry(std::size_t index);
+  void AddMinions(int count, int slots, int per_rack);
+  /// Sends the host list to its stand-in.
+  void PublishHosts() const;
+  /// Publishes tables with basilctl against `base`; its exit status.
+  int PublishTables(const std::string& routes, const std::string& pools,
+                    std::uint64_t base) const;
+  /// Runs basilctl with these arguments; its exit status.
+  int RunCtl(const std::vector<std::string>& arguments) const;
+  /// Whether every started entry process serves the version.
+  bool AllServe(std::uint64_t version) const;
+
+  std::vector<EntryProcess> entries;
+  std::vector<MinionProcess> minions;
+  std::uint16_t log_port = 0;
+  std::uint16_t hosts_port = 0;
+  std::string folder;
+
+ private:
+  void WriteSettings(const EntryProcess& entry) const;
+  std::string WriteFile(const std::string& name, const std::string& text) const;
+
+  std::unique_ptr<Process> log;
+  std::unique_ptr<Process> hosts;
+};
+
+}  // namespace test
+
+#endif  // BASILSPREAD_TESTS_SUPPORT_CLUSTER_H_
