Serve callers' connections on one thread

Cause: POCO's HTTPServer gives each connection a thread, so idle or slow callers hold all of them and short requests wait before any policy sees them.

Ruled out: a thread for each permitted connection (memory grows, slow callers still hold threads); POCO's SocketReactor (its handlers add a layer of observer objects over the same poll set).

The new tests hold the limit with idle and slow callers, pipeline, send byte by byte, and send malformed heads.

Conclusion: a connection costs its buffers only, and a request that waits holds no thread. A stop refuses new connections and ends the others with their answers.

--- a/packages/config/include/basilspread/config/node_settings.h
+++ b/packages/config/include/basilspread/config/node_settings.h
@@ -38,8 +38,8 @@
   Endpoint platform_log;
   Endpoint platform_hosts;
   std::string log_level = "info";
-  /// Connections of callers that are served at once, one thread each.
-  std::uint32_t max_connections = 256;
+  /// Connections of callers that are open at once.
+  std::uint32_t max_connections = 1024;
   std::uint32_t max_body_kibibytes = 1024;
   /// Exchanges with minions that run at once, one thread each.
   std::uint32_t minion_threads = 128;
--- a/packages/config/src/node_settings.cc
+++ b/packages/config/src/node_settings.cc
@@ -102,7 +102,7 @@
   }
 
   void ReadLimits(SectionReader& reader) {
-    reader.Read("max_connections", 1, 4096, this->settings.max_connections);
+    reader.Read("max_connections", 1, 65536, this->settings.max_connections);
     reader.Read("max_body_kibibytes", 1, 8192,
                 this->settings.max_body_kibibytes);
     reader.Read("minion_threads", 1, 2048, this->settings.minion_threads);
--- a/packages/core/include/basilspread/core/effect.h
+++ b/packages/core/include/basilspread/core/effect.h
@@ -82,12 +82,15 @@
   StateReport report;
 };
 
+/// Refuses new connections of callers; those with a request get their answer.
+struct RefuseCallers {};
+
 /// Ends the process: everything is drained.
 struct ExitProcess {};
 
-using Effect =
-    std::variant<AnswerCaller, SendToMinion, SendToPeer, AppendLog, ReadLog,
-                 ReadHosts, SetTimer, WriteLine, AnswerDump, ExitProcess>;
+using Effect = std::variant<AnswerCaller, SendToMinion, SendToPeer, AppendLog,
+                            ReadLog, ReadHosts, SetTimer, WriteLine, AnswerDump,
+                            RefuseCallers, ExitProcess>;
 
 using Effects = std::vector<Effect>;
 
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -87,6 +87,7 @@
   void operator()(const StopRequested& /*event*/) const {
     this->context.state.stopping = true;
     this->context.Log(LogLevel::kInfo, "process", "Stop was requested.");
+    this->context.Emit(RefuseCallers{});
     this->CheckDrained();
   }
 
--- a/packages/node/src/front_end.h
+++ b/packages/node/src/front_end.h
@@ -1,16 +1,12 @@
 #ifndef BASILSPREAD_NODE_FRONT_END_H_
 #define BASILSPREAD_NODE_FRONT_END_H_
 
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/ThreadPool.h>
-
 #include <functional>
-#include <memory>
 
 #include "basilspread/config/node_settings.h"
 #include "basilspread/core/effect.h"
 #include "basilspread/core/event.h"
-#include "call_table.h"
+#include "http_loop.h"
 
 namespace basilspread::node {
 
@@ -23,17 +19,20 @@
   FrontEnd(const config::NodeSettings& node_settings, Post event_hook);
 
   /// Binds and serves. Throws Poco::Exception when the port is taken.
-  void Start();
-  /// Takes no new connections.
-  void Stop();
+  void Start() { this->loop.Start(); }
+  /// Refuses new connections; every answer ends its connection.
+  void Drain() { this->loop.Drain(); }
+  /// Gives the answers that are due, for at most `bound`, and ends.
+  void Stop(Duration bound) { this->loop.Stop(bound); }
   void Answer(const AnswerCaller& answer);
 
+  std::size_t ConnectionCount() const { return this->loop.ConnectionCount(); }
+
  private:
-  const config::NodeSettings& settings;
+  void OnRequest(CallId call, const PayloadPtr& request);
+
   Post post;
-  CallTable<AnswerCaller> calls;
-  Poco::ThreadPool pool;
-  std::unique_ptr<Poco::Net::HTTPServer> server;
+  HttpLoop loop;
 };
 
 }  // namespace basilspread::node
--- /dev/null
+++ b/packages/node/src/http_loop.cc
@@ -0,0 +1,329 @@
+#include "http_loop.h"
+
+#include <Poco/Exception.h>
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "line_log.h"
+
+namespace basilspread::node {
+namespace {
+
+using Poco::Net::PollSet;
+
+constexpr std::string_view kPart = "http";
+constexpr int kListenBacklog = 512;
+/// Timeouts are checked this often while there are connections.
+const Poco::Timespan kCheckInterval(0, 500000);
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+}  // namespace
+
+HttpLoop::HttpLoop(const config::Endpoint& endpoint,
+                   HttpLimits connection_limits, Hooks event_hooks)
+    : address(endpoint),
+      limits(connection_limits),
+      hooks(std::move(event_hooks)) {}
+
+HttpLoop::~HttpLoop() { this->Stop(Duration::zero()); }
+
+void HttpLoop::Start() {
+  this->listener.bind(
+      Poco::Net::SocketAddress(this->address.host, this->address.port), true);
+  this->listener.listen(kListenBacklog);
+  this->listener.setBlocking(false);
+  // A datagram to itself wakes the thread out of the poll set.
+  this->wake_socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
+  this->wake_socket.setBlocking(false);
+  this->poll_set.add(this->listener, PollSet::POLL_READ);
+  this->poll_set.add(this->wake_socket, PollSet::POLL_READ);
+  this->is_listening = true;
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void HttpLoop::Answer(CallId call, ResponseMaker make_response) {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->answers.push_back(PendingAnswer{call, std::move(make_response)});
+  }
+  this->Wake();
+}
+
+void HttpLoop::Drain() {
+  this->draining = true;
+  this->Wake();
+}
+
+void HttpLoop::Stop(Duration bound) {
+  if (!this->thread.joinable()) {
+    return;
+  }
+  {
+    const std::lock_guard lock(this->mutex);
+    this->stop_at = Now() + bound;
+  }
+  this->Drain();
+  this->thread.join();
+}
+
+void HttpLoop::Wake() {
+  const char byte = 0;
+  try {
+    this->wake_socket.sendTo(&byte, 1, this->wake_socket.address());
+  } catch (const Poco::Exception&) {
+    // The socket's buffer is full: the thread is about to wake anyway.
+  }
+}
+
+void HttpLoop::Run() {
+  while (!this->IsDone()) {
+    for (const auto& [socket, mode] : this->poll_set.poll(kCheckInterval)) {
+      this->OnReady(socket, mode);
+    }
+    this->GiveAnswers();
+    if (this->draining && this->is_listening) {
+      this->poll_set.remove(this->listener);
+      this->listener.close();
+      this->is_listening = false;
+    }
+    this->CloseOverdue(ConnectionPhase::kIdle, this->limits.idle_timeout);
+    this->CloseOverdue(ConnectionPhase::kReading, this->limits.read_timeout);
+    this->CloseOverdue(ConnectionPhase::kWriting, this->limits.write_timeout);
+    this->CloseOverdue(ConnectionPhase::kClosing, this->limits.close_timeout);
+  }
+}
+
+bool HttpLoop::HasWork() const {
+  for (std::size_t i = 0; i < this->phases.size(); ++i) {
+    const bool is_idle = i == static_cast<std::size_t>(ConnectionPhase::kIdle);
+    if (!is_idle && !this->phases.at(i).empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool HttpLoop::IsDone() {
+  const std::lock_guard lock(this->mutex);
+  if (!this->stop_at) {
+    return false;
+  }
+  return !this->HasWork() || Now() >= *this->stop_at;
+}
+
+void HttpLoop::OnReady(const Poco::Net::Socket& socket, int mode) {
+  if (socket == this->wake_socket) {
+    char buffer[64];
+    Poco::Net::SocketAddress sender;
+    this->wake_socket.receiveFrom(buffer, sizeof(buffer), sender);
+    return;
+  }
+  if (this->is_listening && socket == this->listener) {
+    this->Accept();
+    return;
+  }
+  const auto found = this->connections.find(socket);
+  if (found == this->connections.end()) {
+    return;
+  }
+  const ConnectionPtr connection = found->second;
+  try {
+    if ((mode & PollSet::POLL_ERROR) != 0) {
+      this->Close(connection);
+      return;
+    }
+    if ((mode & PollSet::POLL_WRITE) != 0) {
+      this->Write(connection);
+    }
+    if ((mode & PollSet::POLL_READ) != 0) {
+      this->Read(connection);
+    }
+  } catch (const Poco::Exception&) {
+    this->Close(connection);
+  }
+}
+
+void HttpLoop::Accept() {
+  try {
+    const Poco::Net::StreamSocket socket = this->listener.acceptConnection();
+    if (!this->MakeRoom()) {
+      Log(LogLevel::kWarning, kPart,
+          fmt::format("Refused a connection. open={}",
+                      this->connections.size()));
+      return;
+    }
+    const ConnectionPtr connection(new HttpConnection(socket));
+    this->connections.emplace(socket, connection);
+    this->connection_count = this->connections.size();
+    this->Enter(connection, ConnectionPhase::kIdle);
+    this->Watch(connection);
+  } catch (const Poco::Exception& exception) {
+    Log(LogLevel::kDebug, kPart,
+        fmt::format("Accept failed. reason=\"{}\"", exception.displayText()));
+  }
+}
+
+bool HttpLoop::MakeRoom() {
+  if (this->connections.size() < this->limits.max_connections) {
+    return true;
+  }
+  // A connection that is idle may be closed at any time, the oldest first;
+  // one with a request on it may not.
+  ConnectionList& idle = this->ListOf(ConnectionPhase::kIdle);
+  if (idle.empty()) {
+    return false;
+  }
+  this->Close(ConnectionPtr(&idle.front()));
+  return true;
+}
+
+void HttpLoop::Read(const ConnectionPtr& connection) {
+  if (!connection->Receive()) {
+    this->Close(connection);
+    return;
+  }
+  switch (connection->phase) {
+    case ConnectionPhase::kIdle:
+      this->Enter(connection, ConnectionPhase::kReading);
+      this->TakeRequest(connection);
+      break;
+    case ConnectionPhase::kReading:
+      this->TakeRequest(connection);
+      break;
+    case ConnectionPhase::kClosing:
+      connection->DropInput();
+      break;
+    case ConnectionPhase::kAnswering:
+    case ConnectionPhase::kWriting:
+      this->Watch(connection);
+      break;
+  }
+}
+
+void HttpLoop::TakeRequest(const ConnectionPtr& connection) {
+  auto taken = connection->TakeRequest(this->limits.max_body_bytes);
+  if (!taken) {
+    this->Refuse(connection, taken.error());
+    return;
+  }
+  if (!taken.value()) {
+    // "100 Continue" may stand in the output.
+    connection->Flush();
+    this->Watch(connection);
+    return;
+  }
+  connection->call = CallId{++this->last_call};
+  this->calls.emplace(connection->call, connection);
+  this->Enter(connection, ConnectionPhase::kAnswering);
+  this->Watch(connection);
+  this->hooks.on_request(connection->call, *taken.value());
+}
+
+void HttpLoop::Refuse(const ConnectionPtr& connection, const Error& error) {
+  connection->Answer(*MakeErrorResponse(error.kind, error.detail), false);
+  connection->DropInput();
+  this->Enter(connection, ConnectionPhase::kClosing);
+  connection->Flush();
+  connection->socket.shutdownSend();
+  this->Watch(connection);
+}
+
+void HttpLoop::GiveAnswers() {
+  std::vector<PendingAnswer> pending;
+  {
+    const std::lock_guard lock(this->mutex);
+    pending.swap(this->answers);
+  }
+  for (const PendingAnswer& answer : pending) {
+    const auto found = this->calls.find(answer.call);
+    if (found == this->calls.end()) {
+      continue;
+    }
+    const ConnectionPtr connection = found->second;
+    this->calls.erase(found);
+    connection->Answer(*answer.make_response(), !this->draining);
+    this->Enter(connection, ConnectionPhase::kWriting);
+    try {
+      this->Write(connection);
+    } catch (const Poco::Exception&) {
+      this->Close(connection);
+    }
+  }
+}
+
+void HttpLoop::Write(const ConnectionPtr& connection) {
+  const bool is_flushed = connection->Flush();
+  if (!is_flushed || connection->phase != ConnectionPhase::kWriting) {
+    this->Watch(connection);
+    return;
+  }
+  if (!connection->KeepsAlive()) {
+    this->Close(connection);
+    return;
+  }
+  this->Enter(connection, ConnectionPhase::kIdle);
+  this->Watch(connection);
+  if (connection->HasInput()) {
+    // The caller sent its next request before it had this answer.
+    this->Enter(connection, ConnectionPhase::kReading);
+    this->TakeRequest(connection);
+  }
+}
+
+void HttpLoop::Enter(const ConnectionPtr& connection, ConnectionPhase phase) {
+  if (connection->is_linked()) {
+    connection->unlink();
+  }
+  connection->phase = phase;
+  connection->phase_began = Now();
+  this->ListOf(phase).push_back(*connection);
+}
+
+void HttpLoop::Watch(const ConnectionPtr& connection) {
+  // While an answer is due, the socket is read for the caller's close only;
+  // input beyond one request stays bounded by the kernel's buffer.
+  const bool is_answered = connection->phase == ConnectionPhase::kAnswering ||
+                           connection->phase == ConnectionPhase::kWriting;
+  const bool has_overflow = is_answered && connection->HasInput();
+  int mode = PollSet::POLL_ERROR;
+  mode |= has_overflow ? 0 : PollSet::POLL_READ;
+  mode |= connection->HasOutput() ? PollSet::POLL_WRITE : 0;
+  if (connection->poll_mode == 0) {
+    this->poll_set.add(connection->socket, mode);
+  } else if (connection->poll_mode != mode) {
+    this->poll_set.update(connection->socket, mode);
+  }
+  connection->poll_mode = mode;
+}
+
+void HttpLoop::Close(const ConnectionPtr& connection) {
+  if (connection->poll_mode != 0) {
+    this->poll_set.remove(connection->socket);
+    connection->poll_mode = 0;
+  }
+  if (connection->is_linked()) {
+    connection->unlink();
+  }
+  if (this->calls.erase(connection->call) > 0) {
+    this->hooks.on_gone(connection->call);
+  }
+  this->connections.erase(connection->socket);
+  this->connection_count = this->connections.size();
+  connection->socket.close();
+}
+
+void HttpLoop::CloseOverdue(ConnectionPhase phase, Duration timeout) {
+  ConnectionList& list = this->ListOf(phase);
+  const TimePoint began_before = Now() - timeout;
+  while (!list.empty() && list.front().phase_began < began_before) {
+    this->Close(ConnectionPtr(&list.front()));
+  }
+}
+
+ConnectionList& HttpLoop::ListOf(ConnectionPhase phase) {
+  return this->phases.at(static_cast<std::size_t>(phase));
+}
+
+}  // namespace basilspread::node
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -13,6 +13,8 @@
 
 constexpr Duration kLogTimeout = std::chrono::seconds(2);
 constexpr Duration kHostListTimeout = std::chrono::seconds(2);
+/// Callers have this long to take their answers once all is drained.
+constexpr Duration kAnswerTimeout = std::chrono::seconds(5);
 constexpr int kPlatformThreads = 16;
 
 Hooks MakeHooks() {
@@ -62,7 +64,7 @@
           this->settings.http.ToString(), this->settings.admin.ToString(),
           this->settings.peer.ToString()));
   this->loop.Run();
-  this->front_end.Stop();
+  this->front_end.Stop(kAnswerTimeout);
   this->admin.Stop();
   this->peers.Stop();
   this->platform_calls.Join();
@@ -124,6 +126,7 @@
             }
           },
           [](const WriteLine& line) { Log(line.level, line.part, line.text); },
+          [this](const RefuseCallers&) { this->front_end.Drain(); },
           [](const SetTimer&) {},
           [](const ExitProcess&) {},
       },
--- /dev/null
+++ b/packages/node/tests/http_loop_test.cc
@@ -0,0 +1,166 @@
+#include "http_loop.h"
+
+#include <Poco/Net/StreamSocket.h>
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace basilspread::node {
+namespace {
+
+using Poco::Net::SocketAddress;
+using Poco::Net::StreamSocket;
+
+const Poco::Timespan kPatience(10, 0);
+
+config::Endpoint FreeEndpoint() {
+  const Poco::Net::ServerSocket probe(SocketAddress("127.0.0.1", 0));
+  return {"127.0.0.1", probe.address().port()};
+}
+
+/// A server that answers each request with its own body.
+class EchoServer {
+ public:
+  explicit EchoServer(const HttpLimits& limits)
+      : endpoint(FreeEndpoint()),
+        loop(this->endpoint, limits,
+             HttpLoop::Hooks{[this](CallId call, const PayloadPtr& request) {
+                               this->Echo(call, request);
+                             },
+                             [](CallId) {}}) {
+    this->loop.Start();
+  }
+
+  StreamSocket Connect() const {
+    StreamSocket socket(SocketAddress("127.0.0.1", this->endpoint.port));
+    socket.setReceiveTimeout(kPatience);
+    return socket;
+  }
+
+  config::Endpoint endpoint;
+  HttpLoop loop;
+
+ private:
+  void Echo(CallId call, const PayloadPtr& request) {
+    this->loop.Answer(
+        call, [request] { return MakeJsonResponse(200, request->body); });
+  }
+};
+
+void Send(StreamSocket& socket, const std::string& text) {
+  socket.sendBytes(text.data(), static_cast<int>(text.size()));
+}
+
+/// Reads until the text ends with `suffix` or the connection ends.
+std::string ReceiveUntil(StreamSocket& socket, const std::string& suffix) {
+  std::string text;
+  char buffer[1024];
+  while (!text.ends_with(suffix)) {
+    const int count = socket.receiveBytes(buffer, sizeof(buffer));
+    if (count <= 0) {
+      break;
+    }
+    text.append(buffer, static_cast<std::size_t>(count));
+  }
+  return text;
+}
+
+std::string Post(const std::string& body) {
+  return "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+TEST_CASE("Requests are served while idle and slow callers hold connections",
+          "[node][http]") {
+  HttpLimits limits;
+  limits.max_connections = 32;
+  const EchoServer server(limits);
+  std::vector<StreamSocket> others;
+
+  SECTION("idle callers fill the limit") {
+    for (int i = 0; i < 32; ++i) {
+      others.push_back(server.Connect());
+    }
+  }
+  SECTION("slow callers stay below the limit") {
+    for (int i = 0; i < 31; ++i) {
+      others.push_back(server.Connect());
+      Send(others.back(), "POST /x HTTP/1.1\r\nContent-Le");
+    }
+  }
+  StreamSocket caller = server.Connect();
+  Send(caller, Post("short"));
+  REQUIRE(ReceiveUntil(caller, "short").ends_with("\r\n\r\nshort"));
+}
+
+TEST_CASE("One connection carries requests one after another", "[node][http]") {
+  const EchoServer server({});
+  StreamSocket caller = server.Connect();
+
+  SECTION("each after the other's answer") {
+    for (const std::string body : {"first", "second"}) {
+      Send(caller, Post(body));
+      REQUIRE(ReceiveUntil(caller, body).ends_with(body));
+    }
+  }
+  SECTION("all at once, answered in order") {
+    Send(caller, Post("first") + Post("second") + Post("third"));
+    const std::string text = ReceiveUntil(caller, "third");
+    REQUIRE(text.find("first") < text.find("second"));
+    REQUIRE(text.find("second") < text.find("third"));
+  }
+  SECTION("byte by byte") {
+    for (const char byte : Post("slowly")) {
+      Send(caller, std::string(1, byte));
+    }
+    REQUIRE(ReceiveUntil(caller, "slowly").ends_with("slowly"));
+  }
+}
+
+TEST_CASE("Malformed and oversized requests are refused with a reason",
+          "[node][http]") {
+  HttpLimits limits;
+  limits.max_body_bytes = 100;
+  const EchoServer server(limits);
+  StreamSocket caller = server.Connect();
+
+  SECTION("binary bytes") {
+    Send(caller, std::string("\x01\x02\xff\x00 \r\n\r\n", 9));
+    REQUIRE(ReceiveUntil(caller, "}").find("400") != std::string::npos);
+  }
+  SECTION("an endless head") {
+    Send(caller, "GET / HTTP/1.1\r\nX: " + std::string(40000, 'a'));
+    REQUIRE(ReceiveUntil(caller, "}").find("413") != std::string::npos);
+  }
+  SECTION("a body above the limit") {
+    Send(caller, Post(std::string(101, 'a')));
+    REQUIRE(ReceiveUntil(caller, "}").find("too-large") != std::string::npos);
+  }
+  SECTION("a length given twice") {
+    Send(caller,
+         "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab");
+    REQUIRE(ReceiveUntil(caller, "}").find("400") != std::string::npos);
+  }
+  SECTION("a negative length") {
+    Send(caller, "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n");
+    REQUIRE(ReceiveUntil(caller, "}").find("400") != std::string::npos);
+  }
+  StreamSocket other = server.Connect();
+  Send(other, Post("still here"));
+  REQUIRE(ReceiveUntil(other, "still here").ends_with("still here"));
+}
+
+TEST_CASE("A drain answers what is in flight and ends its connection",
+          "[node][http]") {
+  EchoServer server({});
+  StreamSocket caller = server.Connect();
+  Send(caller, "POST /x HTTP/1.1\r\nContent-Length: 4\r\n\r\nla");
+  server.loop.Drain();
+  Send(caller, "st");
+  const std::string text = ReceiveUntil(caller, "nothing follows");
+  REQUIRE(text.find("Connection: Close") != std::string::npos);
+  REQUIRE(text.ends_with("last"));
+}
+
+}  // namespace
+}  // namespace basilspread::node
