--- a/packages/core/include/basilspread/core/ownership.h
+++ b/packages/core/include/basilspread/core/ownership.h
@@ -9,6 +9,14 @@
 
 namespace basilspread {
 
+/// How a shard came to its present owner.
+enum class TakeoverKind {
+  /// It never had an owner, or its last owner drained and released it.
+  kClean,
+  /// Its last owner went silent; what that one started may still run.
+  kUnclean,
+};
+
 /// Who owns a shard, as far as this process has read its stream.
 struct ShardOwnership {
   ShardId shard;
--- a/packages/core/src/internal/ownership.cc
+++ b/packages/core/src/internal/ownership.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "basilspread/core/random.h"
+#include "internal/jobs.h"
 #include "internal/log.h"
 #include "internal/membership.h"
 #include "internal/requests.h"
@@ -76,6 +77,18 @@
   log::Follow(context, StreamOf(shard));
 }
 
+void Gain(Context& context, const ShardId& shard, TakeoverKind kind) {
+  requests::OnShardGained(context, shard, kind);
+  jobs::OnShardGained(context, shard, kind);
+  requests::OnShardReady(context, shard);
+  jobs::OnShardReady(context, shard);
+}
+
+void Lose(Context& context, const ShardId& shard) {
+  requests::OnShardLost(context, shard);
+  jobs::OnShardLost(context, shard);
+}
+
 ShardId ShardAt(const PoolName& pool, std::uint64_t index) {
   return ShardId{fmt::format("{}#{}", pool.value, index)};
 }
@@ -119,6 +132,8 @@
     return;
   }
   const bool was_own = ownership.owned_by_self;
+  const TakeoverKind kind =
+      ownership.owner ? TakeoverKind::kUnclean : TakeoverKind::kClean;
   ownership.epoch = record.epoch;
   ownership.owner = record.claimant;
   ownership.owned_by_self = is_own;
@@ -128,10 +143,10 @@
                           record.shard.value, record.epoch.value,
                           record.claimant.node.value));
   if (was_own && !is_own) {
-    requests::OnShardLost(context, record.shard);
+    Lose(context, record.shard);
   }
   if (!was_own && is_own) {
-    requests::OnShardGained(context, record.shard);
+    Gain(context, record.shard, kind);
   }
 }
 
@@ -147,7 +162,7 @@
   ownership.owner.reset();
   if (ownership.owned_by_self) {
     ownership.owned_by_self = false;
-    requests::OnShardLost(context, record.shard);
+    Lose(context, record.shard);
   }
 }
 
@@ -166,4 +181,23 @@
          found->second.owned_by_self;
 }
 
+std::optional<TimePoint> MayActUntil(const Context& context,
+                                     const ShardId& shard) {
+  if (!OwnsShard(context, shard)) {
+    return std::nullopt;
+  }
+  return context.now + context.state.settings.peer_timeout;
+}
+
+bool MayAct(const Context& context, const ShardId& shard) {
+  const std::optional<TimePoint> until = MayActUntil(context, shard);
+  return until && context.now < *until;
+}
+
+Epoch EpochOf(const Context& context, const ShardId& shard) {
+  const auto found = context.state.ownership.shards.find(shard);
+  return found == context.state.ownership.shards.end() ? Epoch{}
+                                                       : found->second.epoch;
+}
+
 }  // namespace basilspread::internal::ownership
--- a/packages/core/src/internal/ownership.h
+++ b/packages/core/src/internal/ownership.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPREAD_CORE_INTERNAL_OWNERSHIP_H_
 #define BASILSPREAD_CORE_INTERNAL_OWNERSHIP_H_
 
+#include <optional>
 #include <string>
 
 #include "basilspread/core/host.h"
@@ -25,9 +26,21 @@
 /// The stream that holds the claims and records of a shard.
 StreamName StreamOf(const ShardId& shard);
 
-/// Whether this process may act as owner of the shard now.
+/// Whether this process is the owner as far as it has read the stream. To
+/// start anything on the shard's hosts it also needs MayAct.
 bool OwnsShard(const Context& context, const ShardId& shard);
 
+/// Until when this process, as owner, may start something on the shard's
+/// hosts; unset when it may not now. Goes into the not-after time of effects.
+std::optional<TimePoint> MayActUntil(const Context& context,
+                                     const ShardId& shard);
+
+/// Whether this process owns the shard and may act on its hosts now.
+bool MayAct(const Context& context, const ShardId& shard);
+
+/// The epoch in force as far as the stream was read; 0 before any claim.
+Epoch EpochOf(const Context& context, const ShardId& shard);
+
 }  // namespace basilspread::internal::ownership
 
 #endif  // BASILSPREAD_CORE_INTERNAL_OWNERSHIP_H_
--- a/packages/core/src/internal/requests.cc
+++ b/packages/core/src/internal/requests.cc
@@ -369,10 +369,18 @@
   }
 }
 
-void OnShardGained(Context& context, const ShardId& /*shard*/) {
+void OnShardGained(Context& context, const ShardId& /*shard*/,
+                   TakeoverKind /*kind*/) {
   OnHostsChanged(context);
 }
 
+void OnShardReady(Context& context, const ShardId& shard) {
+  const auto found = context.state.requests.shards.find(shard);
+  if (found != context.state.requests.shards.end()) {
+    Dispatch(context, found->second);
+  }
+}
+
 void OnShardLost(Context& context, const ShardId& shard) {
   const auto found = context.state.requests.shards.find(shard);
   if (found == context.state.requests.shards.end()) {
--- a/packages/core/src/internal/requests.h
+++ b/packages/core/src/internal/requests.h
@@ -2,6 +2,7 @@
 #define BASILSPREAD_CORE_INTERNAL_REQUESTS_H_
 
 #include "basilspread/core/event.h"
+#include "basilspread/core/ownership.h"
 #include "internal/context.h"
 
 namespace basilspread::internal::requests {
@@ -16,7 +17,9 @@
 
 /// Rebuilds the minions of the owned shards from hosts and tables.
 void OnHostsChanged(Context& context);
-void OnShardGained(Context& context, const ShardId& shard);
+void OnShardGained(Context& context, const ShardId& shard, TakeoverKind kind);
+/// An owned shard may be acted on, at first or again.
+void OnShardReady(Context& context, const ShardId& shard);
 void OnShardLost(Context& context, const ShardId& shard);
 /// Settles what was passed to a peer that is gone.
 void OnPeerLost(Context& context, const NodeName& peer);
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -5,6 +5,7 @@
 #include "internal/configuration.h"
 #include "internal/context.h"
 #include "internal/hosts.h"
+#include "internal/jobs.h"
 #include "internal/log.h"
 #include "internal/membership.h"
 #include "internal/ownership.h"
@@ -112,7 +113,8 @@
   };
 
   void CheckDrained() const {
-    if (internal::requests::IsIdle(this->context)) {
+    if (internal::requests::IsIdle(this->context) &&
+        internal::jobs::IsIdle(this->context)) {
       this->context.Emit(ExitProcess{});
       return;
     }
