--- /dev/null
+++ b/packages/config/src/pools_table.cc
@@ -0,0 +1,28 @@
+#include "pools_table.h"
+
+#include <map>
+
+namespace basilspread::config {
+namespace {
+
+constexpr std::uint32_t kMaxShards = 64;
+constexpr std::uint32_t kMaxPercent = 100;
+
+const std::map<std::string, PoolKind> kPoolKinds = {
+    {"minions", PoolKind::kMinions}, {"workers", PoolKind::kWorkers}};
+
+}  // namespace
+
+void ReadPool(const std::string& name, SectionReader& reader, Tables& tables) {
+  Pool pool;
+  pool.name = PoolName{name};
+  reader.Require("group");
+  reader.Read("group", pool.group);
+  reader.Read("kind", kPoolKinds, pool.kind);
+  reader.Read("shards", 1, kMaxShards, pool.shards);
+  reader.Read("short_reserve_percent", 0, kMaxPercent,
+              pool.short_reserve_percent);
+  tables.pools.emplace(pool.name, pool);
+}
+
+}  // namespace basilspread::config
--- /dev/null
+++ b/packages/config/src/routes_table.cc
@@ -0,0 +1,60 @@
+#include "routes_table.h"
+
+#include <map>
+#include <string>
+
+#include "basilspread/config/reader.h"
+#include "section_name.h"
+
+namespace basilspread::config {
+namespace {
+
+constexpr std::uint32_t kMaxPercent = 100;
+constexpr std::uint32_t kMaxRetries = 10;
+constexpr std::uint32_t kMaxQueueLimit = 100000;
+
+const std::map<std::string, ServiceClass> kClasses = {
+    {"urgent", ServiceClass::kUrgent},
+    {"short", ServiceClass::kShort},
+    {"long", ServiceClass::kLong}};
+const std::map<std::string, std::string> kChoices = {
+    {"least-loaded", "least-loaded"}, {"random", "random"}};
+
+Route ReadRoute(const std::string& name, SectionReader& reader) {
+  Route route;
+  route.name = RouteName{name};
+  reader.Require("pool");
+  reader.Read("pool", route.pool.value);
+  reader.Read("class", kClasses, route.service_class);
+  reader.Read("deadline", route.deadline);
+  reader.Read("idempotent", route.idempotent);
+  reader.Read("retries", 0, kMaxRetries, route.retries);
+  reader.Read("retry_budget_percent", 0, kMaxPercent,
+              route.retry_budget_percent);
+  reader.Read("queue_limit", 0, kMaxQueueLimit, route.queue_limit);
+  reader.Read("team_share_percent", 1, kMaxPercent, route.team_share_percent);
+  reader.Read("expected_run_time", route.expected_run_time);
+  reader.Read("choice", kChoices, route.choice);
+  return route;
+}
+
+}  // namespace
+
+void ReadRoutes(const IniFile& file, Tables& tables, Faults& faults) {
+  for (const IniSection& section : file.sections) {
+    const std::string name = NameAfter(section.name, "route ");
+    if (name.empty()) {
+      faults.Add(section.line, section.name, "", "unknown section");
+      continue;
+    }
+    SectionReader reader(section, faults);
+    const Route route = ReadRoute(name, reader);
+    reader.Finish();
+    if (!tables.pools.contains(route.pool)) {
+      reader.Fault("pool", "no pool is named \"" + route.pool.value + "\"");
+    }
+    tables.routes.emplace(route.name, route);
+  }
+}
+
+}  // namespace basilspread::config
--- a/packages/config/tests/tables_test.cc
+++ b/packages/config/tests/tables_test.cc
@@ -20,6 +20,13 @@
     REQUIRE(route.idempotent);
     REQUIRE(tables.pools.at(PoolName{"layout"}).shards == 2);
   }
+  SECTION("quotas of teams stand in the pool table") {
+    record.pool_table +=
+        "[team plans]\ncpu_millicores = 8000\nmemory_mebibytes = 1024\n"
+        "accelerators = 0\n";
+    const Tables tables = ParseTables(record).value();
+    REQUIRE(tables.quotas.at(TeamName{"plans"}).limit.cpu_millicores == 8000);
+  }
   SECTION("all faults are told at once with their lines") {
     record.route_table =
         "[route preview]\npool = plans\ndeadline = 2\ncolour = red\n"
