Measure the node, and give effects an interpreter of their own

Cause: the node had no metrics, and Node::Interpret grew with each effect.

The metrics page has answer times by route, answers by kind, the control thread's time an event, and exchanges by service, with quantiles by Boost.Accumulators in constant memory. The dump names memory, threads, queued events, and the bounds of connections and threads.

Conclusion: an operator sees where time goes from /dump and /metrics.

--- a/packages/node/src/admin.h
+++ b/packages/node/src/admin.h
@@ -14,12 +14,19 @@
 
 namespace basilspread::node {
 
-/// The operators' HTTP address: the state dump, apart from callers' traffic.
+/// The operators' HTTP address, apart from callers' traffic: the state dump
+/// and the metrics.
 class Admin {
  public:
-  using Post = std::function<void(EventBody)>;
+  struct Hooks {
+    /// Hands an event to the control thread.
+    std::function<void(EventBody)> post;
+    /// What the traffic threads add to the state dump.
+    std::function<StateReport()> describe_node;
+    std::function<StateReport()> describe_metrics;
+  };
 
-  Admin(const config::NodeSettings& node_settings, Post event_hook);
+  Admin(config::Endpoint admin_endpoint, Hooks report_hooks);
 
   /// Binds and serves. Throws Poco::Exception when the port is taken.
   void Start();
@@ -27,8 +34,14 @@
   void Answer(const AnswerDump& answer);
 
  private:
-  const config::NodeSettings& settings;
-  Post post;
+  /// Unset when the control thread gives no answer in time.
+  std::optional<StateReport> Dump();
+  std::optional<StateReport> ReportFor(const std::string& page);
+  void Handle(Poco::Net::HTTPServerRequest& request,
+              Poco::Net::HTTPServerResponse& response);
+
+  const config::Endpoint endpoint;
+  const Hooks hooks;
   CallTable<StateReport> calls;
   Poco::ThreadPool pool;
   std::unique_ptr<Poco::Net::HTTPServer> server;
--- a/packages/node/src/control_loop.cc
+++ b/packages/node/src/control_loop.cc
@@ -7,8 +7,11 @@
 
 namespace basilspread::node {
 
-ControlLoop::ControlLoop(State& control_state, Interpreter effect_hook)
-    : state(control_state), interpret(std::move(effect_hook)) {}
+ControlLoop::ControlLoop(State& control_state, Interpreter effect_hook,
+                         OnHandled handled_hook)
+    : state(control_state),
+      interpret(std::move(effect_hook)),
+      on_handled(std::move(handled_hook)) {}
 
 void ControlLoop::Post(EventBody body) {
   {
@@ -18,6 +21,11 @@
   this->has_events.notify_one();
 }
 
+std::size_t ControlLoop::QueuedEvents() {
+  const std::lock_guard lock(this->mutex);
+  return this->events.size();
+}
+
 void ControlLoop::Run() {
   this->Handle(Started{});
   while (this->running) {
@@ -71,15 +79,16 @@
 
 void ControlLoop::Handle(EventBody body) {
   const Event event{std::chrono::steady_clock::now(), std::move(body)};
-  for (Effect& effect : Reduce(this->state, event)) {
+  for (const Effect& effect : Reduce(this->state, event)) {
     if (const auto* timer = std::get_if<SetTimer>(&effect)) {
       this->timers[timer->kind] = timer->at;
     } else if (std::holds_alternative<ExitProcess>(effect)) {
       this->running = false;
     } else {
-      this->interpret(std::move(effect));
+      this->interpret(effect);
     }
   }
+  this->on_handled(std::chrono::steady_clock::now() - event.time);
 }
 
 }  // namespace basilspread::node
--- a/packages/node/src/control_loop.h
+++ b/packages/node/src/control_loop.h
@@ -20,13 +20,19 @@
 class ControlLoop {
  public:
   /// Carries out one effect without blocking.
-  using Interpreter = std::function<void(Effect)>;
+  using Interpreter = std::function<void(const Effect&)>;
+  /// Told how long each event took, its effects included.
+  using OnHandled = std::function<void(Duration)>;
 
-  ControlLoop(State& control_state, Interpreter effect_hook);
+  ControlLoop(State& control_state, Interpreter effect_hook,
+              OnHandled handled_hook);
 
   /// Takes an event from any thread.
   void Post(EventBody body);
 
+  /// Events that wait for the control thread.
+  std::size_t QueuedEvents();
+
   /// Runs until an ExitProcess effect.
   void Run();
 
@@ -38,6 +44,7 @@
 
   State& state;
   Interpreter interpret;
+  OnHandled on_handled;
   std::map<TimerKind, TimePoint> timers;
   bool running = true;
   std::mutex mutex;
--- a/packages/node/src/front_end.cc
+++ b/packages/node/src/front_end.cc
@@ -92,28 +92,55 @@
 
 }  // namespace
 
-FrontEnd::FrontEnd(const config::NodeSettings& node_settings, Post event_hook)
+FrontEnd::FrontEnd(const config::NodeSettings& node_settings, Post event_hook,
+                   Metrics& answer_metrics)
     : post(std::move(event_hook)),
+      metrics(answer_metrics),
       loop(node_settings.http, LimitsOf(node_settings),
-           HttpLoop::Hooks{
-               [this](CallId call, const PayloadPtr& request) {
-                 this->OnRequest(call, request);
-               },
-               [this](CallId call) { this->post(CallerGone{call}); }}) {}
+           HttpLoop::Hooks{[this](CallId call, const PayloadPtr& request) {
+                             this->OnRequest(call, request);
+                           },
+                           [this](CallId call) { this->OnGone(call); }}) {}
 
 void FrontEnd::OnRequest(CallId call, const PayloadPtr& request) {
   Result<RequestArrived> arrived = ReadRequest(call, *request);
-  if (arrived) {
-    this->post(std::move(arrived).value());
+  if (!arrived) {
+    this->loop.Answer(call, [error = arrived.error()] {
+      return MakeErrorResponse(error.kind, error.detail);
+    });
     return;
   }
-  this->loop.Answer(call, [error = arrived.error()] {
-    return MakeErrorResponse(error.kind, error.detail);
-  });
+  {
+    const std::lock_guard lock(this->mutex);
+    this->open.emplace(call, OpenRequest{arrived.value().route,
+                                         std::chrono::steady_clock::now()});
+  }
+  this->post(std::move(arrived).value());
+}
+
+void FrontEnd::OnGone(CallId call) {
+  this->TakeOpen(call);
+  this->post(CallerGone{call});
 }
 
 void FrontEnd::Answer(const AnswerCaller& answer) {
+  if (const auto request = this->TakeOpen(answer.call)) {
+    this->metrics.AddAnswer(
+        request->route, answer.kind,
+        std::chrono::steady_clock::now() - request->arrived);
+  }
   this->loop.Answer(answer.call, [answer] { return MakeResponse(answer); });
 }
 
+std::optional<FrontEnd::OpenRequest> FrontEnd::TakeOpen(CallId call) {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->open.find(call);
+  if (found == this->open.end()) {
+    return std::nullopt;
+  }
+  const OpenRequest request = found->second;
+  this->open.erase(found);
+  return request;
+}
+
 }  // namespace basilspread::node
--- a/packages/node/src/front_end.h
+++ b/packages/node/src/front_end.h
@@ -2,11 +2,15 @@
 #define BASILSPREAD_NODE_FRONT_END_H_
 
 #include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
 
 #include "basilspread/config/node_settings.h"
 #include "basilspread/core/effect.h"
 #include "basilspread/core/event.h"
 #include "http_loop.h"
+#include "metrics.h"
 
 namespace basilspread::node {
 
@@ -16,7 +20,8 @@
  public:
   using Post = std::function<void(EventBody)>;
 
-  FrontEnd(const config::NodeSettings& node_settings, Post event_hook);
+  FrontEnd(const config::NodeSettings& node_settings, Post event_hook,
+           Metrics& answer_metrics);
 
   /// Binds and serves. Throws Poco::Exception when the port is taken.
   void Start() { this->loop.Start(); }
@@ -29,9 +34,20 @@
   std::size_t ConnectionCount() const { return this->loop.ConnectionCount(); }
 
  private:
+  /// A request that waits for its answer.
+  struct OpenRequest {
+    RouteName route;
+    TimePoint arrived;
+  };
+
   void OnRequest(CallId call, const PayloadPtr& request);
+  void OnGone(CallId call);
+  std::optional<OpenRequest> TakeOpen(CallId call);
 
   Post post;
+  Metrics& metrics;
+  std::mutex mutex;
+  std::map<CallId, OpenRequest> open;
   HttpLoop loop;
 };
 
--- /dev/null
+++ b/packages/node/src/interpreter.h
@@ -0,0 +1,69 @@
+#ifndef BASILSPREAD_NODE_INTERPRETER_H_
+#define BASILSPREAD_NODE_INTERPRETER_H_
+
+#include <functional>
+#include <string_view>
+
+#include "admin.h"
+#include "basilspread/core/effect.h"
+#include "basilspread/core/event.h"
+#include "basilspread/platform/host_list_client.h"
+#include "basilspread/platform/log_client.h"
+#include "basilspread/platform/minion_client.h"
+#include "executor.h"
+#include "front_end.h"
+#include "metrics.h"
+#include "peer_links.h"
+
+namespace basilspread::node {
+
+/// What the interpreter carries effects out with.
+struct Services {
+  const platform::LogClient& log;
+  const platform::HostListClient& host_list;
+  const platform::MinionClient& minions;
+  FrontEnd& front_end;
+  Admin& admin;
+  PeerLinks& peers;
+  Executor& platform_calls;
+  Executor& minion_calls;
+  Metrics& metrics;
+};
+
+/// Carries out effects. Runs on the control thread and never blocks: calls
+/// that do are handed to traffic threads, which post what came of them.
+class Interpreter {
+ public:
+  using Post = std::function<void(EventBody)>;
+
+  Interpreter(const Services& node_services, Post event_hook);
+
+  void Carry(const Effect& effect);
+
+  void operator()(const AnswerCaller& effect);
+  void operator()(const AnswerDump& effect);
+  void operator()(const SendToPeer& effect);
+  void operator()(const SendToMinion& effect);
+  void operator()(const AppendLog& effect);
+  void operator()(const ReadLog& effect);
+  void operator()(const ReadHosts& effect);
+  void operator()(const WriteLine& effect);
+  void operator()(const RefuseCallers& effect);
+  /// The control loop takes these two itself.
+  void operator()(const SetTimer& /*effect*/) {}
+  void operator()(const ExitProcess& /*effect*/) {}
+
+ private:
+  /// Runs `call` on a thread of `executor` and posts the event it returns;
+  /// posts `refused` when no thread is free.
+  template <typename Call>
+  void RunCall(Executor& executor, std::string_view service, Call call,
+               EventBody refused);
+
+  Services services;
+  Post post;
+};
+
+}  // namespace basilspread::node
+
+#endif  // BASILSPREAD_NODE_INTERPRETER_H_
--- /dev/null
+++ b/packages/node/src/metrics.h
@@ -0,0 +1,54 @@
+#ifndef BASILSPREAD_NODE_METRICS_H_
+#define BASILSPREAD_NODE_METRICS_H_
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+#include "basilspread/core/error.h"
+#include "basilspread/core/ids.h"
+#include "basilspread/core/report.h"
+#include "basilspread/core/time.h"
+#include "duration_stats.h"
+
+namespace basilspread::node {
+
+/// What a process has measured since its start. Used from all threads.
+class Metrics {
+ public:
+  /// A caller was answered this long after its request was read.
+  void AddAnswer(const RouteName& route, ErrorKind kind, Duration time);
+  /// The control thread took this long over one event.
+  void AddReduction(Duration time);
+  /// A call to the platform or a minion took this long.
+  void AddExchange(std::string_view service, bool is_ok, Duration time);
+
+  /// Tables of counts and times in milliseconds.
+  StateReport Describe() const;
+
+ private:
+  struct RouteStats {
+    DurationStats times;
+    std::map<ErrorKind, std::uint64_t> kinds;
+  };
+  struct ExchangeStats {
+    DurationStats times;
+    std::uint64_t failures = 0;
+  };
+
+  ReportSection DescribeRoutes() const;
+  ReportSection DescribeAnswers() const;
+  ReportSection DescribeReductions() const;
+  ReportSection DescribeExchanges() const;
+
+  mutable std::mutex mutex;
+  std::map<RouteName, RouteStats> routes;
+  DurationStats reductions;
+  std::map<std::string, ExchangeStats, std::less<>> exchanges;
+};
+
+}  // namespace basilspread::node
+
+#endif  // BASILSPREAD_NODE_METRICS_H_
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -3,10 +3,10 @@
 #include <fmt/format.h>
 
 #include <utility>
-#include <variant>
 
 #include "basilspread/config/tables.h"
 #include "line_log.h"
+#include "process_usage.h"
 
 namespace basilspread::node {
 namespace {
@@ -23,35 +23,33 @@
   return hooks;
 }
 
-template <typename... Ts>
-struct Overload : Ts... {
-  using Ts::operator()...;
-};
-
-template <typename... Ts>
-Overload(Ts...) -> Overload<Ts...>;
-
 }  // namespace
 
 Node::Node(config::NodeSettings node_settings)
     : settings(std::move(node_settings)),
       state(this->settings.core, MakeHooks()),
-      loop(this->state,
-           [this](Effect effect) { this->Interpret(std::move(effect)); }),
+      loop(
+          this->state,
+          [this](const Effect& effect) { this->interpreter.Carry(effect); },
+          [this](Duration time) { this->metrics.AddReduction(time); }),
       log(this->settings.platform_log.host, this->settings.platform_log.port,
           kLogTimeout),
       host_list(this->settings.platform_hosts.host,
                 this->settings.platform_hosts.port, kHostListTimeout),
       minions([] { return std::chrono::steady_clock::now(); }),
-      front_end(this->settings,
-                [this](EventBody body) { this->loop.Post(std::move(body)); }),
-      admin(this->settings,
-            [this](EventBody body) { this->loop.Post(std::move(body)); }),
-      peers(this->settings,
-            [this](EventBody body) { this->loop.Post(std::move(body)); }),
+      front_end(this->settings, this->MakePost(), this->metrics),
+      admin(this->settings.admin,
+            Admin::Hooks{this->MakePost(),
+                         [this] { return this->DescribeNode(); },
+                         [this] { return this->metrics.Describe(); }}),
+      peers(this->settings, this->MakePost()),
       platform_calls("platform", kPlatformThreads),
-      minion_calls("minions", static_cast<int>(this->settings.minion_threads)) {
-}
+      minion_calls("minions", static_cast<int>(this->settings.minion_threads)),
+      interpreter(
+          Services{this->log, this->host_list, this->minions, this->front_end,
+                   this->admin, this->peers, this->platform_calls,
+                   this->minion_calls, this->metrics},
+          this->MakePost()) {}
 
 void Node::Run() {
   this->peers.Start();
@@ -74,63 +72,33 @@
 
 void Node::RequestStop() { this->loop.Post(StopRequested{}); }
 
-void Node::Interpret(Effect effect) {
-  const auto post = [this](EventBody body) {
-    this->loop.Post(std::move(body));
+std::function<void(EventBody)> Node::MakePost() {
+  return [this](EventBody body) { this->loop.Post(std::move(body)); };
+}
+
+StateReport Node::DescribeNode() {
+  const ProcessUsage usage = ReadProcessUsage();
+  const std::chrono::duration<double> cpu_time = usage.cpu_time;
+  ReportSection process{"usage", {}};
+  process.rows.push_back(
+      {{"resident_kib", fmt::format("{}", usage.resident_kibibytes)},
+       {"cpu_seconds", fmt::format("{:.2f}", cpu_time.count())},
+       {"threads", fmt::format("{}", usage.threads)},
+       {"queued_events", fmt::format("{}", this->loop.QueuedEvents())}});
+  ReportSection threads{"bounded parts", {}};
+  const auto add = [&threads](const std::string& part, std::size_t used,
+                              std::size_t limit) {
+    threads.rows.push_back({{"part", part},
+                            {"used", fmt::format("{}", used)},
+                            {"limit", fmt::format("{}", limit)}});
   };
-  std::visit(
-      Overload{
-          [this](const AnswerCaller& answer) {
-            this->front_end.Answer(answer);
-          },
-          [this](const AnswerDump& answer) { this->admin.Answer(answer); },
-          [this](const SendToPeer& send) { this->peers.Send(send); },
-          [this, post](const SendToMinion& send) {
-            const bool is_started = this->minion_calls.Run(
-                [this, post, send] { post(this->minions.Send(send)); });
-            if (!is_started) {
-              post(MinionAnswered{send.request,
-                                  send.attempt,
-                                  send.host,
-                                  MinionResult::kNotSent,
-                                  nullptr,
-                                  {}});
-            }
-          },
-          [this, post](const AppendLog& append) {
-            const bool is_started =
-                this->platform_calls.Run([this, post, append] {
-                  post(this->log.Append(append.stream, append.batch));
-                });
-            if (!is_started) {
-              post(LogAppended{append.stream, append.batch.id,
-                               AppendResult::kRefused});
-            }
-          },
-          [this, post](const ReadLog& read) {
-            const bool is_started =
-                this->platform_calls.Run([this, post, read] {
-                  post(this->log.Read(read.stream, read.from));
-                });
-            if (!is_started) {
-              LogRead failed;
-              failed.stream = read.stream;
-              post(failed);
-            }
-          },
-          [this, post](const ReadHosts&) {
-            const bool is_started = this->platform_calls.Run(
-                [this, post] { post(this->host_list.List()); });
-            if (!is_started) {
-              post(HostsListed{});
-            }
-          },
-          [](const WriteLine& line) { Log(line.level, line.part, line.text); },
-          [this](const RefuseCallers&) { this->front_end.Drain(); },
-          [](const SetTimer&) {},
-          [](const ExitProcess&) {},
-      },
-      effect);
+  add("caller connections", this->front_end.ConnectionCount(),
+      this->settings.max_connections);
+  add("minion threads", static_cast<std::size_t>(this->minion_calls.Busy()),
+      static_cast<std::size_t>(this->minion_calls.Capacity()));
+  add("platform threads", static_cast<std::size_t>(this->platform_calls.Busy()),
+      static_cast<std::size_t>(this->platform_calls.Capacity()));
+  return {process, threads};
 }
 
 }  // namespace basilspread::node
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -1,6 +1,8 @@
 #ifndef BASILSPREAD_NODE_NODE_H_
 #define BASILSPREAD_NODE_NODE_H_
 
+#include <functional>
+
 #include "admin.h"
 #include "basilspread/config/node_settings.h"
 #include "basilspread/core/effect.h"
@@ -11,6 +13,8 @@
 #include "control_loop.h"
 #include "executor.h"
 #include "front_end.h"
+#include "interpreter.h"
+#include "metrics.h"
 #include "peer_links.h"
 
 namespace basilspread::node {
@@ -29,9 +33,12 @@
   void RequestStop();
 
  private:
-  void Interpret(Effect effect);
+  std::function<void(EventBody)> MakePost();
+  /// What the traffic side adds to the state dump.
+  StateReport DescribeNode();
 
   config::NodeSettings settings;
+  Metrics metrics;
   State state;
   ControlLoop loop;
   platform::LogClient log;
@@ -42,6 +49,7 @@
   PeerLinks peers;
   Executor platform_calls;
   Executor minion_calls;
+  Interpreter interpreter;
 };
 
 }  // namespace basilspread::node
