Keep accepted tables in force through retention, races and lost answers

Cause: a reader judged edits from whatever part of the stream it was given, so tables were lost once their record expired, a reader of a trimmed stream could accept an edit that had lost, and a new process took requests as soon as the first of several versions was read.

TablesHistory now decides edits in log order, alike for every reader: with all records before it, or from a checkpoint that names the offset it covers. Entry processes append the checkpoint every tables_checkpoint_interval, and at once when a live peer reports that it knows no tables. A late writer's checkpoint is older and does nothing. A version that a process cannot read, or that changes a pool's shard count, keeps its number; the process says that it lags. Removed rows stay as draining until no request can be left in them.

Ruled out: refusing an unreadable edit its version number, since processes of two program versions would then count versions apart.

--- a/packages/config/include/basilspread/config/ini.h
+++ b/packages/config/include/basilspread/config/ini.h
@@ -36,13 +36,14 @@
   /// Adds "file:line: [section] key: reason"; an empty key is left out.
   void Add(int line, std::string_view section, std::string_view key,
            std::string_view reason);
-  bool empty() const { return this->text.empty(); }
-  /// All faults, one a line.
-  const std::string& Text() const { return this->text; }
+  bool empty() const { return this->count == 0; }
+  /// All faults, one a line; beyond the first hundred, their number.
+  std::string Text() const;
 
  private:
   std::string file;
   std::string text;
+  int count = 0;
 };
 
 /// Splits INI text. Every fault of form goes to `faults`: a line that is
--- a/packages/config/include/basilspread/config/reader.h
+++ b/packages/config/include/basilspread/config/reader.h
@@ -22,7 +22,9 @@
 
   void Read(std::string_view key, std::string& target);
   void Read(std::string_view key, bool& target);
-  void Read(std::string_view key, Duration& target);
+  /// A duration with its unit, within [low, high].
+  void Read(std::string_view key, Duration low, Duration high,
+            Duration& target);
   /// A whole number within [low, high].
   void Read(std::string_view key, std::uint32_t low, std::uint32_t high,
             std::uint32_t& target);
@@ -33,6 +35,9 @@
   /// Values separated by commas.
   void Read(std::string_view key, std::vector<std::string>& target);
 
+  /// A name in the sense of IsName.
+  void ReadName(std::string_view key, std::string& target);
+
   /// Adds a fault when the key is absent.
   void Require(std::string_view key);
   /// Adds a fault at the key's line.
@@ -70,6 +75,13 @@
 /// Parses a duration with its unit: "250ms", "2s", "5m", "1h".
 std::optional<Duration> ParseDuration(std::string_view text);
 
+/// Writes a duration so that ParseDuration reads it: "250ms", "2s".
+std::string FormatDuration(Duration duration);
+
+/// Whether the text may name a node, zone, route, pool or team: 1 to 64
+/// letters, digits, dots, dashes and underscores.
+bool IsName(std::string_view text);
+
 }  // namespace basilspread::config
 
 #endif  // BASILSPREAD_CONFIG_READER_H_
--- a/packages/config/src/ini.cc
+++ b/packages/config/src/ini.cc
@@ -26,6 +26,23 @@
   });
 }
 
+constexpr int kMaxFaultsTold = 100;
+
+/// A binary file must not reach the operator's terminal as it is.
+std::string Printable(std::string text) {
+  for (char& character : text) {
+    const auto byte = static_cast<unsigned char>(character);
+    if (byte < 0x20 || byte >= 0x7f) {
+      character = '?';
+    }
+  }
+  constexpr std::size_t kMaxFaultBytes = 300;
+  if (text.size() > kMaxFaultBytes) {
+    text.replace(kMaxFaultBytes, std::string::npos, "...");
+  }
+  return text;
+}
+
 /// Takes the lines of a file one after another.
 class IniParser {
  public:
@@ -91,6 +108,12 @@
     if (is_repeated) {
       this->Fault(key, "key is given twice");
     }
+    if (key.empty()) {
+      this->Fault("", "key has no name");
+    }
+    if (value.empty()) {
+      this->Fault(key, "value is missing");
+    }
     if (value.find(" ;") != std::string::npos ||
         value.find(" #") != std::string::npos) {
       this->Fault(key, "comment after a value; put it on a line of its own");
@@ -107,9 +130,22 @@
 
 void Faults::Add(int line, std::string_view section, std::string_view key,
                  std::string_view reason) {
-  this->text += fmt::format("{}{}:{}: [{}]{}{}: {}",
-                            this->text.empty() ? "" : "\n", this->file, line,
-                            section, key.empty() ? "" : " ", key, reason);
+  ++this->count;
+  if (this->count > kMaxFaultsTold) {
+    return;
+  }
+  const std::string fault =
+      fmt::format("{}:{}: [{}]{}{}: {}", this->file, line, section,
+                  key.empty() ? "" : " ", key, reason);
+  this->text += (this->text.empty() ? "" : "\n") + Printable(fault);
+}
+
+std::string Faults::Text() const {
+  if (this->count <= kMaxFaultsTold) {
+    return this->text;
+  }
+  return fmt::format("{}\n{}: {} more faults", this->text, this->file,
+                     this->count - kMaxFaultsTold);
 }
 
 IniFile ParseIni(std::string_view text, std::string_view name, Faults& faults) {
--- a/packages/config/src/node_settings.cc
+++ b/packages/config/src/node_settings.cc
@@ -6,7 +6,9 @@
 #include <charconv>
 #include <set>
 
+#include "addresses.h"
 #include "basilspread/config/reader.h"
+#include "timing_settings.h"
 
 namespace basilspread::config {
 namespace {
@@ -25,6 +27,7 @@
         this->faults.Add(0, name, "", "section is missing");
       }
     }
+    this->CheckPeers();
     return this->settings;
   }
 
@@ -43,7 +46,7 @@
     } else if (section.name == "limits") {
       this->ReadLimits(reader);
     } else if (section.name == "timing") {
-      this->ReadTiming(reader);
+      ReadTiming(reader, this->settings.core);
     } else {
       this->faults.Add(section.line, section.name, "", "unknown section");
       return;
@@ -53,9 +56,9 @@
 
   void ReadNode(SectionReader& reader) {
     reader.Require("name");
-    reader.Read("name", this->settings.core.self.node.value);
+    reader.ReadName("name", this->settings.core.self.node.value);
     reader.Require("zone");
-    reader.Read("zone", this->settings.core.zone.value);
+    reader.ReadName("zone", this->settings.core.zone.value);
     reader.Read("log_level",
                 {{"debug", std::string("debug")},
                  {"info", std::string("info")},
@@ -64,7 +67,7 @@
                 this->settings.log_level);
   }
 
-  void ReadEndpoint(SectionReader& reader, std::string_view key,
+  void ReadEndpoint(SectionReader& reader, AddressUse use, std::string_view key,
                     Endpoint& target) {
     std::string text;
     reader.Require(key);
@@ -78,29 +81,55 @@
       return;
     }
     target = parsed.value();
+    const std::string fault = this->addresses.Add(use, key, target);
+    if (!fault.empty()) {
+      reader.Fault(key, fault);
+    }
   }
 
   void ReadListen(SectionReader& reader) {
-    this->ReadEndpoint(reader, "http", this->settings.http);
-    this->ReadEndpoint(reader, "admin", this->settings.admin);
-    this->ReadEndpoint(reader, "peer", this->settings.peer);
+    this->ReadEndpoint(reader, AddressUse::kListen, "http",
+                       this->settings.http);
+    this->ReadEndpoint(reader, AddressUse::kListen, "admin",
+                       this->settings.admin);
+    this->ReadEndpoint(reader, AddressUse::kListen, "peer",
+                       this->settings.peer);
   }
 
   void ReadPlatform(SectionReader& reader) {
-    this->ReadEndpoint(reader, "log", this->settings.platform_log);
-    this->ReadEndpoint(reader, "hosts", this->settings.platform_hosts);
+    this->ReadEndpoint(reader, AddressUse::kPlatform, "log",
+                       this->settings.platform_log);
+    this->ReadEndpoint(reader, AddressUse::kPlatform, "hosts",
+                       this->settings.platform_hosts);
   }
 
   void ReadPeers(const IniSection& section, SectionReader& reader) {
     for (const IniEntry& entry : section.entries) {
       PeerEndpoint peer;
       peer.node.value = entry.key;
-      this->ReadEndpoint(reader, entry.key, peer.endpoint);
+      if (!IsName(entry.key)) {
+        reader.Fault(entry.key, "the key is not the name of a process");
+      }
+      this->ReadEndpoint(reader, AddressUse::kPeer, entry.key, peer.endpoint);
       this->settings.peers.push_back(peer);
       this->settings.core.peers.push_back(peer.node);
     }
   }
 
+  void CheckPeers() {
+    for (const IniSection& section : this->file.sections) {
+      if (section.name != "peers") {
+        continue;
+      }
+      for (const IniEntry& entry : section.entries) {
+        if (entry.key == this->settings.core.self.node.value) {
+          this->faults.Add(entry.line, section.name, entry.key,
+                           "a process is no peer of itself");
+        }
+      }
+    }
+  }
+
   void ReadLimits(SectionReader& reader) {
     reader.Read("max_connections", 1, 4096, this->settings.max_connections);
     reader.Read("max_body_kibibytes", 1, 8192,
@@ -108,20 +137,10 @@
     reader.Read("minion_threads", 1, 2048, this->settings.minion_threads);
   }
 
-  void ReadTiming(SectionReader& reader) {
-    Settings& core = this->settings.core;
-    reader.Read("heartbeat_interval", core.heartbeat_interval);
-    reader.Read("peer_timeout", core.peer_timeout);
-    reader.Read("host_list_interval", core.host_list_interval);
-    reader.Read("log_read_interval", core.log_read_interval);
-    reader.Read("append_interval", core.append_interval);
-    reader.Read("claim_delay", core.claim_delay);
-    reader.Read("drain_timeout", core.drain_timeout);
-  }
-
   const IniFile& file;
   Faults& faults;
   NodeSettings settings;
+  AddressBook addresses;
   std::set<std::string, std::less<>> seen;
 };
 
--- a/packages/config/src/reader.cc
+++ b/packages/config/src/reader.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <charconv>
+#include <iterator>
 
 namespace basilspread::config {
 namespace {
@@ -24,8 +25,8 @@
 };
 
 // "ms" and "us" stand before "s", which ends both.
-constexpr Unit kUnits[] = {{"ms", std::chrono::milliseconds(1)},
-                           {"us", std::chrono::microseconds(1)},
+constexpr Unit kUnits[] = {{"us", std::chrono::microseconds(1)},
+                           {"ms", std::chrono::milliseconds(1)},
                            {"s", std::chrono::seconds(1)},
                            {"m", std::chrono::minutes(1)},
                            {"h", std::chrono::hours(1)}};
@@ -50,6 +51,25 @@
   return std::nullopt;
 }
 
+std::string FormatDuration(Duration duration) {
+  for (auto unit = std::rbegin(kUnits); unit != std::rend(kUnits); ++unit) {
+    if (duration >= unit->length && duration % unit->length == Duration{}) {
+      return fmt::format("{}{}", duration / unit->length, unit->suffix);
+    }
+  }
+  return fmt::format(
+      "{}us",
+      std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+}
+
+bool IsName(std::string_view text) {
+  constexpr std::size_t kMaxNameBytes = 64;
+  constexpr std::string_view kNameCharacters =
+      "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
+  return !text.empty() && text.size() <= kMaxNameBytes &&
+         text.find_first_not_of(kNameCharacters) == std::string_view::npos;
+}
+
 SectionReader::SectionReader(const IniSection& ini_section, Faults& fault_list)
     : section(ini_section), faults(fault_list) {}
 
@@ -73,7 +93,8 @@
   this->Read(key, {{"yes", true}, {"no", false}}, target);
 }
 
-void SectionReader::Read(std::string_view key, Duration& target) {
+void SectionReader::Read(std::string_view key, Duration low, Duration high,
+                         Duration& target) {
   const IniEntry* entry = this->Find(key);
   if (entry == nullptr) {
     return;
@@ -85,6 +106,11 @@
                                  entry->value));
     return;
   }
+  if (*parsed < low || *parsed > high) {
+    this->Fault(key, fmt::format("\"{}\" is not from {} to {}", entry->value,
+                                 FormatDuration(low), FormatDuration(high)));
+    return;
+  }
   target = *parsed;
 }
 
@@ -126,6 +152,23 @@
   }
 }
 
+void SectionReader::ReadName(std::string_view key, std::string& target) {
+  const IniEntry* entry = this->Find(key);
+  if (entry == nullptr) {
+    return;
+  }
+  if (entry->value.empty()) {
+    return;
+  }
+  if (!IsName(entry->value)) {
+    this->Fault(key, fmt::format("\"{}\" is not a name of letters, digits, "
+                                 "dots, dashes and underscores",
+                                 entry->value));
+    return;
+  }
+  target = entry->value;
+}
+
 void SectionReader::Require(std::string_view key) {
   if (this->Find(key) == nullptr) {
     this->faults.Add(this->section.line, this->section.name, key,
--- a/packages/config/src/routes_table.cc
+++ b/packages/config/src/routes_table.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::uint32_t kMaxPercent = 100;
+constexpr Duration kMinDeadline = std::chrono::milliseconds(1);
+constexpr Duration kMaxDeadline = std::chrono::hours(24);
+constexpr Duration kMinRunTime = std::chrono::microseconds(1);
 constexpr std::uint32_t kMaxRetries = 10;
 constexpr std::uint32_t kMaxQueueLimit = 100000;
 
@@ -26,14 +29,15 @@
   reader.Require("pool");
   reader.Read("pool", route.pool.value);
   reader.Read("class", kClasses, route.service_class);
-  reader.Read("deadline", route.deadline);
+  reader.Read("deadline", kMinDeadline, kMaxDeadline, route.deadline);
   reader.Read("idempotent", route.idempotent);
   reader.Read("retries", 0, kMaxRetries, route.retries);
   reader.Read("retry_budget_percent", 0, kMaxPercent,
               route.retry_budget_percent);
   reader.Read("queue_limit", 0, kMaxQueueLimit, route.queue_limit);
   reader.Read("team_share_percent", 1, kMaxPercent, route.team_share_percent);
-  reader.Read("expected_run_time", route.expected_run_time);
+  reader.Read("expected_run_time", kMinRunTime, kMaxDeadline,
+              route.expected_run_time);
   reader.Read("choice", kChoices, route.choice);
   return route;
 }
@@ -47,10 +51,11 @@
       faults.Add(section.line, section.name, "", "unknown section");
       continue;
     }
+    CheckName(section, name, faults);
     SectionReader reader(section, faults);
     const Route route = ReadRoute(name, reader);
     reader.Finish();
-    if (!tables.pools.contains(route.pool)) {
+    if (!route.pool.value.empty() && !tables.pools.contains(route.pool)) {
       reader.Fault("pool", "no pool is named \"" + route.pool.value + "\"");
     }
     tables.routes.emplace(route.name, route);
--- a/packages/config/src/section_name.h
+++ b/packages/config/src/section_name.h
@@ -4,6 +4,9 @@
 #include <string>
 #include <string_view>
 
+#include "basilspread/config/ini.h"
+#include "basilspread/config/reader.h"
+
 namespace basilspread::config {
 
 /// "pool layout" gives "layout" for the prefix "pool "; else empty.
@@ -14,6 +17,16 @@
              : std::string();
 }
 
+/// Adds a fault when the row's name is none.
+inline void CheckName(const IniSection& section, std::string_view name,
+                      Faults& faults) {
+  if (!IsName(name)) {
+    faults.Add(section.line, section.name, "",
+               "the name may hold letters, digits, dots, dashes and "
+               "underscores only");
+  }
+}
+
 }  // namespace basilspread::config
 
 #endif  // BASILSPREAD_CONFIG_SRC_SECTION_NAME_H_
--- a/packages/config/src/tables.cc
+++ b/packages/config/src/tables.cc
@@ -19,6 +19,7 @@
       faults.Add(section.line, section.name, "", "unknown section");
       continue;
     }
+    CheckName(section, pool.empty() ? team : pool, faults);
     SectionReader reader(section, faults);
     if (!pool.empty()) {
       ReadPool(pool, reader, tables);
--- /dev/null
+++ b/packages/config/src/timing_settings.h
@@ -0,0 +1,14 @@
+#ifndef BASILSPREAD_CONFIG_SRC_TIMING_SETTINGS_H_
+#define BASILSPREAD_CONFIG_SRC_TIMING_SETTINGS_H_
+
+#include "basilspread/config/reader.h"
+#include "basilspread/core/settings.h"
+
+namespace basilspread::config {
+
+/// Reads the [timing] section and checks its keys against each other.
+void ReadTiming(SectionReader& reader, Settings& settings);
+
+}  // namespace basilspread::config
+
+#endif  // BASILSPREAD_CONFIG_SRC_TIMING_SETTINGS_H_
--- /dev/null
+++ b/packages/config/tests/node_settings_test.cc
@@ -0,0 +1,110 @@
+#include "basilspread/config/node_settings.h"
+
+#include <catch2/catch.hpp>
+
+namespace basilspread::config {
+namespace {
+
+constexpr const char* kValid =
+    "[node]\nname = glasgow-1\nzone = glasgow\n"
+    "[listen]\nhttp = 10.0.0.1:80\nadmin = 10.0.0.1:81\npeer = 10.0.0.1:82\n"
+    "[platform]\nlog = 10.0.9.1:90\nhosts = 10.0.9.1:91\n"
+    "[peers]\ndundee-1 = 10.0.1.1:82\n"
+    "[timing]\nheartbeat_interval = 100ms\npeer_timeout = 1s\n";
+
+std::string Replace(std::string text, const std::string& from,
+                    const std::string& to) {
+  const std::size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+std::string FaultsOf(const std::string& text) {
+  const auto parsed = ParseNodeSettings(text, "node.ini");
+  return parsed ? "" : parsed.error().detail;
+}
+
+TEST_CASE("Valid settings are read", "[config][settings]") {
+  const NodeSettings settings = ParseNodeSettings(kValid, "node.ini").value();
+  REQUIRE(settings.core.self.node == NodeName{"glasgow-1"});
+  REQUIRE(settings.core.peer_timeout == std::chrono::seconds(1));
+  REQUIRE(settings.core.peers.at(0) == NodeName{"dundee-1"});
+  REQUIRE(settings.http.ToString() == "10.0.0.1:80");
+}
+
+TEST_CASE("Settings that cannot stand together are refused",
+          "[config][settings]") {
+  SECTION("a timeout that two lost heartbeats would reach") {
+    REQUIRE(FaultsOf(Replace(kValid, "= 1s", "= 200ms")) ==
+            "node.ini:15: [timing] peer_timeout: 200ms is below 300ms, 3 times "
+            "heartbeat_interval");
+  }
+  SECTION("a process that is its own peer") {
+    REQUIRE(FaultsOf(Replace(kValid, "dundee-1", "glasgow-1")) ==
+            "node.ini:12: [peers] glasgow-1: a process is no peer of itself");
+  }
+  SECTION("an address used twice") {
+    REQUIRE(FaultsOf(Replace(kValid, "10.0.0.1:81", "10.0.0.1:80")) ==
+            "node.ini:6: [listen] admin: 10.0.0.1:80 is used by [listen] http "
+            "already");
+    REQUIRE(FaultsOf(Replace(kValid, "10.0.0.1:81", "0.0.0.0:80")) ==
+            "node.ini:6: [listen] admin: 0.0.0.0:80 is used by [listen] http "
+            "already");
+    REQUIRE(FaultsOf(Replace(kValid, "10.0.1.1:82", "10.0.0.1:82")) ==
+            "node.ini:12: [peers] dundee-1: 10.0.0.1:82 is used by [listen] "
+            "peer already");
+  }
+  SECTION("a peer at no address in particular") {
+    REQUIRE(FaultsOf(Replace(kValid, "10.0.1.1:82", "0.0.0.0:82")) ==
+            "node.ini:12: [peers] dundee-1: 0.0.0.0:82 is no address to "
+            "connect to");
+  }
+}
+
+TEST_CASE("All faults of a settings file are told at once",
+          "[config][settings]") {
+  REQUIRE(
+      FaultsOf("[node]\nname = a b\ncolour = red\nzone =\n"
+               "[listen]\nhttp = localhost:80\nadmin = 10.0.0.1:70000\n"
+               "[timing]\nheartbeat_interval = 1\nclaim_delay = 2h\n"
+               "[extra]\n") ==
+      "node.ini:4: [node] zone: value is missing\n"
+      "node.ini:2: [node] name: \"a b\" is not a name of letters, digits, "
+      "dots, dashes and underscores\n"
+      "node.ini:3: [node] colour: unknown key\n"
+      "node.ini:6: [listen] http: \"localhost:80\" is not an IP number with "
+      "a port\n"
+      "node.ini:7: [listen] admin: \"10.0.0.1:70000\" is not an IP number "
+      "with a port\n"
+      "node.ini:5: [listen] peer: key is missing\n"
+      "node.ini:9: [timing] heartbeat_interval: \"1\" is not a duration "
+      "such as 250ms, 2s, 5m or 1h\n"
+      "node.ini:10: [timing] claim_delay: \"2h\" is not from 1ms to 1m\n"
+      "node.ini:11: [extra]: unknown section\n"
+      "node.ini:0: [platform]: section is missing");
+}
+
+TEST_CASE("Files that are no settings are refused", "[config][settings]") {
+  SECTION("an empty file") {
+    REQUIRE(FaultsOf("") ==
+            "node.ini:0: [node]: section is missing\n"
+            "node.ini:0: [listen]: section is missing\n"
+            "node.ini:0: [platform]: section is missing");
+  }
+  SECTION("a binary file, told in printable characters of bounded length") {
+    std::string binary;
+    for (int i = 0; i < 100000; ++i) {
+      binary.push_back(static_cast<char>(i * 7919 % 256));
+    }
+    const std::string faults = FaultsOf(binary);
+    REQUIRE(faults.size() < 40000);
+    REQUIRE(faults.find_first_not_of("\n !\"#$%&'()*+,-./0123456789:;<=>?@"
+                                     "ABCDEFGHIJKLMNOPQRSTUVWXYZ[\\]^_`"
+                                     "abcdefghijklmnopqrstuvwxyz{|}~") ==
+            std::string::npos);
+    REQUIRE(faults.find("more faults") != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace basilspread::config
--- a/packages/core/include/basilspread/core/record.h
+++ b/packages/core/include/basilspread/core/record.h
@@ -19,6 +19,16 @@
   std::string pool_table;
 };
 
+/// Repeats the accepted tables before the record that made them expires. The
+/// first version that a reader does not know yet counts, older ones do not.
+struct TablesCheckpointRecord {
+  TablesVersion version;
+  /// The edit that made the version.
+  TablesRecord record;
+  /// The writer had judged every edit before this offset.
+  Offset covered;
+};
+
 /// Takes a shard over. The first claim of an epoch in log order wins.
 struct ClaimRecord {
   ShardId shard;
@@ -34,7 +44,8 @@
   NodeName successor;
 };
 
-using LogRecord = std::variant<TablesRecord, ClaimRecord, ReleaseRecord>;
+using LogRecord = std::variant<TablesRecord, ClaimRecord, ReleaseRecord,
+                               TablesCheckpointRecord>;
 
 /// What one append holds: the records of one writer, in order.
 struct LogBatch {
--- a/packages/core/include/basilspread/core/settings.h
+++ b/packages/core/include/basilspread/core/settings.h
@@ -27,6 +27,9 @@
   Duration append_interval = std::chrono::milliseconds(20);
   /// Delay between claim attempts of processes that rank one apart.
   Duration claim_delay = std::chrono::milliseconds(300);
+  /// The tables in force are written to the log again after this long; well
+  /// below the time that the log keeps records for.
+  Duration tables_checkpoint_interval = std::chrono::minutes(10);
   /// A graceful stop gives up on what is in flight after this.
   Duration drain_timeout = std::chrono::seconds(30);
 };
--- a/packages/core/include/basilspread/core/tables.h
+++ b/packages/core/include/basilspread/core/tables.h
@@ -37,6 +37,8 @@
   Duration expected_run_time = std::chrono::milliseconds(100);
   /// Name of the hook that picks the minion.
   std::string choice = "least-loaded";
+  /// Removed from the table; takes no new requests, finishes the accepted.
+  bool draining = false;
 };
 
 /// One row of the pool table: which hosts serve, and how they are shared.
@@ -51,6 +53,8 @@
   std::uint32_t short_reserve_percent = 20;
   /// Name of the hook that picks the worker.
   std::string placement = "best-fit";
+  /// Removed from the table; kept until the work in it is finished.
+  bool draining = false;
 };
 
 /// What a team may reserve in all worker pools together.
--- a/packages/core/include/basilspread/core/timer.h
+++ b/packages/core/include/basilspread/core/timer.h
@@ -9,6 +9,7 @@
   kMembership,
   kOwnership,
   kHostList,
+  kConfiguration,
   kLogRead,
   kLogAppend,
   kRequests,
--- a/packages/core/src/internal/configuration.cc
+++ b/packages/core/src/internal/configuration.cc
@@ -2,45 +2,199 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
+#include "internal/draining.h"
+#include "internal/log.h"
+#include "internal/membership.h"
 #include "internal/ownership.h"
 
 namespace basilspread::internal::configuration {
 namespace {
 
 constexpr std::string_view kPart = "configuration";
+constexpr Duration kCheckInterval = std::chrono::milliseconds(500);
+/// Delay between the checkpoints of processes that rank one apart.
+constexpr Duration kCheckpointStagger = std::chrono::seconds(3);
 
-}  // namespace
-
-StreamName TablesStream() { return StreamName{"tables"}; }
+Result<Tables> ParseSuccessor(const Context& context,
+                              const TablesRecord& record) {
+  Result<Tables> parsed = context.state.hooks.parse_tables(record);
+  if (!parsed) {
+    return parsed;
+  }
+  const std::string faults =
+      CheckSuccession(context.state.configuration.tables, parsed.value());
+  if (!faults.empty()) {
+    return Error{ErrorKind::kInvalidTables, faults};
+  }
+  return parsed;
+}
 
-void OnTablesRecord(Context& context, const TablesRecord& record) {
+void PutInForce(Context& context, const TablesDecision& decision) {
   ConfigurationState& configuration = context.state.configuration;
-  if (record.base != configuration.tables.version) {
-    context.Log(LogLevel::kInfo, kPart,
-                fmt::format("Edit lost the race. author={} base={}",
-                            record.author, record.base.value));
-    return;
-  }
-  Result<Tables> parsed = context.state.hooks.parse_tables(record);
+  Result<Tables> parsed = ParseSuccessor(context, decision.record);
   if (!parsed) {
-    context.Log(LogLevel::kWarning, kPart,
-                fmt::format("Edit is invalid. author={} reason=\"{}\"",
-                            record.author, parsed.error().detail));
+    // Another version of the program may read these tables, so they keep
+    // their place in the order of versions and this process says that it lags.
+    configuration.fault = parsed.error().detail;
+    context.Log(LogLevel::kError, kPart,
+                fmt::format("Accepted tables cannot be read; the old stay in "
+                            "force. version={} author={} reason=\"{}\"",
+                            decision.version.value, decision.record.author,
+                            parsed.error().detail));
     return;
   }
-  configuration.tables = std::move(parsed).value();
-  configuration.tables.version = TablesVersion{record.base.value + 1};
-  configuration.source = record;
+  configuration.fault.clear();
+  Tables next = std::move(parsed).value();
+  next.version = decision.version;
+  draining::KeepRemoved(context, configuration.tables, next);
+  configuration.tables = std::move(next);
+  configuration.source = decision.record;
   context.Log(LogLevel::kInfo, kPart,
               fmt::format("Tables are in force. version={} author={}",
-                          configuration.tables.version.value, record.author));
+                          decision.version.value, decision.record.author));
   ownership::OnTablesChanged(context);
 }
 
+void Apply(Context& context, const TablesDecisions& decisions) {
+  ConfigurationState& configuration = context.state.configuration;
+  for (const TablesDecision& decision : decisions) {
+    if (!decision.accepted) {
+      context.Log(
+          LogLevel::kInfo, kPart,
+          fmt::format("Edit lost the race. author={} base={} winner={} "
+                      "version={}",
+                      decision.record.author, decision.record.base.value,
+                      configuration.source.author, decision.version.value));
+      continue;
+    }
+    configuration.newest_read = context.now;
+    PutInForce(context, decision);
+  }
+}
+
+/// Place of this process among the live ones, from 0.
+std::int64_t OwnRank(const Context& context) {
+  std::int64_t rank = 0;
+  for (const auto& [node, peer] : context.state.membership.peers) {
+    if (membership::IsLive(context, peer) &&
+        node < context.state.settings.self.node) {
+      ++rank;
+    }
+  }
+  return rank;
+}
+
+bool IsAwaitedByPeer(const Context& context) {
+  const auto& peers = context.state.membership.peers;
+  return std::any_of(peers.begin(), peers.end(), [&context](const auto& row) {
+    return membership::IsLive(context, row.second) &&
+           row.second.last_heartbeat.tables.value == 0;
+  });
+}
+
+bool IsCheckpointDue(const Context& context) {
+  const ConfigurationState& configuration = context.state.configuration;
+  const LogStream& stream = context.state.log.streams.at(TablesStream());
+  const bool is_current = configuration.history.decided() && stream.at_end &&
+                          configuration.history.version().value > 0;
+  if (!is_current || stream.in_flight || !stream.pending.empty()) {
+    return false;
+  }
+  const Settings& settings = context.state.settings;
+  const Duration interval = IsAwaitedByPeer(context)
+                                ? settings.peer_timeout
+                                : settings.tables_checkpoint_interval;
+  return context.now - *configuration.newest_read >=
+         interval + kCheckpointStagger * OwnRank(context);
+}
+
+void AppendCheckpoint(Context& context) {
+  const ConfigurationState& configuration = context.state.configuration;
+  const TablesVersion newest = configuration.history.version();
+  // A new process that cannot read the newest version either needs the one
+  // in force, as this process does.
+  if (configuration.tables.version.value > 0 &&
+      configuration.tables.version != newest) {
+    log::Append(context, TablesStream(),
+                TablesCheckpointRecord{configuration.tables.version,
+                                       configuration.source, Offset{0}});
+  }
+  log::Append(context, TablesStream(),
+              TablesCheckpointRecord{newest, configuration.history.record(),
+                                     configuration.next});
+}
+
+}  // namespace
+
+void Start(Context& context) {
+  context.ArmIn(TimerKind::kConfiguration, kCheckInterval);
+}
+
+void OnTimer(Context& context) {
+  if (draining::DropDrained(context)) {
+    ownership::OnTablesChanged(context);
+  }
+  if (IsCheckpointDue(context)) {
+    AppendCheckpoint(context);
+  }
+  context.ArmIn(TimerKind::kConfiguration, kCheckInterval);
+}
+
+void OnReadBegins(Context& context, Offset from, Offset first_kept) {
+  ConfigurationState& configuration = context.state.configuration;
+  const bool was_decided = configuration.history.decided();
+  configuration.history.BeginRead(from, first_kept);
+  if (was_decided && !configuration.history.decided()) {
+    context.Log(LogLevel::kWarning, kPart,
+                fmt::format("Records expired unread; edits wait for a "
+                            "checkpoint. from={} first_kept={}",
+                            from.value, first_kept.value));
+  }
+}
+
+void OnTablesRecord(Context& context, Offset offset,
+                    const TablesRecord& record) {
+  Apply(context, context.state.configuration.history.OnEdit(offset, record));
+}
+
+void OnCheckpoint(Context& context, const TablesCheckpointRecord& record) {
+  ConfigurationState& configuration = context.state.configuration;
+  Apply(context, configuration.history.OnCheckpoint(record));
+  if (record.version == configuration.history.version()) {
+    configuration.newest_read = context.now;
+  }
+}
+
+void OnReadEnds(Context& context, Offset next, bool at_end) {
+  ConfigurationState& configuration = context.state.configuration;
+  configuration.next = next;
+  if (!at_end) {
+    return;
+  }
+  Apply(context, configuration.history.OnEnd());
+  configuration.read_to_end =
+      configuration.read_to_end || configuration.history.decided();
+}
+
 bool IsReady(const Context& context) {
-  return context.state.configuration.tables.version.value > 0;
+  const ConfigurationState& configuration = context.state.configuration;
+  return configuration.read_to_end && configuration.tables.version.value > 0;
+}
+
+ReportSection Describe(const Context& context) {
+  const ConfigurationState& configuration = context.state.configuration;
+  ReportSection section{"configuration", {}};
+  section.rows.push_back(
+      {{"in_force", fmt::format("{}", configuration.tables.version.value)},
+       {"accepted", fmt::format("{}", configuration.history.version().value)},
+       {"author", configuration.source.author},
+       {"ready", IsReady(context) ? "yes" : "no"},
+       {"decided", configuration.history.decided() ? "yes" : "no"},
+       {"fault", configuration.fault}});
+  return section;
 }
 
 }  // namespace basilspread::internal::configuration
--- a/packages/core/src/internal/log.cc
+++ b/packages/core/src/internal/log.cc
@@ -41,9 +41,12 @@
   Send(context, name, stream);
 }
 
-void Apply(Context& context, const LogRecord& record) {
+void Apply(Context& context, Offset offset, const LogRecord& record) {
   if (const auto* tables = std::get_if<TablesRecord>(&record)) {
-    configuration::OnTablesRecord(context, *tables);
+    configuration::OnTablesRecord(context, offset, *tables);
+  } else if (const auto* checkpoint =
+                 std::get_if<TablesCheckpointRecord>(&record)) {
+    configuration::OnCheckpoint(context, *checkpoint);
   } else if (const auto* claim = std::get_if<ClaimRecord>(&record)) {
     ownership::OnClaim(context, *claim);
   } else if (const auto* release = std::get_if<ReleaseRecord>(&record)) {
@@ -51,7 +54,9 @@
   }
 }
 
-void ApplyBatch(Context& context, LogStream& stream, const LogBatch& batch) {
+void ApplyBatch(Context& context, LogStream& stream,
+                const StoredBatch& stored) {
+  const LogBatch& batch = stored.batch;
   // An append that was sent again because its answer was lost may stand
   // twice; batches of one writer are numbered, so only the first counts.
   AppendId& applied = stream.applied[batch.writer];
@@ -60,7 +65,7 @@
   }
   applied = batch.id;
   for (const LogRecord& record : batch.records) {
-    Apply(context, record);
+    Apply(context, stored.offset, record);
   }
   const bool is_own = batch.writer == context.state.settings.self;
   if (is_own && stream.in_flight && stream.in_flight->id == batch.id) {
@@ -71,7 +76,7 @@
 }  // namespace
 
 void Start(Context& context) {
-  Follow(context, configuration::TablesStream());
+  Follow(context, TablesStream());
   context.ArmIn(TimerKind::kLogRead, context.state.settings.log_read_interval);
 }
 
@@ -113,13 +118,20 @@
     return;
   }
   stream.last_read = context.now;
+  const bool holds_tables = event.stream == TablesStream();
+  if (holds_tables) {
+    configuration::OnReadBegins(context, stream.next, event.first_kept);
+  }
   for (const StoredBatch& stored : event.batches) {
     if (stored.offset >= stream.next) {
-      ApplyBatch(context, stream, stored.batch);
+      ApplyBatch(context, stream, stored);
     }
   }
   stream.next = std::max(stream.next, event.next);
   stream.at_end = event.at_end;
+  if (holds_tables) {
+    configuration::OnReadEnds(context, stream.next, event.at_end);
+  }
   if (!event.at_end || stream.in_flight) {
     Read(context, event.stream, stream);
   }
--- a/packages/core/src/internal/report.cc
+++ b/packages/core/src/internal/report.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "internal/configuration.h"
 #include "internal/membership.h"
 
 namespace basilspread::internal::report {
@@ -59,8 +60,9 @@
 }  // namespace
 
 StateReport Describe(const Context& context) {
-  return {DescribeProcess(context), DescribeMembers(context),
-          DescribeShards(context), DescribeMinions(context)};
+  return {DescribeProcess(context), configuration::Describe(context),
+          DescribeMembers(context), DescribeShards(context),
+          DescribeMinions(context)};
 }
 
 }  // namespace basilspread::internal::report
--- a/packages/core/src/internal/requests.cc
+++ b/packages/core/src/internal/requests.cc
@@ -230,7 +230,7 @@
     return;
   }
   const Route* route = FindRoute(context, event.route);
-  if (route == nullptr) {
+  if (route == nullptr || route->draining) {
     Answer(context, key, ErrorKind::kUnknownRoute, event.route.value, nullptr);
     return;
   }
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -24,6 +24,7 @@
 
   void operator()(const Started& /*event*/) const {
     internal::log::Start(this->context);
+    internal::configuration::Start(this->context);
     internal::hosts::Start(this->context);
     internal::membership::Start(this->context);
     internal::ownership::Start(this->context);
@@ -71,6 +72,8 @@
         return internal::ownership::OnOwnershipTimer(this->context);
       case TimerKind::kHostList:
         return internal::hosts::OnHostListTimer(this->context);
+      case TimerKind::kConfiguration:
+        return internal::configuration::OnTimer(this->context);
       case TimerKind::kLogRead:
         return internal::log::OnReadTimer(this->context);
       case TimerKind::kLogAppend:
--- /dev/null
+++ b/packages/core/tests/tables_history_test.cc
@@ -0,0 +1,100 @@
+#include "basilspread/core/tables_history.h"
+
+#include <catch2/catch.hpp>
+
+namespace basilspread {
+namespace {
+
+TablesRecord Edit(std::uint64_t base, const std::string& author) {
+  TablesRecord record;
+  record.base.value = base;
+  record.author = author;
+  return record;
+}
+
+TablesCheckpointRecord Checkpoint(std::uint64_t version,
+                                  const std::string& author,
+                                  std::uint64_t covered) {
+  return TablesCheckpointRecord{TablesVersion{version},
+                                Edit(version - 1, author), Offset{covered}};
+}
+
+TEST_CASE("Log order decides between racing edits", "[configuration]") {
+  TablesHistory history;
+  history.BeginRead(Offset{0}, Offset{0});
+  REQUIRE(history.OnEdit(Offset{0}, Edit(0, "isla")).at(0).accepted);
+  REQUIRE_FALSE(history.OnEdit(Offset{1}, Edit(0, "ewan")).at(0).accepted);
+  REQUIRE(history.version() == TablesVersion{1});
+  REQUIRE(history.record().author == "isla");
+
+  SECTION("a late checkpoint does not bring an old version back") {
+    REQUIRE(history.OnEdit(Offset{2}, Edit(1, "ewan")).at(0).accepted);
+    REQUIRE(history.OnCheckpoint(Checkpoint(1, "isla", 1)).empty());
+    REQUIRE(history.record().author == "ewan");
+  }
+  SECTION("the loser's edit wins when made against the newer version") {
+    REQUIRE(history.OnEdit(Offset{2}, Edit(1, "ewan")).at(0).accepted);
+    REQUIRE(history.version() == TablesVersion{2});
+  }
+}
+
+TEST_CASE("A reader of a trimmed stream decides like the others",
+          "[configuration]") {
+  TablesHistory history;
+  history.BeginRead(Offset{0}, Offset{10});
+  REQUIRE_FALSE(history.decided());
+
+  SECTION("an edit is not judged without what came before it") {
+    REQUIRE(history.OnEdit(Offset{10}, Edit(5, "ewan")).empty());
+    REQUIRE(history.OnEnd().empty());
+    REQUIRE(history.version() == TablesVersion{0});
+  }
+  SECTION("an edit before the checkpoint that won is not lost") {
+    REQUIRE(history.OnEdit(Offset{10}, Edit(5, "ewan")).empty());
+    REQUIRE(history.OnEdit(Offset{11}, Edit(5, "isla")).empty());
+    const auto decisions = history.OnCheckpoint(Checkpoint(5, "isla", 10));
+    REQUIRE(history.decided());
+    REQUIRE(decisions.size() == 3);
+    REQUIRE(history.version() == TablesVersion{6});
+    REQUIRE(history.record().author == "ewan");
+  }
+  SECTION("an edit that the checkpoint's writer had judged stays lost") {
+    REQUIRE(history.OnEdit(Offset{10}, Edit(6, "ewan")).empty());
+    history.OnCheckpoint(Checkpoint(6, "isla", 11));
+    REQUIRE(history.version() == TablesVersion{6});
+    REQUIRE(history.record().author == "isla");
+  }
+  SECTION("a checkpoint from before the trimmed part judges no edit") {
+    history.OnCheckpoint(Checkpoint(5, "isla", 8));
+    REQUIRE_FALSE(history.decided());
+    REQUIRE(history.OnEdit(Offset{11}, Edit(5, "late")).empty());
+    history.OnCheckpoint(Checkpoint(6, "ewan", 12));
+    REQUIRE(history.decided());
+    REQUIRE(history.record().author == "ewan");
+  }
+}
+
+TEST_CASE("A reader that was overtaken by the trimming keeps its tables",
+          "[configuration]") {
+  TablesHistory history;
+  history.BeginRead(Offset{0}, Offset{0});
+  history.OnEdit(Offset{0}, Edit(0, "isla"));
+  history.BeginRead(Offset{1}, Offset{4});
+  REQUIRE_FALSE(history.decided());
+  REQUIRE(history.version() == TablesVersion{1});
+
+  SECTION("and judges no edit that may have lost in the gap") {
+    REQUIRE(history.OnEdit(Offset{4}, Edit(1, "ewan")).empty());
+    history.OnCheckpoint(Checkpoint(3, "mairi", 5));
+    REQUIRE(history.version() == TablesVersion{3});
+    REQUIRE(history.record().author == "mairi");
+  }
+  SECTION("and goes on from them when nothing else was kept") {
+    history.OnEnd();
+    REQUIRE(history.decided());
+    REQUIRE(history.OnEdit(Offset{4}, Edit(1, "ewan")).at(0).accepted);
+  }
+}
+
+}  // namespace
+}  // namespace basilspread
--- a/packages/wire/src/record_codec.cc
+++ b/packages/wire/src/record_codec.cc
@@ -16,14 +16,26 @@
   flatbuffers::Offset<void> offset;
 };
 
-PackedRecord PackRecord(Builder& builder, const TablesRecord& record) {
+flatbuffers::Offset<fb::TablesRecord> PackTables(Builder& builder,
+                                                 const TablesRecord& record) {
   const auto author = builder.CreateString(record.author);
   const auto routes = builder.CreateString(record.route_table);
   const auto pools = builder.CreateString(record.pool_table);
-  return {
-      fb::RecordBody::TablesRecord,
-      fb::CreateTablesRecord(builder, record.base.value, author, routes, pools)
-          .Union()};
+  return fb::CreateTablesRecord(builder, record.base.value, author, routes,
+                                pools);
+}
+
+PackedRecord PackRecord(Builder& builder, const TablesRecord& record) {
+  return {fb::RecordBody::TablesRecord, PackTables(builder, record).Union()};
+}
+
+PackedRecord PackRecord(Builder& builder,
+                        const TablesCheckpointRecord& record) {
+  const auto source = PackTables(builder, record.record);
+  return {fb::RecordBody::TablesCheckpointRecord,
+          fb::CreateTablesCheckpointRecord(builder, record.version.value,
+                                           source, record.covered.value)
+              .Union()};
 }
 
 PackedRecord PackRecord(Builder& builder, const ClaimRecord& record) {
@@ -44,11 +56,21 @@
               .Union()};
 }
 
-LogRecord UnpackRecord(const fb::TablesRecord& packed) {
+TablesRecord UnpackTables(const fb::TablesRecord& packed) {
   return TablesRecord{TablesVersion{packed.base()}, packed.author()->str(),
                       packed.route_table()->str(), packed.pool_table()->str()};
 }
 
+LogRecord UnpackRecord(const fb::TablesRecord& packed) {
+  return UnpackTables(packed);
+}
+
+LogRecord UnpackRecord(const fb::TablesCheckpointRecord& packed) {
+  return TablesCheckpointRecord{TablesVersion{packed.version()},
+                                UnpackTables(*packed.record()),
+                                Offset{packed.covered()}};
+}
+
 LogRecord UnpackRecord(const fb::ClaimRecord& packed) {
   return ClaimRecord{ShardId{packed.shard()->str()}, Epoch{packed.epoch()},
                      Unpack(*packed.claimant())};
@@ -68,6 +90,8 @@
       return UnpackRecord(*record.body_as_ClaimRecord());
     case fb::RecordBody::ReleaseRecord:
       return UnpackRecord(*record.body_as_ReleaseRecord());
+    case fb::RecordBody::TablesCheckpointRecord:
+      return UnpackRecord(*record.body_as_TablesCheckpointRecord());
     case fb::RecordBody::NONE:
       break;
   }
