Set down the vocabulary of jobs, workers and reservations

The concern itself is empty yet; the other parts can build on it.

Records carry the shard's epoch: a reader folds only those whose epoch is the shard's own at their offset, so that an intent behind a higher claim is void without a further rule.

--- a/packages/core/include/basilspread/core/effect.h
+++ b/packages/core/include/basilspread/core/effect.h
@@ -14,6 +14,7 @@
 #include "basilspread/core/report.h"
 #include "basilspread/core/time.h"
 #include "basilspread/core/timer.h"
+#include "basilspread/core/worker.h"
 
 namespace basilspread {
 
@@ -82,12 +83,17 @@
   StateReport report;
 };
 
+/// Answers a JobArrived.
+struct AnswerJobCaller {
+  JobAnswer answer;
+};
+
 /// Ends the process: everything is drained.
 struct ExitProcess {};
 
-using Effect =
-    std::variant<AnswerCaller, SendToMinion, SendToPeer, AppendLog, ReadLog,
-                 ReadHosts, SetTimer, WriteLine, AnswerDump, ExitProcess>;
+using Effect = std::variant<AnswerCaller, SendToMinion, SendToPeer, AppendLog,
+                            ReadLog, ReadHosts, SetTimer, WriteLine, AnswerDump,
+                            ExitProcess, CallWorker, AnswerJobCaller>;
 
 using Effects = std::vector<Effect>;
 
--- a/packages/core/include/basilspread/core/event.h
+++ b/packages/core/include/basilspread/core/event.h
@@ -13,6 +13,7 @@
 #include "basilspread/core/record.h"
 #include "basilspread/core/time.h"
 #include "basilspread/core/timer.h"
+#include "basilspread/core/worker.h"
 
 namespace basilspread {
 
@@ -101,6 +102,16 @@
   TimerKind kind;
 };
 
+/// A caller's job call was read whole.
+struct JobArrived {
+  CallId call;
+  JobOperation operation = JobOperation::kStatus;
+  /// Set with kSubmit; of the other operations only its id.
+  JobSpec spec;
+  /// How long the caller waits for the answer.
+  Duration timeout{};
+};
+
 /// An operator or the platform asked the process to stop gracefully.
 struct StopRequested {};
 
@@ -112,7 +123,8 @@
 using EventBody =
     std::variant<Started, RequestArrived, CallerGone, MinionAnswered,
                  PeerReceived, PeerLinkChanged, LogAppended, LogRead,
-                 HostsListed, TimerFired, StopRequested, DumpRequested>;
+                 HostsListed, TimerFired, StopRequested, DumpRequested,
+                 JobArrived, WorkerAnswered>;
 
 /// Everything that can change the state of a process.
 struct Event {
--- a/packages/core/include/basilspread/core/peer_message.h
+++ b/packages/core/include/basilspread/core/peer_message.h
@@ -8,6 +8,7 @@
 
 #include "basilspread/core/error.h"
 #include "basilspread/core/ids.h"
+#include "basilspread/core/job_message.h"
 #include "basilspread/core/payload.h"
 #include "basilspread/core/time.h"
 
@@ -30,6 +31,8 @@
   bool stopping = false;
   /// The shards that the sender owns.
   std::vector<ShardReport> shards;
+  /// What teams have reserved through the sender's home shards.
+  std::vector<TeamUsage> usage;
 };
 
 /// Names one request across processes.
@@ -62,7 +65,10 @@
   PayloadPtr payload;
 };
 
-using PeerMessage = std::variant<Heartbeat, ForwardRequest, ForwardAnswer>;
+using PeerMessage =
+    std::variant<Heartbeat, ForwardRequest, ForwardAnswer, JobCall, JobAnswer,
+                 ReserveTasks, ReserveAnswer, ConfirmTasks, ReleaseHold,
+                 StopTasks, TaskReports, TaskReportsAck>;
 
 }  // namespace basilspread
 
--- a/packages/core/include/basilspread/core/record.h
+++ b/packages/core/include/basilspread/core/record.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "basilspread/core/ids.h"
+#include "basilspread/core/job_record.h"
 #include "basilspread/core/tables.h"
 
 namespace basilspread {
@@ -34,7 +35,9 @@
   NodeName successor;
 };
 
-using LogRecord = std::variant<TablesRecord, ClaimRecord, ReleaseRecord>;
+using LogRecord =
+    std::variant<TablesRecord, ClaimRecord, ReleaseRecord, JobRecord,
+                 IntentRecord, OutcomeRecord, CancelRecord>;
 
 /// What one append holds: the records of one writer, in order.
 struct LogBatch {
--- a/packages/core/include/basilspread/core/settings.h
+++ b/packages/core/include/basilspread/core/settings.h
@@ -27,6 +27,15 @@
   Duration append_interval = std::chrono::milliseconds(20);
   /// Delay between claim attempts of processes that rank one apart.
   Duration claim_delay = std::chrono::milliseconds(300);
+  /// Lease of a task; it ends by itself when nobody renews it for so long.
+  Duration task_lease = std::chrono::seconds(15);
+  /// Added to every wait for a lease to lapse. Covers the drift of clocks and
+  /// the longest delivery of a call that was given up.
+  Duration lapse_margin = std::chrono::seconds(5);
+  /// Time between calls to a worker that runs tasks.
+  Duration worker_interval = std::chrono::seconds(1);
+  /// A call to a worker is given up after this.
+  Duration worker_timeout = std::chrono::seconds(2);
   /// A graceful stop gives up on what is in flight after this.
   Duration drain_timeout = std::chrono::seconds(30);
 };
--- a/packages/core/src/internal/log.cc
+++ b/packages/core/src/internal/log.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "internal/configuration.h"
+#include "internal/jobs.h"
 #include "internal/ownership.h"
 
 namespace basilspread::internal::log {
@@ -48,6 +49,14 @@
     ownership::OnClaim(context, *claim);
   } else if (const auto* release = std::get_if<ReleaseRecord>(&record)) {
     ownership::OnRelease(context, *release);
+  } else if (const auto* job = std::get_if<JobRecord>(&record)) {
+    jobs::OnRecord(context, *job);
+  } else if (const auto* intent = std::get_if<IntentRecord>(&record)) {
+    jobs::OnRecord(context, *intent);
+  } else if (const auto* outcome = std::get_if<OutcomeRecord>(&record)) {
+    jobs::OnRecord(context, *outcome);
+  } else if (const auto* cancel = std::get_if<CancelRecord>(&record)) {
+    jobs::OnRecord(context, *cancel);
   }
 }
 
@@ -123,6 +132,7 @@
   if (!event.at_end || stream.in_flight) {
     Read(context, event.stream, stream);
   }
+  jobs::OnRecordsApplied(context);
   SendPending(context, event.stream, stream);
 }
 
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -5,6 +5,7 @@
 #include "internal/configuration.h"
 #include "internal/context.h"
 #include "internal/hosts.h"
+#include "internal/jobs.h"
 #include "internal/log.h"
 #include "internal/membership.h"
 #include "internal/ownership.h"
@@ -27,6 +28,7 @@
     internal::hosts::Start(this->context);
     internal::membership::Start(this->context);
     internal::ownership::Start(this->context);
+    internal::jobs::Start(this->context);
   }
 
   void operator()(const RequestArrived& event) const {
@@ -78,7 +80,7 @@
       case TimerKind::kRequests:
         return internal::requests::OnTimer(this->context);
       case TimerKind::kJobs:
-        return;
+        return internal::jobs::OnTimer(this->context);
       case TimerKind::kStop:
         return this->CheckDrained();
     }
@@ -90,6 +92,14 @@
     this->CheckDrained();
   }
 
+  void operator()(const JobArrived& event) const {
+    internal::jobs::OnArrived(this->context, event);
+  }
+
+  void operator()(const WorkerAnswered& event) const {
+    internal::jobs::OnWorkerAnswered(this->context, event);
+  }
+
   void operator()(const DumpRequested& event) const {
     this->context.Emit(
         AnswerDump{event.call, internal::report::Describe(this->context)});
@@ -109,6 +119,10 @@
     void operator()(const ForwardAnswer& message) const {
       internal::requests::OnForwardAnswered(this->context, message);
     }
+    template <typename JobMessage>
+    void operator()(const JobMessage& message) const {
+      internal::jobs::OnMessage(this->context, this->from, message);
+    }
   };
 
   void CheckDrained() const {
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -124,6 +124,8 @@
             }
           },
           [](const WriteLine& line) { Log(line.level, line.part, line.text); },
+          [this](const AnswerJobCaller& answer) { static_cast<void>(answer); },
+          [this, post](const CallWorker& call) { static_cast<void>(call); },
           [](const SetTimer&) {},
           [](const ExitProcess&) {},
       },
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -4,16 +4,14 @@
 #include <vector>
 
 #include "common.h"
+#include "job_codec.h"
 
 namespace basilspread::wire {
 namespace {
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
-struct PackedBody {
-  fb::PeerBody type;
-  flatbuffers::Offset<void> offset;
-};
+using job_codec::Pack;
 
 flatbuffers::Offset<fb::Payload> Pack(Builder& builder,
                                       const PayloadPtr& payload) {
@@ -68,9 +66,10 @@
                                            report.free_slots, report.queued));
   }
   const auto packed = builder.CreateVector(shards);
+  const auto usage = job_codec::PackUsage(builder, message.usage);
   return {fb::PeerBody::Heartbeat,
           fb::CreateHeartbeat(builder, message.tables.value, message.stopping,
-                              packed)
+                              packed, usage)
               .Union()};
 }
 
@@ -109,6 +108,7 @@
                       report->free_slots(), report->queued()});
     }
   }
+  message.usage = job_codec::UnpackUsage(packed.usage());
   return message;
 }
 
@@ -141,10 +141,9 @@
       return PeerMessage(Unpack(*frame.body_as_ForwardRequest()));
     case fb::PeerBody::ForwardAnswer:
       return PeerMessage(Unpack(*frame.body_as_ForwardAnswer()));
-    case fb::PeerBody::NONE:
-      break;
+    default:
+      return job_codec::UnpackMessage(frame);
   }
-  return Error{ErrorKind::kBadRequest, "the frame has no message"};
 }
 
 }  // namespace
--- a/packages/wire/src/record_codec.cc
+++ b/packages/wire/src/record_codec.cc
@@ -5,16 +5,14 @@
 
 #include "basilspread/wire/peer_codec.h"
 #include "common.h"
+#include "job_codec.h"
 
 namespace basilspread::wire {
 namespace {
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
-struct PackedRecord {
-  fb::RecordBody type;
-  flatbuffers::Offset<void> offset;
-};
+using job_codec::PackRecord;
 
 PackedRecord PackRecord(Builder& builder, const TablesRecord& record) {
   const auto author = builder.CreateString(record.author);
@@ -68,10 +66,9 @@
       return UnpackRecord(*record.body_as_ClaimRecord());
     case fb::RecordBody::ReleaseRecord:
       return UnpackRecord(*record.body_as_ReleaseRecord());
-    case fb::RecordBody::NONE:
-      break;
+    default:
+      return job_codec::UnpackRecord(record);
   }
-  return Error{ErrorKind::kBadRequest, "the log record has no body"};
 }
 
 }  // namespace
