--- a/packages/core/include/basilspread/core/effect.h
+++ b/packages/core/include/basilspread/core/effect.h
@@ -88,12 +88,16 @@
   JobAnswer answer;
 };
 
+/// Refuses new connections of callers; those with a request get their answer.
+struct RefuseCallers {};
+
 /// Ends the process: everything is drained.
 struct ExitProcess {};
 
-using Effect = std::variant<AnswerCaller, SendToMinion, SendToPeer, AppendLog,
-                            ReadLog, ReadHosts, SetTimer, WriteLine, AnswerDump,
-                            ExitProcess, CallWorker, AnswerJobCaller>;
+using Effect =
+    std::variant<AnswerCaller, SendToMinion, SendToPeer, AppendLog, ReadLog,
+                 ReadHosts, SetTimer, WriteLine, AnswerDump, RefuseCallers,
+                 ExitProcess, CallWorker, AnswerJobCaller>;
 
 using Effects = std::vector<Effect>;
 
--- a/packages/core/src/internal/jobs.cc
+++ b/packages/core/src/internal/jobs.cc
@@ -31,7 +31,10 @@
 void OnRecord(Context& /*context*/, const CancelRecord& /*record*/) {}
 void OnRecordsApplied(Context& /*context*/) {}
 void OnHostsChanged(Context& /*context*/) {}
-void OnShardGained(Context& /*context*/, const ShardId& /*shard*/) {}
+void OnStreamReset(Context& /*context*/, const ShardId& /*shard*/) {}
+void OnShardGained(Context& /*context*/, const ShardId& /*shard*/,
+                   TakeoverKind /*kind*/) {}
+void OnShardReady(Context& /*context*/, const ShardId& /*shard*/) {}
 void OnShardLost(Context& /*context*/, const ShardId& /*shard*/) {}
 void OnPeerLost(Context& /*context*/, const NodeName& /*peer*/) {}
 void AppendCheckpoint(Context& /*context*/, const ShardId& /*shard*/) {}
--- a/packages/core/src/internal/jobs.h
+++ b/packages/core/src/internal/jobs.h
@@ -3,6 +3,7 @@
 
 #include "basilspread/core/event.h"
 #include "basilspread/core/ids.h"
+#include "basilspread/core/ownership.h"
 #include "basilspread/core/record.h"
 #include "internal/context.h"
 
@@ -45,18 +46,23 @@
 
 /// Matches the workers of the owned shards to hosts and tables.
 void OnHostsChanged(Context& context);
-void OnShardGained(Context& context, const ShardId& shard);
+/// Reading of the shard's stream starts over: drops what was read of it.
+void OnStreamReset(Context& context, const ShardId& shard);
+/// This process owns the shard, and its stream was read up to the claim.
+void OnShardGained(Context& context, const ShardId& shard, TakeoverKind kind);
+/// An owned shard may be acted on, at first or again.
+void OnShardReady(Context& context, const ShardId& shard);
 void OnShardLost(Context& context, const ShardId& shard);
 /// Answers the callers whose calls a peer that is gone was handling.
 void OnPeerLost(Context& context, const NodeName& peer);
 
-/// Appends anew what is live in an owned shard, before older records expire.
+/// Appends what is live in the shard anew, before older records expire.
 void AppendCheckpoint(Context& context, const ShardId& shard);
 
 /// What teams have reserved through the home shards of this process.
 std::vector<TeamUsage> Usage(const Context& context);
 
-/// Whether no record of an owned shard waits and no call is in flight.
+/// Whether nothing here keeps a graceful stop from releasing the shards.
 bool IsIdle(const Context& context);
 
 }  // namespace basilspread::internal::jobs
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -89,6 +89,7 @@
   void operator()(const StopRequested& /*event*/) const {
     this->context.state.stopping = true;
     this->context.Log(LogLevel::kInfo, "process", "Stop was requested.");
+    this->context.Emit(RefuseCallers{});
     this->CheckDrained();
   }
 
@@ -126,7 +127,8 @@
   };
 
   void CheckDrained() const {
-    if (internal::requests::IsIdle(this->context)) {
+    if (internal::requests::IsIdle(this->context) &&
+        internal::jobs::IsIdle(this->context)) {
       this->context.Emit(ExitProcess{});
       return;
     }
