--- a/packages/core/include/basilspread/core/record.h
+++ b/packages/core/include/basilspread/core/record.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "basilspread/core/ids.h"
+#include "basilspread/core/job_record.h"
 #include "basilspread/core/tables.h"
 
 namespace basilspread {
@@ -45,7 +46,8 @@
 };
 
 using LogRecord = std::variant<TablesRecord, ClaimRecord, ReleaseRecord,
-                               TablesCheckpointRecord>;
+                               TablesCheckpointRecord, JobRecord, IntentRecord,
+                               OutcomeRecord, CancelRecord>;
 
 /// What one append holds: the records of one writer, in order.
 struct LogBatch {
