Read the host list again only when it has changed

Cause: at 2,900 hosts the list is several hundred kilobytes; reading it whole at every interval would spend many times the 15 KB a second that a node has for control. A failing service (5xx) was also taken for one that surely had not acted, though its answer may be lost after the action.

Ruled out: reading seldom (a leaving host must get no new work within seconds); one reader that passes differences on (a role of its own that must be owned).

After: the list is requested with If-None-Match; an unchanged one costs its headers. A 5xx answer counts as unknown.

--- a/packages/core/include/basilspread/core/event.h
+++ b/packages/core/include/basilspread/core/event.h
@@ -95,6 +95,8 @@
 /// A read of the platform's host list ended.
 struct HostsListed {
   bool ok = false;
+  /// The list is as it was at the last read; `hosts` is empty.
+  bool unchanged = false;
   std::vector<Host> hosts;
 };
 
--- a/packages/core/src/internal/hosts.cc
+++ b/packages/core/src/internal/hosts.cc
@@ -11,7 +11,7 @@
 void OnListed(Context& context, const HostsListed& event) {
   context.ArmIn(TimerKind::kHostList,
                 context.state.settings.host_list_interval);
-  if (!event.ok) {
+  if (!event.ok || event.unchanged) {
     return;
   }
   HostsState& hosts = context.state.hosts;
--- a/packages/node/src/interpreter.h
+++ b/packages/node/src/interpreter.h
@@ -20,7 +20,7 @@
 /// What the interpreter carries effects out with.
 struct Services {
   const platform::LogClient& log;
-  const platform::HostListClient& host_list;
+  platform::HostListClient& host_list;
   const platform::MinionClient& minions;
   FrontEnd& front_end;
   Admin& admin;
--- a/packages/platform/include/basilspread/platform/host_list_client.h
+++ b/packages/platform/include/basilspread/platform/host_list_client.h
@@ -2,6 +2,7 @@
 #define BASILSPREAD_PLATFORM_HOST_LIST_CLIENT_H_
 
 #include <cstdint>
+#include <mutex>
 #include <string>
 
 #include "basilspread/core/event.h"
@@ -9,18 +10,22 @@
 
 namespace basilspread::platform {
 
-/// The platform's host list over HTTP, see docs/PLATFORM.md.
+/// The platform's host list over HTTP, see docs/PLATFORM.md. A list that has
+/// not changed since the last read is not transferred again.
 class HostListClient {
  public:
   HostListClient(std::string list_host, std::uint16_t list_port,
                  Duration timeout);
 
-  HostsListed List() const;
+  HostsListed List();
 
  private:
   std::string host;
   std::uint16_t port;
   Duration call_timeout;
+  std::mutex mutex;
+  /// Version of the last list that was read whole; empty before.
+  std::string version;
 };
 
 }  // namespace basilspread::platform
--- a/packages/platform/src/host_list_client.cc
+++ b/packages/platform/src/host_list_client.cc
@@ -3,6 +3,7 @@
 #include <Poco/JSON/Parser.h>
 
 #include <utility>
+#include <vector>
 
 #include "http.h"
 
@@ -30,35 +31,53 @@
   return host;
 }
 
+/// Throws Poco::Exception when the text is not a host list.
+std::vector<Host> ReadHosts(const std::string& body) {
+  Poco::JSON::Parser parser;
+  const auto root = parser.parse(body).extract<Object::Ptr>();
+  const Array::Ptr list = root->getArray("hosts");
+  if (list.isNull()) {
+    throw Poco::DataFormatException("the host list has no hosts");
+  }
+  std::vector<Host> hosts;
+  hosts.reserve(list->size());
+  for (std::size_t i = 0; i < list->size(); ++i) {
+    hosts.push_back(ReadHost(*list->getObject(static_cast<unsigned>(i))));
+  }
+  return hosts;
+}
+
 }  // namespace
 
 HostListClient::HostListClient(std::string list_host, std::uint16_t list_port,
                                Duration timeout)
     : host(std::move(list_host)), port(list_port), call_timeout(timeout) {}
 
-HostsListed HostListClient::List() const {
+HostsListed HostListClient::List() {
+  const std::lock_guard lock(this->mutex);
   HttpCall call;
   call.host = this->host;
   call.port = this->port;
   call.method = "GET";
   call.target = "/hosts";
+  call.known_version = this->version;
   call.timeout = this->call_timeout;
   HostsListed listed;
-  const Result<std::string> body = Exchange(call);
-  if (!body) {
+  const Result<HttpAnswer> answer = Send(call);
+  if (!answer) {
+    return listed;
+  }
+  if (answer.value().status == kNotModified) {
+    listed.ok = true;
+    listed.unchanged = true;
     return listed;
   }
   try {
-    Poco::JSON::Parser parser;
-    const auto root = parser.parse(body.value()).extract<Object::Ptr>();
-    const Array::Ptr hosts = root->getArray("hosts");
-    for (std::size_t i = 0; i < hosts->size(); ++i) {
-      listed.hosts.push_back(
-          ReadHost(*hosts->getObject(static_cast<unsigned>(i))));
-    }
+    listed.hosts = ReadHosts(answer.value().body);
     listed.ok = true;
+    this->version = answer.value().version;
   } catch (const Poco::Exception&) {
-    listed.hosts.clear();
+    this->version.clear();
   }
   return listed;
 }
--- a/packages/platform/src/http.cc
+++ b/packages/platform/src/http.cc
@@ -5,10 +5,15 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/StreamCopier.h>
 
+#include <utility>
+
 namespace basilspread::platform {
 namespace {
 
 constexpr int kFirstErrorStatus = 300;
+constexpr int kFirstServerErrorStatus = 500;
+constexpr const char* kKnownVersionHeader = "If-None-Match";
+constexpr const char* kVersionHeader = "ETag";
 
 Error MakeError(bool was_sent, const std::string& detail) {
   return Error{
@@ -18,7 +23,7 @@
 
 }  // namespace
 
-Result<std::string> Exchange(const HttpCall& call) {
+Result<HttpAnswer> Send(const HttpCall& call) {
   bool was_sent = false;
   try {
     Poco::Net::HTTPClientSession session(call.host, call.port);
@@ -27,20 +32,32 @@
     Poco::Net::HTTPRequest request(call.method, call.target,
                                    Poco::Net::HTTPMessage::HTTP_1_1);
     request.setContentLength(static_cast<std::streamsize>(call.body.size()));
+    if (!call.known_version.empty()) {
+      request.set(kKnownVersionHeader, call.known_version);
+    }
     std::ostream& out = session.sendRequest(request);
     was_sent = true;
     out << call.body;
     Poco::Net::HTTPResponse response;
     std::istream& in = session.receiveResponse(response);
-    std::string body;
-    Poco::StreamCopier::copyToString(in, body);
-    if (response.getStatus() >= kFirstErrorStatus) {
-      return MakeError(false, response.getReason());
+    HttpAnswer answer;
+    Poco::StreamCopier::copyToString(in, answer.body);
+    answer.status = response.getStatus();
+    answer.version = response.get(kVersionHeader, "");
+    if (answer.status >= kFirstErrorStatus && answer.status != kNotModified) {
+      // A service that failed may have acted before it did.
+      return MakeError(answer.status >= kFirstServerErrorStatus,
+                       response.getReason());
     }
-    return body;
+    return answer;
   } catch (const Poco::Exception& exception) {
     return MakeError(was_sent, exception.displayText());
   }
 }
 
+Result<std::string> Exchange(const HttpCall& call) {
+  BOOST_OUTCOME_TRY(answer, Send(call));
+  return std::move(answer.body);
+}
+
 }  // namespace basilspread::platform
--- a/packages/platform/src/http.h
+++ b/packages/platform/src/http.h
@@ -24,11 +24,27 @@
   std::string method;
   std::string target;
   std::string body;
+  /// When set, the service may answer that this version is unchanged.
+  std::string known_version;
   Duration timeout{};
 };
 
-/// The body of a 2xx answer. Errors: kLogUnavailable when no byte was sent or
-/// the service refused, kOutcomeUnknown when the answer was lost.
+struct HttpAnswer {
+  int status = 0;
+  std::string body;
+  /// The service's name for this version of the resource; may be empty.
+  std::string version;
+};
+
+/// The status that answers a call whose known version is unchanged.
+inline constexpr int kNotModified = 304;
+
+/// A 2xx or "not modified" answer. Errors: kLogUnavailable when no byte was
+/// sent or the service refused the call, kOutcomeUnknown when the answer was
+/// lost or the service failed.
+Result<HttpAnswer> Send(const HttpCall& call);
+
+/// The body of a 2xx answer. Errors: those of Send.
 Result<std::string> Exchange(const HttpCall& call);
 
 }  // namespace basilspread::platform
