Split basilctl into commands and settle its edits by reading

basilctl was one file that published and believed the answer of the append.

Stream names hold a '#', which ended the path of the log's URL, so that all shards of a pool shared one stream; it is encoded now.

--- a/packages/config/src/tables.cc
+++ b/packages/config/src/tables.cc
@@ -32,14 +32,15 @@
 
 }  // namespace
 
-Result<Tables> ParseTables(const TablesRecord& record) {
+Result<Tables> ParseTableFiles(const TablesRecord& record,
+                               const TableFileNames& names) {
   Tables tables;
-  Faults pool_faults("pools.ini");
-  const IniFile pools = ParseIni(record.pool_table, "pools.ini", pool_faults);
+  Faults pool_faults(names.pools);
+  const IniFile pools = ParseIni(record.pool_table, names.pools, pool_faults);
   ReadPoolTable(pools, tables, pool_faults);
-  Faults route_faults("routes.ini");
+  Faults route_faults(names.routes);
   const IniFile routes =
-      ParseIni(record.route_table, "routes.ini", route_faults);
+      ParseIni(record.route_table, names.routes, route_faults);
   ReadRoutes(routes, tables, route_faults);
   if (pool_faults.empty() && route_faults.empty()) {
     return tables;
@@ -50,4 +51,8 @@
                pool_faults.Text() + separator + route_faults.Text()};
 }
 
+Result<Tables> ParseTables(const TablesRecord& record) {
+  return ParseTableFiles(record, TableFileNames{});
+}
+
 }  // namespace basilspread::config
--- /dev/null
+++ b/packages/ctl/src/await.cc
@@ -0,0 +1,31 @@
+#include "await.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+
+namespace basilspread::ctl {
+namespace {
+
+constexpr Duration kInterval = std::chrono::milliseconds(100);
+
+}  // namespace
+
+bool Await(Duration timeout, const std::function<bool()>& condition) {
+  const TimePoint end = std::chrono::steady_clock::now() + timeout;
+  std::mutex mutex;
+  std::condition_variable never;
+  std::unique_lock lock(mutex);
+  while (!condition()) {
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (now >= end) {
+      return false;
+    }
+    // Other processes change what is asked for; nobody can notify.
+    never.wait_until(lock, std::min(end, now + kInterval),
+                     [] { return false; });
+  }
+  return true;
+}
+
+}  // namespace basilspread::ctl
--- /dev/null
+++ b/packages/ctl/src/commands.cc
@@ -0,0 +1,19 @@
+#include "commands.h"
+
+namespace basilspread::ctl {
+
+const std::vector<Command>& Commands() {
+  static const std::vector<Command> commands = {
+      {"check", "check", "check two tables and name every fault", 0, Check},
+      {"diff", "diff", "show what two tables would change", 0, Diff},
+      {"publish", "publish", "put two tables in force", 0, Publish},
+      {"show", "show", "print the accepted tables", 0, Show},
+      {"history", "history", "list the edits that the log keeps", 0, History},
+      {"status", "status", "show what the cluster does and what waits", 0,
+       Status},
+      {"dump", "dump PROCESS", "print the state of one entry process", 1, Dump},
+  };
+  return commands;
+}
+
+}  // namespace basilspread::ctl
--- /dev/null
+++ b/packages/ctl/src/exit_status.h
@@ -0,0 +1,21 @@
+#ifndef BASILSPREAD_CTL_SRC_EXIT_STATUS_H_
+#define BASILSPREAD_CTL_SRC_EXIT_STATUS_H_
+
+namespace basilspread::ctl {
+
+/// What basilctl tells scripts; documented in docs/OPERATORS.md.
+enum class ExitStatus {
+  kOk = 0,
+  kFailure = 1,
+  kBadInput = 2,
+  /// Another edit was accepted first.
+  kLostRace = 3,
+  /// The platform or an entry process does not answer.
+  kUnreachable = 4,
+  /// What was waited for did not come within the timeout.
+  kTimeout = 5,
+};
+
+}  // namespace basilspread::ctl
+
+#endif  // BASILSPREAD_CTL_SRC_EXIT_STATUS_H_
--- a/packages/platform/src/log_client.cc
+++ b/packages/platform/src/log_client.cc
@@ -3,6 +3,7 @@
 #include <Poco/Base64Decoder.h>
 #include <Poco/JSON/Parser.h>
 #include <Poco/StreamCopier.h>
+#include <Poco/URI.h>
 #include <fmt/format.h>
 
 #include <sstream>
@@ -19,6 +20,13 @@
 
 constexpr int kMaxRecordsPerRead = 256;
 
+/// The names of shards hold a "#", which would end the path.
+std::string PathOf(const StreamName& stream) {
+  std::string encoded;
+  Poco::URI::encode(stream.value, "#?%/ ", encoded);
+  return "/streams/" + encoded;
+}
+
 std::string DecodeBase64(const std::string& text) {
   std::istringstream in(text);
   Poco::Base64Decoder decoder(in);
@@ -62,7 +70,7 @@
   call.host = this->host;
   call.port = this->port;
   call.method = "POST";
-  call.target = fmt::format("/streams/{}", stream.value);
+  call.target = PathOf(stream);
   call.body = wire::EncodeBatch(batch);
   call.timeout = this->call_timeout;
   const Result<std::string> body = Exchange(call);
@@ -82,8 +90,8 @@
   call.host = this->host;
   call.port = this->port;
   call.method = "GET";
-  call.target = fmt::format("/streams/{}?from={}&max={}", stream.value,
-                            from.value, kMaxRecordsPerRead);
+  call.target = fmt::format("{}?from={}&max={}", PathOf(stream), from.value,
+                            kMaxRecordsPerRead);
   call.timeout = this->call_timeout;
   LogRead read;
   read.stream = stream;
