--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -29,6 +29,7 @@
     internal::hosts::Start(this->context);
     internal::membership::Start(this->context);
     internal::ownership::Start(this->context);
+    internal::jobs::Start(this->context);
   }
 
   void operator()(const RequestArrived& event) const {
@@ -82,7 +83,7 @@
       case TimerKind::kRequests:
         return internal::requests::OnTimer(this->context);
       case TimerKind::kJobs:
-        return;
+        return internal::jobs::OnTimer(this->context);
       case TimerKind::kStop:
         return this->CheckDrained();
     }
@@ -95,6 +96,14 @@
     this->CheckDrained();
   }
 
+  void operator()(const JobArrived& event) const {
+    internal::jobs::OnArrived(this->context, event);
+  }
+
+  void operator()(const WorkerAnswered& event) const {
+    internal::jobs::OnWorkerAnswered(this->context, event);
+  }
+
   void operator()(const DumpRequested& event) const {
     this->context.Emit(
         AnswerDump{event.call, internal::report::Describe(this->context)});
@@ -114,6 +123,10 @@
     void operator()(const ForwardAnswer& message) const {
       internal::requests::OnForwardAnswered(this->context, message);
     }
+    template <typename JobMessage>
+    void operator()(const JobMessage& message) const {
+      internal::jobs::OnMessage(this->context, this->from, message);
+    }
   };
 
   void CheckDrained() const {
