--- a/packages/core/include/basilspread/core/event.h
+++ b/packages/core/include/basilspread/core/event.h
@@ -39,8 +39,10 @@
 /// How an exchange with a minion ended.
 enum class MinionResult {
   kAnswered,
-  /// No byte of the request was written.
+  /// This process wrote no byte: no thread was free, or it was too late.
   kNotSent,
+  /// The minion took no connection; no byte was written.
+  kRefused,
   /// Bytes may have left and no whole answer came.
   kLost,
 };
@@ -67,6 +69,12 @@
   bool connected = false;
 };
 
+/// A message to a peer surely did not leave this process.
+struct PeerMessageNotSent {
+  NodeName peer;
+  PeerMessage message;
+};
+
 /// How an append ended as far as its writer can tell.
 enum class AppendResult { kStored, kRefused, kUnknown };
 
@@ -111,8 +119,9 @@
 
 using EventBody =
     std::variant<Started, RequestArrived, CallerGone, MinionAnswered,
-                 PeerReceived, PeerLinkChanged, LogAppended, LogRead,
-                 HostsListed, TimerFired, StopRequested, DumpRequested>;
+                 PeerReceived, PeerLinkChanged, PeerMessageNotSent, LogAppended,
+                 LogRead, HostsListed, TimerFired, StopRequested,
+                 DumpRequested>;
 
 /// Everything that can change the state of a process.
 struct Event {
--- a/packages/core/include/basilspread/core/hooks.h
+++ b/packages/core/include/basilspread/core/hooks.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPREAD_CORE_HOOKS_H_
 #define BASILSPREAD_CORE_HOOKS_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -10,14 +11,33 @@
 #include "basilspread/core/record.h"
 #include "basilspread/core/result.h"
 #include "basilspread/core/tables.h"
+#include "basilspread/core/time.h"
 
 namespace basilspread {
 
 struct Minion;
 
 /// Picks one of the minions that have a free slot; the list is never empty.
-using MinionChoice =
-    std::function<const Minion*(const std::vector<const Minion*>&, Random&)>;
+/// `turn` counts the picks of the shard.
+using MinionChoice = std::function<const Minion*(
+    const std::vector<const Minion*>&, std::uint64_t turn, Random&)>;
+
+/// What the place of a request in the queue may depend on.
+struct QueueEntry {
+  TimePoint arrived;
+  TimePoint deadline;
+  Duration expected_run_time{};
+  ServiceClass service_class = ServiceClass::kShort;
+};
+
+/// The place of a request in the queue: the earliest point goes first. It
+/// does not change while the request waits.
+using QueueOrder = std::function<TimePoint(const QueueEntry&)>;
+
+/// Whether a request that would wait and run for so long is taken, given the
+/// time that its caller leaves.
+using AdmissionRule =
+    std::function<bool(Duration wait, Duration run_time, Duration time_left)>;
 
 /// Turns the operators' text into tables, or says what is wrong with it.
 using TablesParser = std::function<Result<Tables>(const TablesRecord&)>;
@@ -25,6 +45,8 @@
 /// Behaviour that varies, by the names that the tables use.
 struct Hooks {
   std::map<std::string, MinionChoice> minion_choices;
+  std::map<std::string, QueueOrder> queue_orders;
+  std::map<std::string, AdmissionRule> admission_rules;
   TablesParser parse_tables;
 };
 
--- a/packages/core/include/basilspread/core/peer_message.h
+++ b/packages/core/include/basilspread/core/peer_message.h
@@ -52,6 +52,8 @@
   /// What is left of the caller's deadline.
   Duration time_left{};
   PayloadPtr payload;
+  /// Number of this try to pass the call on, from 1.
+  std::uint32_t attempt = 0;
 };
 
 /// The owner's answer to ForwardRequest.
@@ -60,6 +62,8 @@
   ErrorKind kind = ErrorKind::kNone;
   std::string detail;
   PayloadPtr payload;
+  /// That of the ForwardRequest.
+  std::uint32_t attempt = 0;
 };
 
 using PeerMessage = std::variant<Heartbeat, ForwardRequest, ForwardAnswer>;
--- a/packages/core/include/basilspread/core/record.h
+++ b/packages/core/include/basilspread/core/record.h
@@ -1,11 +1,14 @@
 #ifndef BASILSPREAD_CORE_RECORD_H_
 #define BASILSPREAD_CORE_RECORD_H_
 
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "basilspread/core/error.h"
 #include "basilspread/core/ids.h"
+#include "basilspread/core/payload.h"
 #include "basilspread/core/tables.h"
 
 namespace basilspread {
@@ -34,7 +37,32 @@
   NodeName successor;
 };
 
-using LogRecord = std::variant<TablesRecord, ClaimRecord, ReleaseRecord>;
+/// Precedes the run of a non-idempotent request under an idempotency key.
+struct KeyIntentRecord {
+  ShardId shard;
+  Epoch epoch;
+  ProcessId runner;
+  RouteName route;
+  TeamName team;
+  std::string key;
+  /// Hash of the request.
+  std::uint64_t fingerprint = 0;
+};
+
+/// Ends what a KeyIntentRecord began.
+struct KeyOutcomeRecord {
+  ShardId shard;
+  ProcessId runner;
+  RouteName route;
+  TeamName team;
+  std::string key;
+  ErrorKind kind = ErrorKind::kNone;
+  /// The answer; unset when it was too large to be kept.
+  PayloadPtr answer;
+};
+
+using LogRecord = std::variant<TablesRecord, ClaimRecord, ReleaseRecord,
+                               KeyIntentRecord, KeyOutcomeRecord>;
 
 /// What one append holds: the records of one writer, in order.
 struct LogBatch {
--- a/packages/core/include/basilspread/core/requests.h
+++ b/packages/core/include/basilspread/core/requests.h
@@ -1,75 +1,97 @@
 #ifndef BASILSPREAD_CORE_REQUESTS_H_
 #define BASILSPREAD_CORE_REQUESTS_H_
 
-#include <boost/intrusive/list.hpp>
-#include <boost/smart_ptr/intrusive_ptr.hpp>
-#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <array>
 #include <cstdint>
 #include <map>
-#include <string>
+#include <vector>
 
 #include "basilspread/core/ids.h"
-#include "basilspread/core/payload.h"
-#include "basilspread/core/peer_message.h"
+#include "basilspread/core/minion.h"
+#include "basilspread/core/request.h"
+#include "basilspread/core/request_keys.h"
+#include "basilspread/core/tables.h"
 #include "basilspread/core/time.h"
 
 namespace basilspread {
 
-using QueueHook = boost::intrusive::list_base_hook<
-    boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+inline constexpr std::size_t kServiceClasses = 3;
 
-/// A request that this process, as owner of a shard, queues or runs.
-struct Request
-    : QueueHook,
-      boost::intrusive_ref_counter<Request, boost::thread_unsafe_counter> {
-  RequestKey key;
-  ShardId shard;
-  RouteName route;
-  TeamName team;
-  std::string idempotency_key;
-  TimePoint arrived;
-  TimePoint deadline;
-  Attempt attempt;
-  /// The minion that runs it; empty while it waits.
-  HostName host;
-  PayloadPtr payload;
-};
-
-using RequestPtr = boost::intrusive_ptr<Request>;
-using RequestQueue =
-    boost::intrusive::list<Request,
-                           boost::intrusive::constant_time_size<false>>;
-
-/// A request of a caller of this process that another owner handles.
-struct RemoteRequest {
-  CallId call;
-  NodeName owner;
-  RouteName route;
-  TimePoint deadline;
+/// The requests of one class that wait for a minion of a shard.
+struct ClassQueue {
+  RequestQueue requests;
+  std::uint32_t count = 0;
+  /// Sum of the expected run times of what waits.
+  Duration work{};
+  /// Moving averages of the expected and the measured wait; their ratio
+  /// corrects further estimates.
+  Duration mean_expected_wait{};
+  Duration mean_measured_wait{};
+  /// Set when no slot was free for the class; spares further searches.
+  bool saturated = false;
 };
 
-/// A minion of a shard that this process owns.
-struct Minion {
-  HostName name;
-  std::string address;
-  std::uint32_t slots = 0;
-  std::uint32_t busy = 0;
-  bool leaving = false;
+/// Slots of one minion that may be in use until a point in time.
+struct HeldSlots {
+  HostName host;
+  SlotKind slot = SlotKind::kOpen;
+  std::uint32_t count = 0;
 };
 
-/// The minions and the queue of one owned shard.
+/// The minions and the queues of one owned shard.
 struct MinionShard {
   std::map<HostName, Minion> minions;
-  RequestQueue queue;
+  std::array<ClassQueue, kServiceClasses> queues;
+  std::multimap<TimePoint, HeldSlots> held;
+  /// After an unclean takeover, how long the slots of the minions stay held.
+  TimePoint open_held_until;
+  TimePoint reserved_held_until;
+  /// Slots of minions in the choice; rebuilt when one enters or leaves it.
+  std::uint32_t open_capacity = 0;
+  std::uint32_t reserved_capacity = 0;
+  /// Number of minions out of the choice by ejection.
+  std::uint32_t ejected = 0;
+  /// Moving average of failures over all minions, from 0 to 1.
+  double failure_rate = 0;
+  /// Turn of the round-robin choice.
+  std::uint64_t turn = 0;
+};
+
+/// What this process learned of a route, whatever the shard.
+struct RouteLoad {
+  /// Moving averages; unset until `samples` is above 0.
+  Duration mean_run_time{};
+  Duration mean_deviation{};
+  std::uint32_t samples = 0;
+  std::uint32_t running = 0;
   std::uint32_t queued = 0;
+  std::map<TeamName, std::uint32_t> queued_by_team;
+  /// Retries that may be made now; each request adds a share of one.
+  double retry_tokens = 0;
+  bool has_retry_tokens = false;
 };
 
 struct RequestsState {
   std::map<ShardId, MinionShard> shards;
   std::map<RequestKey, RequestPtr> requests;
-  std::map<CallId, RemoteRequest> remote;
+  std::map<CallId, RemoteRequestPtr> remote;
+  std::map<RouteName, RouteLoad> routes;
+  KeysState keys;
+  /// The shards that hold a host, by pool, in order.
+  std::map<PoolName, std::vector<ShardId>> populated;
+  /// Queued requests, which end at their deadline.
+  ExpirySet<Request> expiry;
+  ExpirySet<RemoteRequest> remote_expiry;
+  /// Calls that wait for an owner, by when to try again.
+  std::multimap<TimePoint, CallId> parked;
+  bool timer_armed = false;
 };
 
+/// All that waits for minions of a shard.
+std::uint32_t QueuedRequests(const MinionShard& shard);
+/// Slots that are free now, over all minions of a shard.
+std::uint32_t FreeSlots(const MinionShard& shard);
+
 }  // namespace basilspread
 
 #endif  // BASILSPREAD_CORE_REQUESTS_H_
--- a/packages/core/include/basilspread/core/tables.h
+++ b/packages/core/include/basilspread/core/tables.h
@@ -37,6 +37,10 @@
   Duration expected_run_time = std::chrono::milliseconds(100);
   /// Name of the hook that picks the minion.
   std::string choice = "least-loaded";
+  /// Name of the hook that orders the queue.
+  std::string order = "shortest-first";
+  /// Name of the hook that refuses what can't make its deadline.
+  std::string admission = "deadline-aware";
 };
 
 /// One row of the pool table: which hosts serve, and how they are shared.
--- a/packages/core/src/hooks.cc
+++ b/packages/core/src/hooks.cc
@@ -1,35 +1,78 @@
 #include "basilspread/core/hooks.h"
 
-#include "basilspread/core/requests.h"
+#include <algorithm>
+
+#include "basilspread/core/minion.h"
 
 namespace basilspread {
 namespace {
 
-const Minion* ChooseLeastLoaded(const std::vector<const Minion*>& candidates,
-                                Random& random) {
+using Candidates = std::vector<const Minion*>;
+
+/// A request may be overtaken by shorter ones for this many times its own
+/// expected run time.
+constexpr int kAgeingFactor = 10;
+
+/// Head start of the urgent class over the others.
+constexpr Duration kUrgentHeadStart = std::chrono::seconds(10);
+
+const Minion* ChooseLeastLoaded(const Candidates& candidates,
+                                std::uint64_t /*turn*/, Random& random) {
   // Starting at a random place spreads ties.
   const std::size_t start = random.Below(candidates.size());
   const Minion* best = candidates[start];
   for (std::size_t i = 1; i < candidates.size(); ++i) {
     const Minion* other = candidates[(start + i) % candidates.size()];
-    if (other->busy < best->busy) {
+    if (UsedSlots(*other) < UsedSlots(*best)) {
       best = other;
     }
   }
   return best;
 }
 
-const Minion* ChooseRandom(const std::vector<const Minion*>& candidates,
+const Minion* ChooseRandom(const Candidates& candidates, std::uint64_t /*turn*/,
                            Random& random) {
   return candidates[random.Below(candidates.size())];
 }
 
+const Minion* ChooseInTurn(const Candidates& candidates, std::uint64_t turn,
+                           Random& /*random*/) {
+  return candidates[turn % candidates.size()];
+}
+
+TimePoint OrderByArrival(const QueueEntry& entry) { return entry.arrived; }
+
+/// Shortest expected run time first. The handicap of a long request grows
+/// with its run time and not with the queue, so that it is overtaken for a
+/// bounded time; at most for half of the time that its deadline leaves.
+TimePoint OrderByRunTime(const QueueEntry& entry) {
+  const Duration limit = (entry.deadline - entry.arrived) / 2;
+  const Duration handicap =
+      std::min(entry.expected_run_time * kAgeingFactor, limit);
+  const bool is_urgent = entry.service_class == ServiceClass::kUrgent;
+  const Duration head_start = is_urgent ? kUrgentHeadStart : Duration::zero();
+  return entry.arrived + handicap - head_start;
+}
+
+bool FitsDeadline(Duration wait, Duration run_time, Duration time_left) {
+  return wait + run_time <= time_left;
+}
+
+bool Always(Duration /*wait*/, Duration /*run_time*/, Duration /*time_left*/) {
+  return true;
+}
+
 }  // namespace
 
 Hooks DefaultHooks() {
   Hooks hooks;
   hooks.minion_choices["least-loaded"] = ChooseLeastLoaded;
   hooks.minion_choices["random"] = ChooseRandom;
+  hooks.minion_choices["round-robin"] = ChooseInTurn;
+  hooks.queue_orders["shortest-first"] = OrderByRunTime;
+  hooks.queue_orders["fifo"] = OrderByArrival;
+  hooks.admission_rules["deadline-aware"] = FitsDeadline;
+  hooks.admission_rules["always"] = Always;
   return hooks;
 }
 
--- a/packages/core/src/internal/log.cc
+++ b/packages/core/src/internal/log.cc
@@ -7,6 +7,7 @@
 
 #include "internal/configuration.h"
 #include "internal/ownership.h"
+#include "internal/requests.h"
 
 namespace basilspread::internal::log {
 namespace {
@@ -48,6 +49,10 @@
     ownership::OnClaim(context, *claim);
   } else if (const auto* release = std::get_if<ReleaseRecord>(&record)) {
     ownership::OnRelease(context, *release);
+  } else if (const auto* intent = std::get_if<KeyIntentRecord>(&record)) {
+    requests::OnKeyIntent(context, *intent);
+  } else if (const auto* outcome = std::get_if<KeyOutcomeRecord>(&record)) {
+    requests::OnKeyOutcome(context, *outcome);
   }
 }
 
--- a/packages/core/src/internal/membership.cc
+++ b/packages/core/src/internal/membership.cc
@@ -22,10 +22,8 @@
     report.epoch = ownership.epoch;
     const auto minions = context.state.requests.shards.find(shard);
     if (minions != context.state.requests.shards.end()) {
-      report.queued = minions->second.queued;
-      for (const auto& [name, minion] : minions->second.minions) {
-        report.free_slots += minion.slots - minion.busy;
-      }
+      report.queued = QueuedRequests(minions->second);
+      report.free_slots = FreeSlots(minions->second);
     }
     heartbeat.shards.push_back(report);
   }
--- a/packages/core/src/internal/ownership.cc
+++ b/packages/core/src/internal/ownership.cc
@@ -76,10 +76,6 @@
   log::Follow(context, StreamOf(shard));
 }
 
-ShardId ShardAt(const PoolName& pool, std::uint64_t index) {
-  return ShardId{fmt::format("{}#{}", pool.value, index)};
-}
-
 }  // namespace
 
 void Start(Context& context) {
@@ -119,6 +115,7 @@
     return;
   }
   const bool was_own = ownership.owned_by_self;
+  const bool had_owner = ownership.owner.has_value();
   ownership.epoch = record.epoch;
   ownership.owner = record.claimant;
   ownership.owned_by_self = is_own;
@@ -131,7 +128,9 @@
     requests::OnShardLost(context, record.shard);
   }
   if (!was_own && is_own) {
-    requests::OnShardGained(context, record.shard);
+    requests::OnShardGained(
+        context, record.shard,
+        had_owner ? requests::Takeover::kUnclean : requests::Takeover::kClean);
   }
 }
 
@@ -156,6 +155,10 @@
   return ShardAt(pool.name, index);
 }
 
+ShardId ShardAt(const PoolName& pool, std::uint64_t index) {
+  return ShardId{fmt::format("{}#{}", pool.value, index)};
+}
+
 StreamName StreamOf(const ShardId& shard) {
   return StreamName{"shard-" + shard.value};
 }
--- a/packages/core/src/internal/report.cc
+++ b/packages/core/src/internal/report.cc
@@ -48,8 +48,8 @@
     for (const auto& [name, minion] : minions.minions) {
       section.rows.push_back({{"minion", name.value},
                               {"shard", shard.value},
-                              {"slots", fmt::format("{}", minion.slots)},
-                              {"busy", fmt::format("{}", minion.busy)},
+                              {"slots", fmt::format("{}", TotalSlots(minion))},
+                              {"busy", fmt::format("{}", UsedSlots(minion))},
                               {"leaving", minion.leaving ? "yes" : "no"}});
     }
   }
--- a/packages/core/src/internal/requests.h
+++ b/packages/core/src/internal/requests.h
@@ -2,6 +2,7 @@
 #define BASILSPREAD_CORE_INTERNAL_REQUESTS_H_
 
 #include "basilspread/core/event.h"
+#include "basilspread/core/record.h"
 #include "internal/context.h"
 
 namespace basilspread::internal::requests {
@@ -10,13 +11,24 @@
 void OnCallerGone(Context& context, const CallerGone& event);
 void OnForwarded(Context& context, const ProcessId& from,
                  const ForwardRequest& message);
-void OnForwardAnswered(Context& context, const ForwardAnswer& message);
+void OnForwardAnswered(Context& context, const ProcessId& from,
+                       const ForwardAnswer& message);
+void OnPeerMessageNotSent(Context& context, const PeerMessageNotSent& event);
 void OnMinionAnswered(Context& context, const MinionAnswered& event);
+void OnKeyIntent(Context& context, const KeyIntentRecord& record);
+void OnKeyOutcome(Context& context, const KeyOutcomeRecord& record);
 void OnTimer(Context& context);
 
 /// Rebuilds the minions of the owned shards from hosts and tables.
 void OnHostsChanged(Context& context);
-void OnShardGained(Context& context, const ShardId& shard);
+
+/// Whether the shard's last owner gave it up after draining.
+enum class Takeover { kClean, kUnclean };
+
+/// After an unclean takeover the slots of the shard's minions count as used
+/// for as long as the last owner's requests may run.
+void OnShardGained(Context& context, const ShardId& shard,
+                   Takeover takeover = Takeover::kUnclean);
 void OnShardLost(Context& context, const ShardId& shard);
 /// Settles what was passed to a peer that is gone.
 void OnPeerLost(Context& context, const NodeName& peer);
--- /dev/null
+++ b/packages/core/src/internal/requests_admission.h
@@ -0,0 +1,15 @@
+#ifndef BASILSPREAD_CORE_INTERNAL_REQUESTS_ADMISSION_H_
+#define BASILSPREAD_CORE_INTERNAL_REQUESTS_ADMISSION_H_
+
+#include "basilspread/core/request.h"
+#include "internal/context.h"
+
+namespace basilspread::internal::requests {
+
+/// Queues a request at a shard that this process owns, or refuses it at
+/// once. `request` has all that its caller said.
+void Admit(Context& context, const Route& route, const RequestPtr& request);
+
+}  // namespace basilspread::internal::requests
+
+#endif  // BASILSPREAD_CORE_INTERNAL_REQUESTS_ADMISSION_H_
--- /dev/null
+++ b/packages/core/src/internal/requests_ejection.cc
@@ -0,0 +1,148 @@
+#include "internal/requests_ejection.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "internal/requests_minions.h"
+#include "internal/requests_slots.h"
+
+namespace basilspread::internal::requests {
+namespace {
+
+constexpr std::string_view kPart = "requests";
+constexpr double kOutcomeWeight = 0.2;
+/// Failures in a row that eject.
+constexpr std::uint32_t kMaxConsecutiveFailures = 3;
+/// Failure rate that ejects, once enough outcomes were seen.
+constexpr double kMaxFailureRate = 0.5;
+constexpr std::uint32_t kMinOutcomes = 10;
+/// A minion is ejected only if it fails this many times as often as the
+/// others: what all of them fail is not the fault of one.
+constexpr double kAbnormalFactor = 2;
+constexpr std::uint32_t kMaxEjectedPercent = 30;
+constexpr Duration kFirstBackOff = std::chrono::seconds(1);
+constexpr Duration kMaxBackOff = std::chrono::seconds(30);
+
+double MeanFailureRateOfOthers(const MinionShard& shard, const HostName& host) {
+  double sum = 0;
+  std::uint32_t count = 0;
+  for (const auto& [name, minion] : shard.minions) {
+    if (name != host && !minion.leaving) {
+      sum += minion.health.failure_rate;
+      ++count;
+    }
+  }
+  return count == 0 ? 0 : sum / count;
+}
+
+bool MayEject(const MinionShard& shard) {
+  std::uint32_t present = 0;
+  for (const auto& [name, minion] : shard.minions) {
+    present += minion.leaving ? 0 : 1;
+  }
+  constexpr std::uint32_t kPercent = 100;
+  const std::uint32_t share = present * kMaxEjectedPercent / kPercent;
+  const std::uint32_t limit = present > 1 ? std::max(share, 1U) : 0;
+  return shard.ejected < limit;
+}
+
+bool IsAbnormal(const MinionShard& shard, const Minion& minion) {
+  const MinionHealth& health = minion.health;
+  const bool fails_in_a_row =
+      health.consecutive_failures >= kMaxConsecutiveFailures;
+  const bool fails_often =
+      health.outcomes >= kMinOutcomes && health.failure_rate >= kMaxFailureRate;
+  if (!fails_in_a_row && !fails_often) {
+    return false;
+  }
+  const double others = MeanFailureRateOfOthers(shard, minion.name);
+  return health.failure_rate > kAbnormalFactor * others;
+}
+
+void Enter(MinionHealth& health, HealthPhase phase, std::uint32_t allowance) {
+  health.phase = phase;
+  health.outcomes = 0;
+  health.allowance = allowance;
+}
+
+void Eject(Context& context, MinionShard& shard, Minion& minion) {
+  MinionHealth& health = minion.health;
+  const Duration next = health.back_off * 2;
+  health.back_off = std::clamp(next, kFirstBackOff, kMaxBackOff);
+  health.ejected_until = context.now + health.back_off;
+  Enter(health, HealthPhase::kEjected, 0);
+  CountCapacity(shard);
+  context.Log(
+      LogLevel::kWarning, kPart,
+      fmt::format(
+          "Minion is ejected. minion={} for_ms={}", minion.name.value,
+          std::chrono::duration_cast<std::chrono::milliseconds>(health.back_off)
+              .count()));
+}
+
+/// After as many successes in a row as are allowed at once, twice as many.
+void Advance(Context& context, Minion& minion) {
+  MinionHealth& health = minion.health;
+  if (health.outcomes < health.allowance) {
+    return;
+  }
+  const std::uint32_t allowance = health.allowance * 2;
+  if (allowance < TotalSlots(minion)) {
+    Enter(health, HealthPhase::kRecovering, allowance);
+    return;
+  }
+  Enter(health, HealthPhase::kHealthy, 0);
+  health.failure_rate = 0;
+  health.back_off = Duration::zero();
+  context.Log(LogLevel::kInfo, kPart,
+              fmt::format("Minion is back. minion={}", minion.name.value));
+}
+
+}  // namespace
+
+void JudgeMinion(Context& context, MinionShard& shard, const HostName& host,
+                 bool failed) {
+  const auto found = shard.minions.find(host);
+  if (found == shard.minions.end()) {
+    return;
+  }
+  Minion& minion = found->second;
+  MinionHealth& health = minion.health;
+  ++health.outcomes;
+  health.consecutive_failures = failed ? health.consecutive_failures + 1 : 0;
+  health.failure_rate +=
+      ((failed ? 1.0 : 0.0) - health.failure_rate) * kOutcomeWeight;
+  switch (health.phase) {
+    case HealthPhase::kHealthy:
+      if (failed && IsAbnormal(shard, minion) && MayEject(shard)) {
+        Eject(context, shard, minion);
+      }
+      return;
+    case HealthPhase::kEjected:
+      return;
+    case HealthPhase::kProbing:
+    case HealthPhase::kRecovering:
+      if (failed) {
+        Eject(context, shard, minion);
+      } else {
+        Advance(context, minion);
+      }
+      return;
+  }
+}
+
+void EndEjections(Context& context, MinionShard& shard, bool can_probe) {
+  for (auto& [name, minion] : shard.minions) {
+    const bool is_due = minion.health.phase == HealthPhase::kEjected &&
+                        minion.health.ejected_until <= context.now;
+    if (is_due) {
+      Enter(minion.health,
+            can_probe ? HealthPhase::kProbing : HealthPhase::kRecovering, 1);
+      ClearSaturation(shard);
+    }
+  }
+  CountCapacity(shard);
+}
+
+}  // namespace basilspread::internal::requests
--- /dev/null
+++ b/packages/core/src/internal/requests_forwarding.cc
@@ -0,0 +1,248 @@
+#include "internal/requests_forwarding.h"
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "internal/requests_admission.h"
+#include "internal/requests_answer.h"
+#include "internal/requests_dispatch.h"
+#include "internal/requests_keys.h"
+#include "internal/requests_shard_choice.h"
+
+namespace basilspread::internal::requests {
+namespace {
+
+/// Times that one call is passed on at most.
+constexpr std::uint32_t kMaxForwards = 16;
+
+/// How long a call waits for its shard to have an owner, at most.
+constexpr Duration kMaxPark = std::chrono::seconds(5);
+constexpr Duration kParkInterval = std::chrono::milliseconds(100);
+constexpr std::size_t kMaxParked = 1024;
+
+/// Time after a forwarded request's deadline in which its answer may come.
+constexpr Duration kForwardGrace = std::chrono::milliseconds(500);
+
+void Settle(Context& context, const RemoteRequestPtr& call, Outcome outcome) {
+  call->ExpiryHook::unlink();
+  context.state.requests.remote.erase(call->call);
+  Answer(context, RequestKey{context.state.settings.self, call->call}, 0,
+         Truthful(std::move(outcome), call->may_have_run));
+}
+
+void Track(Context& context, const RemoteRequestPtr& call) {
+  if (!call->ExpiryHook::is_linked()) {
+    context.state.requests.remote.emplace(call->call, call);
+    context.state.requests.remote_expiry.insert(*call);
+  }
+}
+
+void PassOn(Context& context, const RemoteRequestPtr& call,
+            const ShardOption& option) {
+  call->owner = *option.owner;
+  call->shard = option.shard;
+  ++call->forward_attempt;
+  ForwardRequest forward;
+  forward.call = call->call;
+  forward.attempt = call->forward_attempt;
+  forward.shard = option.shard;
+  forward.route = call->route;
+  forward.team = call->team;
+  forward.idempotency_key = call->idempotency_key;
+  forward.time_left = call->deadline - context.now;
+  forward.payload = call->payload;
+  CountForwarded(context, option);
+  context.Emit(SendToPeer{*option.owner, std::move(forward)});
+  Track(context, call);
+}
+
+bool MayPark(const Context& context, const RemoteRequest& call) {
+  return context.now < call.deadline && context.now - call.arrived < kMaxPark &&
+         context.state.requests.parked.size() < kMaxParked;
+}
+
+void Park(Context& context, const RemoteRequestPtr& call) {
+  call->owner = NodeName{};
+  context.state.requests.parked.emplace(context.now + kParkInterval,
+                                        call->call);
+  Track(context, call);
+}
+
+void HandleHere(Context& context, const Route& route,
+                const RemoteRequestPtr& call, const ShardId& shard) {
+  call->ExpiryHook::unlink();
+  context.state.requests.remote.erase(call->call);
+  const RequestKey key{context.state.settings.self, call->call};
+  if (!call->idempotency_key.empty()) {
+    SubmitUnderKey(
+        context, route,
+        KeyName{shard, call->route, call->team, call->idempotency_key},
+        KeyWaiter{key, 0, call->deadline, call->may_have_run}, call->payload);
+    return;
+  }
+  RequestPtr request(new Request);
+  request->key = key;
+  request->shard = shard;
+  request->route = call->route;
+  request->team = call->team;
+  request->deadline = call->deadline;
+  request->payload = call->payload;
+  request->may_have_run = call->may_have_run;
+  Admit(context, route, request);
+}
+
+/// A key belongs to one shard, whatever process the caller came through.
+std::optional<ShardOption> ChooseFor(Context& context, const Route& route,
+                                     const RemoteRequest& call) {
+  if (call.idempotency_key.empty()) {
+    return ChooseShard(context, route.pool, call.shard);
+  }
+  const Pool& pool = context.state.configuration.tables.pools.at(route.pool);
+  return FindOwner(context, KeyShard(pool, call.idempotency_key));
+}
+
+/// Hands the call to the owner of a shard other than its last one; false when
+/// there is none.
+bool TrySubmit(Context& context, const Route& route,
+               const RemoteRequestPtr& call) {
+  const std::optional<ShardOption> option = ChooseFor(context, route, *call);
+  if (!option) {
+    return false;
+  }
+  if (option->owner) {
+    PassOn(context, call, *option);
+  } else {
+    HandleHere(context, route, call, option->shard);
+  }
+  return true;
+}
+
+/// Tries the call again, while the bounds and the deadline allow; ends it
+/// with `outcome` otherwise.
+void TryAgain(Context& context, const RemoteRequestPtr& call, Outcome outcome) {
+  const Route* route = FindRoute(context, call->route);
+  const bool has_tries = call->forward_attempt < kMaxForwards;
+  if (route != nullptr && has_tries && context.now < call->deadline) {
+    // A key has one owner only, who may need time to learn of its shard.
+    const bool has_choice = call->idempotency_key.empty();
+    if (has_choice && TrySubmit(context, *route, call)) {
+      return;
+    }
+    if (MayPark(context, *call)) {
+      Park(context, call);
+      return;
+    }
+  }
+  Settle(context, call, std::move(outcome));
+}
+
+RemoteRequestPtr FindCall(const Context& context, CallId id,
+                          const NodeName& owner, std::uint32_t attempt) {
+  const auto found = context.state.requests.remote.find(id);
+  const bool is_current = found != context.state.requests.remote.end() &&
+                          found->second->owner == owner &&
+                          found->second->forward_attempt == attempt;
+  return is_current ? found->second : nullptr;
+}
+
+}  // namespace
+
+void Submit(Context& context, const RemoteRequestPtr& call) {
+  const Route* route = FindRoute(context, call->route);
+  if (route == nullptr) {
+    Settle(context, call,
+           {ErrorKind::kUnknownRoute, call->route.value, nullptr});
+    return;
+  }
+  const bool has_hosts = context.state.requests.populated.contains(route->pool);
+  if (!has_hosts) {
+    Settle(context, call, {ErrorKind::kNoHost, route->pool.value, nullptr});
+    return;
+  }
+  if (TrySubmit(context, *route, call)) {
+    return;
+  }
+  if (MayPark(context, *call)) {
+    Park(context, call);
+    return;
+  }
+  Settle(context, call, {ErrorKind::kNoHost, "no owner is known", nullptr});
+}
+
+void SettleForward(Context& context, const ProcessId& from,
+                   const ForwardAnswer& message) {
+  const RemoteRequestPtr call =
+      FindCall(context, message.call, from.node, message.attempt);
+  if (!call) {
+    return;
+  }
+  Outcome outcome{message.kind, message.detail, message.payload};
+  const bool has_moved = message.kind == ErrorKind::kNotOwner ||
+                         message.kind == ErrorKind::kNoHost;
+  if (has_moved) {
+    TryAgain(context, call, std::move(outcome));
+    return;
+  }
+  Settle(context, call, std::move(outcome));
+}
+
+void RetryUnsent(Context& context, const NodeName& peer,
+                 const ForwardRequest& message) {
+  const RemoteRequestPtr call =
+      FindCall(context, message.call, peer, message.attempt);
+  if (call) {
+    TryAgain(context, call,
+             {ErrorKind::kOwnerUnreachable, peer.value, nullptr});
+  }
+}
+
+void LoseOwner(Context& context, const NodeName& peer) {
+  std::vector<RemoteRequestPtr> lost;
+  for (const auto& [id, call] : context.state.requests.remote) {
+    if (call->owner == peer) {
+      lost.push_back(call);
+    }
+  }
+  for (const RemoteRequestPtr& call : lost) {
+    Outcome unknown{ErrorKind::kOutcomeUnknown, "the owner was lost", nullptr};
+    call->may_have_run = true;
+    if (call->idempotent) {
+      TryAgain(context, call, std::move(unknown));
+    } else {
+      Settle(context, call, std::move(unknown));
+    }
+  }
+}
+
+void ExpireForwards(Context& context) {
+  auto& expiry = context.state.requests.remote_expiry;
+  while (!expiry.empty() &&
+         expiry.begin()->deadline + kForwardGrace <= context.now) {
+    const RemoteRequestPtr call(&*expiry.begin());
+    if (call->owner.value.empty()) {
+      Settle(context, call, {ErrorKind::kDeadlinePassed, "", nullptr});
+    } else {
+      Settle(context, call,
+             {ErrorKind::kOutcomeUnknown, "the owner gave no answer", nullptr});
+    }
+  }
+}
+
+void RetryParked(Context& context) {
+  auto& parked = context.state.requests.parked;
+  while (!parked.empty() && parked.begin()->first <= context.now) {
+    const CallId id = parked.begin()->second;
+    parked.erase(parked.begin());
+    const auto found = context.state.requests.remote.find(id);
+    const bool is_parked = found != context.state.requests.remote.end() &&
+                           found->second->owner.value.empty();
+    if (is_parked) {
+      const RemoteRequestPtr call = found->second;
+      call->shard = ShardId{};
+      Submit(context, call);
+    }
+  }
+}
+
+}  // namespace basilspread::internal::requests
--- /dev/null
+++ b/packages/core/src/internal/requests_keys.cc
@@ -0,0 +1,344 @@
+#include "internal/requests_keys.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "basilspread/core/random.h"
+#include "internal/log.h"
+#include "internal/ownership.h"
+#include "internal/requests_forwarding.h"
+
+namespace basilspread::internal::requests {
+namespace {
+
+/// How long the answer under a key is kept for repeats.
+constexpr Duration kKeyRetention = std::chrono::minutes(10);
+constexpr std::size_t kMaxKeys = 20000;
+/// Larger answers are not kept in the log.
+constexpr std::size_t kMaxLoggedAnswerBytes = 4096;
+/// A log that was not read for this long counts as down.
+constexpr Duration kLogSilence = std::chrono::milliseconds(1500);
+/// How long a request waits for its intent to be read back.
+constexpr Duration kMaxIntentWait = std::chrono::seconds(2);
+/// Time in which a run's own end at its deadline goes first.
+constexpr Duration kDeadlineGrace = std::chrono::milliseconds(50);
+/// Runs under keys are calls of this process to itself, numbered apart from
+/// those of the front end.
+constexpr std::uint64_t kFirstRun = std::uint64_t{1} << 63U;
+
+std::uint64_t Fingerprint(const Payload& request) {
+  return StableHash(request.method + " " + request.target + "\n" +
+                    request.body);
+}
+
+bool IsLogUp(const Context& context, const ShardId& shard) {
+  const auto& streams = context.state.log.streams;
+  const auto stream = streams.find(ownership::StreamOf(shard));
+  return stream != streams.end() && stream->second.last_read &&
+         context.now - *stream->second.last_read < kLogSilence;
+}
+
+void AnswerWaiter(Context& context, const KeyWaiter& waiter, Outcome outcome) {
+  Answer(context, waiter.request, waiter.forward_attempt,
+         Truthful(std::move(outcome), waiter.may_have_run));
+}
+
+void AnswerWaiters(Context& context, const std::vector<KeyWaiter>& waiters,
+                   const Outcome& outcome) {
+  for (const KeyWaiter& waiter : waiters) {
+    AnswerWaiter(context, waiter, outcome);
+  }
+}
+
+void Retain(Context& context, const KeyName& name, KeyEntry& entry) {
+  entry.forget_at = context.now + kKeyRetention;
+  entry.request = nullptr;
+  context.state.requests.keys.retention.emplace(entry.forget_at, name);
+}
+
+void Wait(Context& context, const KeyName& name, KeyEntry& entry,
+          const KeyWaiter& waiter) {
+  entry.waiters.push_back(waiter);
+  const TimePoint end = waiter.deadline + kDeadlineGrace;
+  const bool is_logging = entry.phase == KeyPhase::kLogging;
+  context.state.requests.keys.deadlines.emplace(
+      is_logging ? std::min(end, context.now + kMaxIntentWait) : end, name);
+}
+
+void LogIntent(Context& context, const KeyName& name, const KeyEntry& entry) {
+  KeyIntentRecord record;
+  record.shard = name.shard;
+  record.epoch = context.state.ownership.shards.at(name.shard).epoch;
+  record.runner = entry.runner;
+  record.route = name.route;
+  record.team = name.team;
+  record.key = name.key;
+  record.fingerprint = entry.fingerprint;
+  log::Append(context, ownership::StreamOf(name.shard), std::move(record));
+}
+
+void LogOutcome(Context& context, const KeyName& name, ErrorKind kind,
+                const PayloadPtr& answer) {
+  KeyOutcomeRecord record;
+  record.shard = name.shard;
+  record.runner = context.state.settings.self;
+  record.route = name.route;
+  record.team = name.team;
+  record.key = name.key;
+  record.kind = kind;
+  if (answer && answer->body.size() <= kMaxLoggedAnswerBytes) {
+    record.answer = answer;
+  }
+  log::Append(context, ownership::StreamOf(name.shard), std::move(record));
+}
+
+void Launch(Context& context, const KeyName& name, KeyEntry& entry) {
+  KeysState& keys = context.state.requests.keys;
+  entry.phase = KeyPhase::kRunning;
+  RemoteRequestPtr call(new RemoteRequest);
+  call->call = CallId{kFirstRun + keys.next_run++};
+  call->route = name.route;
+  call->team = name.team;
+  call->idempotent = entry.idempotent;
+  call->payload = entry.request;
+  call->arrived = context.now;
+  call->deadline = entry.deadline;
+  keys.runs.emplace(call->call, name);
+  Submit(context, call);
+}
+
+void Begin(Context& context, const Route& route, const KeyName& name,
+           const KeyWaiter& waiter, const PayloadPtr& request) {
+  KeysState& keys = context.state.requests.keys;
+  if (keys.entries.size() >= kMaxKeys) {
+    AnswerWaiter(context, waiter,
+                 {ErrorKind::kQueueFull, "the key table is full", nullptr});
+    return;
+  }
+  if (!route.idempotent && !IsLogUp(context, name.shard)) {
+    AnswerWaiter(context, waiter, {ErrorKind::kLogUnavailable, "", nullptr});
+    return;
+  }
+  KeyEntry& entry = keys.entries[name];
+  entry.phase = route.idempotent ? KeyPhase::kRunning : KeyPhase::kLogging;
+  entry.idempotent = route.idempotent;
+  entry.fingerprint = Fingerprint(*request);
+  entry.runner = context.state.settings.self;
+  entry.request = request;
+  entry.deadline = waiter.deadline;
+  Wait(context, name, entry, waiter);
+  if (route.idempotent) {
+    Launch(context, name, entry);
+  } else {
+    LogIntent(context, name, entry);
+  }
+}
+
+void Repeat(Context& context, const KeyName& name, KeyEntry& entry,
+            const KeyWaiter& waiter, const PayloadPtr& request) {
+  if (entry.fingerprint != Fingerprint(*request)) {
+    AnswerWaiter(
+        context, waiter,
+        {ErrorKind::kConflict, "the key is of another request", nullptr});
+    return;
+  }
+  switch (entry.phase) {
+    case KeyPhase::kLogging:
+    case KeyPhase::kRunning:
+      Wait(context, name, entry, waiter);
+      return;
+    case KeyPhase::kMayHaveRun:
+      AnswerWaiter(context, waiter,
+                   {ErrorKind::kOutcomeUnknown,
+                    "an earlier owner may have run it", nullptr});
+      return;
+    case KeyPhase::kDone:
+      AnswerWaiter(context, waiter,
+                   Outcome{entry.kind, entry.detail, entry.answer});
+      return;
+  }
+}
+
+/// Answers the waiters of an entry whose time is up.
+void ExpireWaiters(Context& context, const KeyName& name, KeyEntry& entry) {
+  const bool is_logging = entry.phase == KeyPhase::kLogging;
+  std::vector<KeyWaiter> due;
+  std::vector<KeyWaiter> waiting;
+  for (const KeyWaiter& waiter : entry.waiters) {
+    const bool is_due =
+        is_logging || waiter.deadline + kDeadlineGrace <= context.now;
+    (is_due ? due : waiting).push_back(waiter);
+  }
+  entry.waiters = waiting;
+  for (const KeyWaiter& waiter : waiting) {
+    context.state.requests.keys.deadlines.emplace(
+        waiter.deadline + kDeadlineGrace, name);
+  }
+  AnswerWaiters(context, due,
+                is_logging ? Outcome{ErrorKind::kLogUnavailable, "", nullptr}
+                           : Outcome{ErrorKind::kOutcomeUnknown,
+                                     "the run under the key goes on", nullptr});
+}
+
+void Forget(Context& context) {
+  KeysState& keys = context.state.requests.keys;
+  while (!keys.retention.empty() &&
+         keys.retention.begin()->first <= context.now) {
+    const auto entry = keys.entries.find(keys.retention.begin()->second);
+    keys.retention.erase(keys.retention.begin());
+    if (entry == keys.entries.end()) {
+      continue;
+    }
+    const bool is_over = entry->second.phase == KeyPhase::kMayHaveRun ||
+                         entry->second.phase == KeyPhase::kDone;
+    if (is_over && entry->second.forget_at <= context.now) {
+      keys.entries.erase(entry);
+    }
+  }
+}
+
+}  // namespace
+
+ShardId KeyShard(const Pool& pool, const std::string& key) {
+  return ownership::ShardAt(pool.name, StableHash(key) % pool.shards);
+}
+
+void SubmitUnderKey(Context& context, const Route& route, const KeyName& name,
+                    const KeyWaiter& waiter, const PayloadPtr& request) {
+  KeysState& keys = context.state.requests.keys;
+  const auto found = keys.entries.find(name);
+  if (found == keys.entries.end()) {
+    Begin(context, route, name, waiter, request);
+  } else {
+    Repeat(context, name, found->second, waiter, request);
+  }
+}
+
+bool IsKeyRun(const Context& context, CallId call) {
+  return context.state.requests.keys.runs.contains(call);
+}
+
+void OnKeyRunEnded(Context& context, CallId call, const Outcome& outcome) {
+  KeysState& keys = context.state.requests.keys;
+  const KeyName name = keys.runs.at(call);
+  keys.runs.erase(call);
+  KeyEntry& entry = keys.entries.at(name);
+  const std::vector<KeyWaiter> waiters = std::exchange(entry.waiters, {});
+  const Execution execution = AnswerFor(outcome.kind).execution;
+  if (!entry.idempotent) {
+    LogOutcome(context, name, outcome.kind, outcome.payload);
+  }
+  // An idempotent request may run again, so only a known end is kept.
+  const bool is_kept = entry.idempotent ? execution == Execution::kRan
+                                        : execution != Execution::kNotRun;
+  if (is_kept) {
+    entry.phase = KeyPhase::kDone;
+    entry.kind = outcome.kind;
+    entry.detail = outcome.detail;
+    entry.answer = outcome.payload;
+    Retain(context, name, entry);
+  } else {
+    keys.entries.erase(name);
+  }
+  AnswerWaiters(context, waiters, outcome);
+}
+
+void ApplyKeyIntent(Context& context, const KeyIntentRecord& record) {
+  const auto ownership = context.state.ownership.shards.find(record.shard);
+  const bool is_stale = ownership == context.state.ownership.shards.end() ||
+                        record.epoch < ownership->second.epoch;
+  if (is_stale) {
+    return;
+  }
+  KeysState& keys = context.state.requests.keys;
+  const KeyName name{record.shard, record.route, record.team, record.key};
+  if (record.runner != context.state.settings.self) {
+    KeyEntry& entry = keys.entries[name];
+    entry.phase = KeyPhase::kMayHaveRun;
+    entry.fingerprint = record.fingerprint;
+    entry.runner = record.runner;
+    Retain(context, name, entry);
+    return;
+  }
+  const auto entry = keys.entries.find(name);
+  const bool is_wanted = entry != keys.entries.end() &&
+                         entry->second.phase == KeyPhase::kLogging &&
+                         ownership::OwnsShard(context, record.shard);
+  if (!is_wanted) {
+    return;
+  }
+  if (entry->second.waiters.empty()) {
+    LogOutcome(context, name, ErrorKind::kLogUnavailable, nullptr);
+    keys.entries.erase(entry);
+    return;
+  }
+  Launch(context, name, entry->second);
+}
+
+void ApplyKeyOutcome(Context& context, const KeyOutcomeRecord& record) {
+  KeysState& keys = context.state.requests.keys;
+  const KeyName name{record.shard, record.route, record.team, record.key};
+  const auto found = keys.entries.find(name);
+  const bool is_of_other = found != keys.entries.end() &&
+                           found->second.runner == record.runner &&
+                           record.runner != context.state.settings.self;
+  if (!is_of_other) {
+    return;
+  }
+  if (AnswerFor(record.kind).execution == Execution::kNotRun) {
+    keys.entries.erase(found);
+    return;
+  }
+  KeyEntry& entry = found->second;
+  entry.phase = KeyPhase::kDone;
+  entry.kind = record.kind;
+  entry.answer = record.answer;
+  if (record.kind == ErrorKind::kNone && !record.answer) {
+    entry.kind = ErrorKind::kOutcomeUnknown;
+    entry.detail = "it ran; its answer was too large to be kept";
+  }
+  Retain(context, name, entry);
+}
+
+void LoseKeys(Context& context, const ShardId& shard) {
+  KeysState& keys = context.state.requests.keys;
+  std::vector<KeyWaiter> waiters;
+  for (auto it = keys.entries.begin(); it != keys.entries.end();) {
+    const bool is_lost =
+        it->first.shard == shard && it->second.phase == KeyPhase::kLogging;
+    if (!is_lost) {
+      ++it;
+      continue;
+    }
+    waiters.insert(waiters.end(), it->second.waiters.begin(),
+                   it->second.waiters.end());
+    it = keys.entries.erase(it);
+  }
+  AnswerWaiters(context, waiters, {ErrorKind::kNotOwner, shard.value, nullptr});
+}
+
+bool HasKeyWaiters(const Context& context) {
+  const KeysState& keys = context.state.requests.keys;
+  return std::any_of(
+      keys.deadlines.begin(), keys.deadlines.end(), [&keys](const auto& item) {
+        const auto entry = keys.entries.find(item.second);
+        return entry != keys.entries.end() && !entry->second.waiters.empty();
+      });
+}
+
+void ExpireKeys(Context& context) {
+  KeysState& keys = context.state.requests.keys;
+  while (!keys.deadlines.empty() &&
+         keys.deadlines.begin()->first <= context.now) {
+    const KeyName name = keys.deadlines.begin()->second;
+    keys.deadlines.erase(keys.deadlines.begin());
+    const auto entry = keys.entries.find(name);
+    if (entry != keys.entries.end()) {
+      ExpireWaiters(context, name, entry->second);
+    }
+  }
+  Forget(context);
+}
+
+}  // namespace basilspread::internal::requests
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -49,6 +49,10 @@
     internal::membership::OnLinkChanged(this->context, event);
   }
 
+  void operator()(const PeerMessageNotSent& event) const {
+    internal::requests::OnPeerMessageNotSent(this->context, event);
+  }
+
   void operator()(const LogAppended& event) const {
     internal::log::OnAppended(this->context, event);
   }
@@ -107,7 +111,7 @@
       internal::requests::OnForwarded(this->context, this->from, message);
     }
     void operator()(const ForwardAnswer& message) const {
-      internal::requests::OnForwardAnswered(this->context, message);
+      internal::requests::OnForwardAnswered(this->context, this->from, message);
     }
   };
 
--- a/packages/platform/src/minion_client.cc
+++ b/packages/platform/src/minion_client.cc
@@ -65,7 +65,7 @@
     answered.result = MinionResult::kAnswered;
     answered.run_time = this->now() - start;
   } catch (const Poco::Net::ConnectionRefusedException&) {
-    answered.result = MinionResult::kNotSent;
+    answered.result = MinionResult::kRefused;
   } catch (const Poco::Exception&) {
     answered.payload = nullptr;
   }
--- /dev/null
+++ b/packages/wire/src/payload_codec.h
@@ -0,0 +1,16 @@
+#ifndef BASILSPREAD_WIRE_SRC_PAYLOAD_CODEC_H_
+#define BASILSPREAD_WIRE_SRC_PAYLOAD_CODEC_H_
+
+#include "basilspread/core/payload.h"
+#include "basilspread_generated.h"
+
+namespace basilspread::wire {
+
+/// The packed payload; no table when there is none.
+flatbuffers::Offset<fb::Payload> Pack(flatbuffers::FlatBufferBuilder& builder,
+                                      const PayloadPtr& payload);
+PayloadPtr Unpack(const fb::Payload* packed);
+
+}  // namespace basilspread::wire
+
+#endif  // BASILSPREAD_WIRE_SRC_PAYLOAD_CODEC_H_
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "common.h"
+#include "payload_codec.h"
 
 namespace basilspread::wire {
 namespace {
@@ -15,51 +16,6 @@
   flatbuffers::Offset<void> offset;
 };
 
-flatbuffers::Offset<fb::Payload> Pack(Builder& builder,
-                                      const PayloadPtr& payload) {
-  if (!payload) {
-    return 0;
-  }
-  std::vector<flatbuffers::Offset<fb::Header>> headers;
-  for (const Header& header : payload->headers) {
-    const auto name = builder.CreateString(header.name);
-    const auto value = builder.CreateString(header.value);
-    headers.push_back(fb::CreateHeader(builder, name, value));
-  }
-  const auto method = builder.CreateString(payload->method);
-  const auto target = builder.CreateString(payload->target);
-  const auto packed_headers = builder.CreateVector(headers);
-  const auto* bytes =
-      reinterpret_cast<const std::uint8_t*>(payload->body.data());
-  const auto body = builder.CreateVector(bytes, payload->body.size());
-  return fb::CreatePayload(builder, method, target, payload->status,
-                           packed_headers, body);
-}
-
-std::string StringOf(const flatbuffers::String* text) {
-  return text == nullptr ? std::string() : text->str();
-}
-
-PayloadPtr Unpack(const fb::Payload* packed) {
-  if (packed == nullptr) {
-    return nullptr;
-  }
-  boost::intrusive_ptr<Payload> payload(new Payload);
-  payload->method = StringOf(packed->method());
-  payload->target = StringOf(packed->target());
-  payload->status = packed->status();
-  if (packed->headers() != nullptr) {
-    for (const fb::Header* header : *packed->headers()) {
-      payload->headers.push_back(
-          Header{header->name()->str(), header->value()->str()});
-    }
-  }
-  if (packed->body() != nullptr) {
-    payload->body.assign(packed->body()->begin(), packed->body()->end());
-  }
-  return payload;
-}
-
 PackedBody Pack(Builder& builder, const Heartbeat& message) {
   std::vector<flatbuffers::Offset<fb::ShardReport>> shards;
   for (const ShardReport& report : message.shards) {
@@ -79,22 +35,22 @@
   const auto route = builder.CreateString(message.route.value);
   const auto team = builder.CreateString(message.team.value);
   const auto key = builder.CreateString(message.idempotency_key);
-  const auto payload = Pack(builder, message.payload);
-  return {
-      fb::PeerBody::ForwardRequest,
-      fb::CreateForwardRequest(builder, message.call.value, shard, route, team,
-                               key, message.time_left.count(), payload)
-          .Union()};
+  const auto payload = wire::Pack(builder, message.payload);
+  return {fb::PeerBody::ForwardRequest,
+          fb::CreateForwardRequest(builder, message.call.value, shard, route,
+                                   team, key, message.time_left.count(),
+                                   payload, message.attempt)
+              .Union()};
 }
 
 PackedBody Pack(Builder& builder, const ForwardAnswer& message) {
   const auto error =
       builder.CreateString(std::string(AnswerFor(message.kind).name));
   const auto detail = builder.CreateString(message.detail);
-  const auto payload = Pack(builder, message.payload);
+  const auto payload = wire::Pack(builder, message.payload);
   return {fb::PeerBody::ForwardAnswer,
           fb::CreateForwardAnswer(builder, message.call.value, error, detail,
-                                  payload)
+                                  payload, message.attempt)
               .Union()};
 }
 
@@ -120,7 +76,8 @@
   message.team = TeamName{packed.team()->str()};
   message.idempotency_key = packed.idempotency_key()->str();
   message.time_left = Duration(packed.time_left_ns());
-  message.payload = Unpack(packed.payload());
+  message.payload = wire::Unpack(packed.payload());
+  message.attempt = packed.attempt();
   return message;
 }
 
@@ -129,7 +86,8 @@
   message.call = CallId{packed.call()};
   message.kind = ErrorKindNamed(packed.error()->string_view());
   message.detail = packed.detail()->str();
-  message.payload = Unpack(packed.payload());
+  message.payload = wire::Unpack(packed.payload());
+  message.attempt = packed.attempt();
   return message;
 }
 
--- a/packages/wire/src/record_codec.cc
+++ b/packages/wire/src/record_codec.cc
@@ -5,6 +5,7 @@
 
 #include "basilspread/wire/peer_codec.h"
 #include "common.h"
+#include "payload_codec.h"
 
 namespace basilspread::wire {
 namespace {
@@ -44,6 +45,33 @@
               .Union()};
 }
 
+PackedRecord PackRecord(Builder& builder, const KeyIntentRecord& record) {
+  const auto shard = builder.CreateString(record.shard.value);
+  const auto runner = Pack(builder, record.runner);
+  const auto route = builder.CreateString(record.route.value);
+  const auto team = builder.CreateString(record.team.value);
+  const auto key = builder.CreateString(record.key);
+  return {fb::RecordBody::KeyIntentRecord,
+          fb::CreateKeyIntentRecord(builder, shard, record.epoch.value, runner,
+                                    route, team, key, record.fingerprint)
+              .Union()};
+}
+
+PackedRecord PackRecord(Builder& builder, const KeyOutcomeRecord& record) {
+  const auto shard = builder.CreateString(record.shard.value);
+  const auto runner = Pack(builder, record.runner);
+  const auto route = builder.CreateString(record.route.value);
+  const auto team = builder.CreateString(record.team.value);
+  const auto key = builder.CreateString(record.key);
+  const auto error =
+      builder.CreateString(std::string(AnswerFor(record.kind).name));
+  const auto answer = Pack(builder, record.answer);
+  return {fb::RecordBody::KeyOutcomeRecord,
+          fb::CreateKeyOutcomeRecord(builder, shard, runner, route, team, key,
+                                     error, answer)
+              .Union()};
+}
+
 LogRecord UnpackRecord(const fb::TablesRecord& packed) {
   return TablesRecord{TablesVersion{packed.base()}, packed.author()->str(),
                       packed.route_table()->str(), packed.pool_table()->str()};
@@ -60,6 +88,30 @@
                        NodeName{packed.successor()->str()}};
 }
 
+LogRecord UnpackRecord(const fb::KeyIntentRecord& packed) {
+  KeyIntentRecord record;
+  record.shard = ShardId{packed.shard()->str()};
+  record.epoch = Epoch{packed.epoch()};
+  record.runner = Unpack(*packed.runner());
+  record.route = RouteName{packed.route()->str()};
+  record.team = TeamName{packed.team()->str()};
+  record.key = packed.key()->str();
+  record.fingerprint = packed.fingerprint();
+  return record;
+}
+
+LogRecord UnpackRecord(const fb::KeyOutcomeRecord& packed) {
+  KeyOutcomeRecord record;
+  record.shard = ShardId{packed.shard()->str()};
+  record.runner = Unpack(*packed.runner());
+  record.route = RouteName{packed.route()->str()};
+  record.team = TeamName{packed.team()->str()};
+  record.key = packed.key()->str();
+  record.kind = ErrorKindNamed(packed.error()->string_view());
+  record.answer = Unpack(packed.answer());
+  return record;
+}
+
 Result<LogRecord> UnpackBody(const fb::Record& record) {
   switch (record.body_type()) {
     case fb::RecordBody::TablesRecord:
@@ -68,6 +120,10 @@
       return UnpackRecord(*record.body_as_ClaimRecord());
     case fb::RecordBody::ReleaseRecord:
       return UnpackRecord(*record.body_as_ReleaseRecord());
+    case fb::RecordBody::KeyIntentRecord:
+      return UnpackRecord(*record.body_as_KeyIntentRecord());
+    case fb::RecordBody::KeyOutcomeRecord:
+      return UnpackRecord(*record.body_as_KeyOutcomeRecord());
     case fb::RecordBody::NONE:
       break;
   }
