--- a/packages/core/src/internal/requests.cc
+++ b/packages/core/src/internal/requests.cc
@@ -63,7 +63,7 @@
           HasIdempotentRoute(context, ownership->second.pool);
       EndEjections(context, shard, can_probe);
     }
-    Dispatch(context, shard);
+    Dispatch(context, id);
   }
 }
 
@@ -200,14 +200,14 @@
 void OnHostsChanged(Context& context) {
   RebuildMinions(context);
   for (auto& [id, shard] : context.state.requests.shards) {
-    Dispatch(context, shard);
+    Dispatch(context, id);
   }
 }
 
-void OnShardGained(Context& context, const ShardId& shard, Takeover takeover) {
+void OnShardGained(Context& context, const ShardId& shard, TakeoverKind kind) {
   MinionShard& minions = context.state.requests.shards[shard];
   const PoolName& pool = context.state.ownership.shards.at(shard).pool;
-  if (takeover == Takeover::kUnclean) {
+  if (kind == TakeoverKind::kUnclean) {
     minions.open_held_until =
         context.now + LongestRun(context, pool, SlotKind::kOpen);
     minions.reserved_held_until =
@@ -222,6 +222,13 @@
   OnHostsChanged(context);
 }
 
+void OnShardReady(Context& context, const ShardId& shard) {
+  const auto found = context.state.requests.shards.find(shard);
+  if (found != context.state.requests.shards.end()) {
+    Dispatch(context, shard);
+  }
+}
+
 void OnShardLost(Context& context, const ShardId& shard) {
   LoseKeys(context, shard);
   const auto found = context.state.requests.shards.find(shard);
--- a/packages/core/src/internal/requests.h
+++ b/packages/core/src/internal/requests.h
@@ -2,6 +2,7 @@
 #define BASILSPREAD_CORE_INTERNAL_REQUESTS_H_
 
 #include "basilspread/core/event.h"
+#include "basilspread/core/ownership.h"
 #include "basilspread/core/record.h"
 #include "internal/context.h"
 
@@ -22,13 +23,11 @@
 /// Rebuilds the minions of the owned shards from hosts and tables.
 void OnHostsChanged(Context& context);
 
-/// Whether the shard's last owner gave it up after draining.
-enum class Takeover { kClean, kUnclean };
-
 /// After an unclean takeover the slots of the shard's minions count as used
 /// for as long as the last owner's requests may run.
-void OnShardGained(Context& context, const ShardId& shard,
-                   Takeover takeover = Takeover::kUnclean);
+void OnShardGained(Context& context, const ShardId& shard, TakeoverKind kind);
+/// An owned shard may be acted on, at first or again.
+void OnShardReady(Context& context, const ShardId& shard);
 void OnShardLost(Context& context, const ShardId& shard);
 /// Settles what was passed to a peer that is gone.
 void OnPeerLost(Context& context, const NodeName& peer);
--- a/packages/core/src/internal/requests_admission.cc
+++ b/packages/core/src/internal/requests_admission.cc
@@ -73,7 +73,7 @@
   EarnRetry(context, route);
   requests.requests.emplace(request->key, request);
   Enqueue(context, route, shard, *request);
-  Dispatch(context, shard);
+  Dispatch(context, request->shard);
 }
 
 }  // namespace basilspread::internal::requests
--- a/packages/core/src/internal/requests_dispatch.cc
+++ b/packages/core/src/internal/requests_dispatch.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "internal/ownership.h"
 #include "internal/requests_answer.h"
 #include "internal/requests_ejection.h"
 #include "internal/requests_queue.h"
@@ -49,7 +50,9 @@
   send.host = minion.name;
   send.address = minion.address;
   send.idempotent = request.idempotent;
-  send.not_after = request.deadline;
+  send.not_after = std::min(
+      request.deadline,
+      ownership::MayActUntil(context, request.shard).value_or(context.now));
   send.deadline = request.deadline;
   send.payload = request.payload;
   context.Emit(std::move(send));
@@ -133,6 +136,9 @@
       if (context.now >= request.deadline) {
         return {ErrorKind::kDeadlinePassed, "", nullptr};
       }
+      if (!ownership::MayAct(context, request.shard)) {
+        return {ErrorKind::kNotOwner, request.shard.value, nullptr};
+      }
       return {ErrorKind::kQueueFull, "no traffic thread was free", nullptr};
     case MinionResult::kRefused:
       return {ErrorKind::kMinionRefused, event.host.value, nullptr};
@@ -187,7 +193,11 @@
   return found == routes.end() ? nullptr : &found->second;
 }
 
-void Dispatch(Context& context, MinionShard& shard) {
+void Dispatch(Context& context, const ShardId& id) {
+  if (!ownership::MayAct(context, id)) {
+    return;
+  }
+  MinionShard& shard = context.state.requests.shards.at(id);
   while (ClassQueue* queue = NextQueue(shard)) {
     StartFrom(context, shard, *queue);
   }
@@ -216,7 +226,7 @@
   } else {
     Finish(context, request, OutcomeOf(context, *request, event));
   }
-  Dispatch(context, shard);
+  Dispatch(context, request->shard);
 }
 
 }  // namespace basilspread::internal::requests
--- a/packages/core/src/internal/requests_dispatch.h
+++ b/packages/core/src/internal/requests_dispatch.h
@@ -10,7 +10,7 @@
 const Route* FindRoute(const Context& context, const RouteName& name);
 
 /// Starts waiting requests of the shard while slots are free.
-void Dispatch(Context& context, MinionShard& shard);
+void Dispatch(Context& context, const ShardId& shard);
 
 /// Ends, or tries again, what a minion answered or failed.
 void SettleAttempt(Context& context, const MinionAnswered& event);
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -5,6 +5,7 @@
 #include "internal/configuration.h"
 #include "internal/context.h"
 #include "internal/hosts.h"
+#include "internal/jobs.h"
 #include "internal/log.h"
 #include "internal/membership.h"
 #include "internal/ownership.h"
@@ -91,6 +92,7 @@
   void operator()(const StopRequested& /*event*/) const {
     this->context.state.stopping = true;
     this->context.Log(LogLevel::kInfo, "process", "Stop was requested.");
+    this->context.Emit(RefuseCallers{});
     this->CheckDrained();
   }
 
@@ -116,7 +118,8 @@
   };
 
   void CheckDrained() const {
-    if (internal::requests::IsIdle(this->context)) {
+    if (internal::requests::IsIdle(this->context) &&
+        internal::jobs::IsIdle(this->context)) {
       this->context.Emit(ExitProcess{});
       return;
     }
