End exchanges with minions at one deadline, and reuse only fresh connections

POCO's timeouts hold for one read each, so that a minion that sends a byte now and then was never given up; the socket now counts every read and write against one point. POCO's session also repeats a request by itself when a write fails, and takes a body that ended early for a whole one: both could break what callers are told. A message to a peer that surely did not leave is an event, so that its request may be tried elsewhere.

--- a/packages/node/src/peer_links.cc
+++ b/packages/node/src/peer_links.cc
@@ -129,6 +129,7 @@
 void PeerLinks::Send(const SendToPeer& send) {
   const auto link = this->links.find(send.peer);
   if (link == this->links.end()) {
+    this->post(PeerMessageNotSent{send.peer, send.message});
     return;
   }
   Result<std::string> frame =
@@ -137,9 +138,12 @@
     Log(LogLevel::kWarning, kPart,
         fmt::format("Message was not sent. peer={} reason=\"{}\"",
                     send.peer.value, frame.error().detail));
+    this->post(PeerMessageNotSent{send.peer, send.message});
     return;
   }
-  link->second->Send(std::move(frame).value());
+  if (!link->second->Send(std::move(frame).value())) {
+    this->post(PeerMessageNotSent{send.peer, send.message});
+  }
 }
 
 }  // namespace basilspread::node
--- a/packages/node/src/peer_links.h
+++ b/packages/node/src/peer_links.h
@@ -26,7 +26,7 @@
   /// Binds and connects. Throws Poco::Exception when the port is taken.
   void Start();
   void Stop();
-  /// Queues a message; it is dropped when the link is down.
+  /// Queues a message; posts PeerMessageNotSent when the link is down.
   void Send(const SendToPeer& send);
 
  private:
--- /dev/null
+++ b/packages/platform/src/deadline_socket.cc
@@ -0,0 +1,39 @@
+#include "deadline_socket.h"
+
+#include <Poco/Exception.h>
+
+#include <utility>
+
+#include "http.h"
+
+namespace basilspread::platform {
+
+DeadlineSocketImpl::DeadlineSocketImpl(Now clock_hook)
+    : now(std::move(clock_hook)) {}
+
+int DeadlineSocketImpl::sendBytes(const void* buffer, int length, int flags) {
+  const auto* bytes = static_cast<const char*>(buffer);
+  int sent = 0;
+  while (sent < length) {
+    this->setSendTimeout(this->TimeLeft());
+    sent +=
+        Poco::Net::SocketImpl::sendBytes(bytes + sent, length - sent, flags);
+  }
+  return sent;
+}
+
+int DeadlineSocketImpl::receiveBytes(void* buffer, int length, int flags) {
+  this->setReceiveTimeout(this->TimeLeft());
+  return Poco::Net::SocketImpl::receiveBytes(buffer, length, flags);
+}
+
+Poco::Timespan DeadlineSocketImpl::TimeLeft() const {
+  const Duration left = this->deadline - this->now();
+  // A timeout of zero would mean none.
+  if (left < std::chrono::microseconds(1)) {
+    throw Poco::TimeoutException("the deadline has passed");
+  }
+  return ToTimespan(left);
+}
+
+}  // namespace basilspread::platform
--- /dev/null
+++ b/packages/platform/src/deadline_socket.h
@@ -0,0 +1,35 @@
+#ifndef BASILSPREAD_PLATFORM_SRC_DEADLINE_SOCKET_H_
+#define BASILSPREAD_PLATFORM_SRC_DEADLINE_SOCKET_H_
+
+#include <Poco/Net/StreamSocketImpl.h>
+
+#include <functional>
+
+#include "basilspread/core/time.h"
+
+namespace basilspread::platform {
+
+/// A socket whose reads and writes all end at one point in time, however
+/// slowly bytes come: a timeout for each call alone would never end.
+class DeadlineSocketImpl : public Poco::Net::StreamSocketImpl {
+ public:
+  using Now = std::function<TimePoint()>;
+
+  explicit DeadlineSocketImpl(Now clock_hook);
+
+  void SetDeadline(TimePoint point) { this->deadline = point; }
+
+  // Both throw Poco::TimeoutException after the deadline.
+  int sendBytes(const void* buffer, int length, int flags) override;
+  int receiveBytes(void* buffer, int length, int flags) override;
+
+ private:
+  Poco::Timespan TimeLeft() const;
+
+  Now now;
+  TimePoint deadline;
+};
+
+}  // namespace basilspread::platform
+
+#endif  // BASILSPREAD_PLATFORM_SRC_DEADLINE_SOCKET_H_
--- a/packages/platform/src/minion_client.cc
+++ b/packages/platform/src/minion_client.cc
@@ -1,73 +1,87 @@
 #include "basilspread/platform/minion_client.h"
 
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
+#include <Poco/Exception.h>
 
+#include <algorithm>
 #include <utility>
 
-#include "http.h"
+#include "minion_connection.h"
+#include "minion_connections.h"
 
 namespace basilspread::platform {
 namespace {
 
-using Poco::Net::HTTPClientSession;
-
 constexpr Duration kConnectTimeout = std::chrono::seconds(1);
 
-PayloadPtr ReceiveAnswer(HTTPClientSession& session) {
-  Poco::Net::HTTPResponse response;
-  std::istream& in = session.receiveResponse(response);
-  boost::intrusive_ptr<Payload> answer(new Payload);
-  Poco::StreamCopier::copyToString(in, answer->body);
-  answer->status = response.getStatus();
-  for (const auto& [name, value] : response) {
-    answer->headers.push_back(Header{name, value});
-  }
-  return answer;
-}
-
-void WriteRequest(HTTPClientSession& session, const Payload& payload) {
-  Poco::Net::HTTPRequest request(payload.method, payload.target,
-                                 Poco::Net::HTTPMessage::HTTP_1_1);
-  for (const Header& header : payload.headers) {
-    request.set(header.name, header.value);
-  }
-  request.setContentLength(static_cast<std::streamsize>(payload.body.size()));
-  session.sendRequest(request) << payload.body;
+MinionAnswered MakeAnswered(const SendToMinion& send, MinionResult result) {
+  MinionAnswered answered;
+  answered.request = send.request;
+  answered.attempt = send.attempt;
+  answered.host = send.host;
+  answered.result = result;
+  return answered;
 }
 
 }  // namespace
 
-MinionClient::MinionClient(Now clock_hook) : now(std::move(clock_hook)) {}
+MinionClient::MinionClient(Now clock_hook)
+    : now(std::move(clock_hook)),
+      connections(std::make_unique<MinionConnections>()) {}
+
+MinionClient::~MinionClient() = default;
 
 MinionAnswered MinionClient::Send(const SendToMinion& send) const {
-  MinionAnswered answered;
-  answered.request = send.request;
-  answered.attempt = send.attempt;
-  answered.host = send.host;
-  answered.result = MinionResult::kNotSent;
-  try {
-    const Poco::Net::SocketAddress address(send.address);
-    HTTPClientSession session(address);
-    const TimePoint start = this->now();
-    if (start >= send.not_after) {
-      return answered;
+  // A connection that stood idle may have died unseen, so only what may run
+  // twice goes on it; and when it did die, once more on a new one.
+  if (send.idempotent) {
+    auto connection = this->connections->Take(send.address, this->now());
+    if (connection) {
+      MinionAnswered first = this->Exchange(send, std::move(connection));
+      if (first.result != MinionResult::kLost) {
+        return first;
+      }
+      // Where the second write did not happen, the first one still did.
+      MinionAnswered second = this->SendOnNew(send);
+      return second.result == MinionResult::kAnswered ? second : first;
     }
-    const Poco::Timespan timeout = ToTimespan(send.deadline - start);
-    session.setTimeout(ToTimespan(kConnectTimeout), timeout, timeout);
-    answered.result = MinionResult::kLost;
-    WriteRequest(session, *send.payload);
-    answered.payload = ReceiveAnswer(session);
-    answered.result = MinionResult::kAnswered;
-    answered.run_time = this->now() - start;
-  } catch (const Poco::Net::ConnectionRefusedException&) {
-    answered.result = MinionResult::kRefused;
+  }
+  return this->SendOnNew(send);
+}
+
+MinionAnswered MinionClient::SendOnNew(const SendToMinion& send) const {
+  const Duration left = send.not_after - this->now();
+  if (left <= Duration::zero()) {
+    return MakeAnswered(send, MinionResult::kNotSent);
+  }
+  std::unique_ptr<MinionConnection> connection;
+  try {
+    connection = std::make_unique<MinionConnection>(
+        send.address, std::min(left, kConnectTimeout), this->now);
   } catch (const Poco::Exception&) {
-    answered.payload = nullptr;
+    return MakeAnswered(send, MinionResult::kRefused);
+  }
+  return this->Exchange(send, std::move(connection));
+}
+
+MinionAnswered MinionClient::Exchange(
+    const SendToMinion& send,
+    std::unique_ptr<MinionConnection> connection) const {
+  const TimePoint start = this->now();
+  if (start >= send.not_after) {
+    return MakeAnswered(send, MinionResult::kNotSent);
+  }
+  MinionAnswered answered = MakeAnswered(send, MinionResult::kLost);
+  try {
+    connection->Write(*send.payload, send.deadline);
+    answered.payload = connection->Read();
+  } catch (const Poco::Exception&) {
+    return answered;
+  }
+  answered.result = MinionResult::kAnswered;
+  const TimePoint end = this->now();
+  answered.run_time = end - start;
+  if (connection->IsReusable()) {
+    this->connections->Return(std::move(connection), end);
   }
   return answered;
 }
--- /dev/null
+++ b/packages/platform/src/minion_connections.cc
@@ -0,0 +1,48 @@
+#include "minion_connections.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace basilspread::platform {
+namespace {
+
+/// An idle connection may have been lost on the way without a sign; after
+/// this long it is not trusted any more.
+constexpr Duration kMaxIdle = std::chrono::seconds(1);
+constexpr std::size_t kMaxIdleConnections = 256;
+
+}  // namespace
+
+std::unique_ptr<MinionConnection> MinionConnections::Take(
+    const std::string& address, TimePoint now) {
+  const std::lock_guard lock(this->mutex);
+  this->CloseStale(now);
+  // The most recently used comes first.
+  const auto found = std::find_if(
+      this->idle.rbegin(), this->idle.rend(), [&address](const Idle& entry) {
+        return entry.connection->Address() == address;
+      });
+  if (found == this->idle.rend()) {
+    return nullptr;
+  }
+  std::unique_ptr<MinionConnection> connection = std::move(found->connection);
+  this->idle.erase(std::next(found).base());
+  return connection->IsQuiet() ? std::move(connection) : nullptr;
+}
+
+void MinionConnections::Return(std::unique_ptr<MinionConnection> connection,
+                               TimePoint now) {
+  const std::lock_guard lock(this->mutex);
+  this->CloseStale(now);
+  if (this->idle.size() < kMaxIdleConnections) {
+    this->idle.push_back(Idle{std::move(connection), now});
+  }
+}
+
+void MinionConnections::CloseStale(TimePoint now) {
+  while (!this->idle.empty() && now - this->idle.front().since >= kMaxIdle) {
+    this->idle.pop_front();
+  }
+}
+
+}  // namespace basilspread::platform
