--- a/packages/core/include/basilspread/core/record.h
+++ b/packages/core/include/basilspread/core/record.h
@@ -8,6 +8,7 @@
 
 #include "basilspread/core/error.h"
 #include "basilspread/core/ids.h"
+#include "basilspread/core/job_record.h"
 #include "basilspread/core/payload.h"
 #include "basilspread/core/tables.h"
 
@@ -22,6 +23,16 @@
   std::string pool_table;
 };
 
+/// Repeats the accepted tables before the record that made them expires. The
+/// first version that a reader does not know yet counts, older ones do not.
+struct TablesCheckpointRecord {
+  TablesVersion version;
+  /// The edit that made the version.
+  TablesRecord record;
+  /// The writer had judged every edit before this offset.
+  Offset covered;
+};
+
 /// Takes a shard over. The first claim of an epoch in log order wins.
 struct ClaimRecord {
   ShardId shard;
@@ -61,8 +72,10 @@
   PayloadPtr answer;
 };
 
-using LogRecord = std::variant<TablesRecord, ClaimRecord, ReleaseRecord,
-                               KeyIntentRecord, KeyOutcomeRecord>;
+using LogRecord =
+    std::variant<TablesRecord, ClaimRecord, ReleaseRecord,
+                 TablesCheckpointRecord, JobRecord, IntentRecord, OutcomeRecord,
+                 CancelRecord, KeyIntentRecord, KeyOutcomeRecord>;
 
 /// What one append holds: the records of one writer, in order.
 struct LogBatch {
--- a/packages/core/include/basilspread/core/tables.h
+++ b/packages/core/include/basilspread/core/tables.h
@@ -41,6 +41,8 @@
   std::string order = "shortest-first";
   /// Name of the hook that refuses what can't make its deadline.
   std::string admission = "deadline-aware";
+  /// Removed from the table; takes no new requests, finishes the accepted.
+  bool draining = false;
 };
 
 /// One row of the pool table: which hosts serve, and how they are shared.
@@ -55,6 +57,8 @@
   std::uint32_t short_reserve_percent = 20;
   /// Name of the hook that picks the worker.
   std::string placement = "best-fit";
+  /// Removed from the table; kept until the work in it is finished.
+  bool draining = false;
 };
 
 /// What a team may reserve in all worker pools together.
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -25,9 +25,11 @@
 
   void operator()(const Started& /*event*/) const {
     internal::log::Start(this->context);
+    internal::configuration::Start(this->context);
     internal::hosts::Start(this->context);
     internal::membership::Start(this->context);
     internal::ownership::Start(this->context);
+    internal::jobs::Start(this->context);
   }
 
   void operator()(const RequestArrived& event) const {
@@ -76,6 +78,8 @@
         return internal::ownership::OnOwnershipTimer(this->context);
       case TimerKind::kHostList:
         return internal::hosts::OnHostListTimer(this->context);
+      case TimerKind::kConfiguration:
+        return internal::configuration::OnTimer(this->context);
       case TimerKind::kLogRead:
         return internal::log::OnReadTimer(this->context);
       case TimerKind::kLogAppend:
@@ -83,7 +87,7 @@
       case TimerKind::kRequests:
         return internal::requests::OnTimer(this->context);
       case TimerKind::kJobs:
-        return;
+        return internal::jobs::OnTimer(this->context);
       case TimerKind::kStop:
         return this->CheckDrained();
     }
@@ -96,6 +100,14 @@
     this->CheckDrained();
   }
 
+  void operator()(const JobArrived& event) const {
+    internal::jobs::OnArrived(this->context, event);
+  }
+
+  void operator()(const WorkerAnswered& event) const {
+    internal::jobs::OnWorkerAnswered(this->context, event);
+  }
+
   void operator()(const DumpRequested& event) const {
     this->context.Emit(
         AnswerDump{event.call, internal::report::Describe(this->context)});
@@ -115,6 +127,10 @@
     void operator()(const ForwardAnswer& message) const {
       internal::requests::OnForwardAnswered(this->context, this->from, message);
     }
+    template <typename JobMessage>
+    void operator()(const JobMessage& message) const {
+      internal::jobs::OnMessage(this->context, this->from, message);
+    }
   };
 
   void CheckDrained() const {
--- a/packages/wire/src/record_codec.cc
+++ b/packages/wire/src/record_codec.cc
@@ -5,6 +5,7 @@
 
 #include "basilspread/wire/peer_codec.h"
 #include "common.h"
+#include "job_codec.h"
 #include "payload_codec.h"
 
 namespace basilspread::wire {
@@ -12,19 +13,28 @@
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
-struct PackedRecord {
-  fb::RecordBody type;
-  flatbuffers::Offset<void> offset;
-};
+using job_codec::PackRecord;
 
-PackedRecord PackRecord(Builder& builder, const TablesRecord& record) {
+flatbuffers::Offset<fb::TablesRecord> PackTables(Builder& builder,
+                                                 const TablesRecord& record) {
   const auto author = builder.CreateString(record.author);
   const auto routes = builder.CreateString(record.route_table);
   const auto pools = builder.CreateString(record.pool_table);
-  return {
-      fb::RecordBody::TablesRecord,
-      fb::CreateTablesRecord(builder, record.base.value, author, routes, pools)
-          .Union()};
+  return fb::CreateTablesRecord(builder, record.base.value, author, routes,
+                                pools);
+}
+
+PackedRecord PackRecord(Builder& builder, const TablesRecord& record) {
+  return {fb::RecordBody::TablesRecord, PackTables(builder, record).Union()};
+}
+
+PackedRecord PackRecord(Builder& builder,
+                        const TablesCheckpointRecord& record) {
+  const auto source = PackTables(builder, record.record);
+  return {fb::RecordBody::TablesCheckpointRecord,
+          fb::CreateTablesCheckpointRecord(builder, record.version.value,
+                                           source, record.covered.value)
+              .Union()};
 }
 
 PackedRecord PackRecord(Builder& builder, const ClaimRecord& record) {
@@ -72,11 +82,21 @@
               .Union()};
 }
 
-LogRecord UnpackRecord(const fb::TablesRecord& packed) {
+TablesRecord UnpackTables(const fb::TablesRecord& packed) {
   return TablesRecord{TablesVersion{packed.base()}, packed.author()->str(),
                       packed.route_table()->str(), packed.pool_table()->str()};
 }
 
+LogRecord UnpackRecord(const fb::TablesRecord& packed) {
+  return UnpackTables(packed);
+}
+
+LogRecord UnpackRecord(const fb::TablesCheckpointRecord& packed) {
+  return TablesCheckpointRecord{TablesVersion{packed.version()},
+                                UnpackTables(*packed.record()),
+                                Offset{packed.covered()}};
+}
+
 LogRecord UnpackRecord(const fb::ClaimRecord& packed) {
   return ClaimRecord{ShardId{packed.shard()->str()}, Epoch{packed.epoch()},
                      Unpack(*packed.claimant())};
@@ -124,10 +144,11 @@
       return UnpackRecord(*record.body_as_KeyIntentRecord());
     case fb::RecordBody::KeyOutcomeRecord:
       return UnpackRecord(*record.body_as_KeyOutcomeRecord());
-    case fb::RecordBody::NONE:
-      break;
+    case fb::RecordBody::TablesCheckpointRecord:
+      return UnpackRecord(*record.body_as_TablesCheckpointRecord());
+    default:
+      return job_codec::UnpackRecord(record);
   }
-  return Error{ErrorKind::kBadRequest, "the log record has no body"};
 }
 
 }  // namespace
