--- a/packages/core/src/internal/requests.h
+++ b/packages/core/src/internal/requests.h
@@ -3,6 +3,7 @@
 
 #include "basilspread/core/event.h"
 #include "basilspread/core/ownership.h"
+#include "basilspread/core/record.h"
 #include "internal/context.h"
 
 namespace basilspread::internal::requests {
@@ -11,12 +12,19 @@
 void OnCallerGone(Context& context, const CallerGone& event);
 void OnForwarded(Context& context, const ProcessId& from,
                  const ForwardRequest& message);
-void OnForwardAnswered(Context& context, const ForwardAnswer& message);
+void OnForwardAnswered(Context& context, const ProcessId& from,
+                       const ForwardAnswer& message);
+void OnPeerMessageNotSent(Context& context, const PeerMessageNotSent& event);
 void OnMinionAnswered(Context& context, const MinionAnswered& event);
+void OnKeyIntent(Context& context, const KeyIntentRecord& record);
+void OnKeyOutcome(Context& context, const KeyOutcomeRecord& record);
 void OnTimer(Context& context);
 
 /// Rebuilds the minions of the owned shards from hosts and tables.
 void OnHostsChanged(Context& context);
+
+/// After an unclean takeover the slots of the shard's minions count as used
+/// for as long as the last owner's requests may run.
 void OnShardGained(Context& context, const ShardId& shard, TakeoverKind kind);
 /// An owned shard may be acted on, at first or again.
 void OnShardReady(Context& context, const ShardId& shard);
