--- a/tests/standin/minion.cc
+++ b/tests/standin/minion.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -26,7 +27,12 @@
       Reply(response, 200, this->Stats());
       return;
     }
+    if (request.getURI() == "/runs") {
+      Reply(response, 200, this->Runs());
+      return;
+    }
     const std::string body = ReadBody(request);
+    this->Count(request.get("X-Request-Id", ""));
     const int work = std::stoi(request.get("X-Work", "0"));
     this->Work(std::chrono::milliseconds(work));
     response.set("X-Minion", this->name);
@@ -41,6 +47,23 @@
         this->running, this->peak, this->overcommits);
   }
 
+  void Count(const std::string& id) {
+    const std::lock_guard lock(this->mutex);
+    if (!id.empty()) {
+      ++this->runs[id];
+    }
+  }
+
+  /// How often each X-Request-Id ran, one "ID COUNT" a line.
+  std::string Runs() {
+    const std::lock_guard lock(this->mutex);
+    std::string text;
+    for (const auto& [id, count] : this->runs) {
+      text += fmt::format("{} {}\n", id, count);
+    }
+    return text;
+  }
+
   void Work(std::chrono::milliseconds duration) {
     std::unique_lock lock(this->mutex);
     ++this->ran;
@@ -61,6 +84,7 @@
   int running = 0;
   int peak = 0;
   int overcommits = 0;
+  std::map<std::string, int> runs;
 };
 
 }  // namespace
