--- a/packages/core/tests/virtual_cluster.cc
+++ b/packages/core/tests/virtual_cluster.cc
@@ -185,6 +185,9 @@
 }
 
 void VirtualCluster::Carry(std::size_t node, const Effect& effect) {
+  if (this->on_effect) {
+    this->on_effect(node, effect);
+  }
   std::visit([this, node](const auto& body) { this->Handle(node, body); },
              effect);
 }
--- a/packages/core/tests/virtual_cluster.h
+++ b/packages/core/tests/virtual_cluster.h
@@ -103,6 +103,8 @@
   std::function<bool(std::size_t from, const basilspread::SendToPeer&)>
       on_message;
   std::function<void(CallId, const VirtualCall&)> on_answer;
+  /// Told of every effect.
+  std::function<void(std::size_t node, const basilspread::Effect&)> on_effect;
   std::uint64_t messages = 0;
   std::uint64_t overcommits = 0;
 
--- a/tests/main_job/callers.cc
+++ b/tests/main_job/callers.cc
@@ -49,8 +49,8 @@
  private:
   /// True when no further try is due.
   bool TryOnce() {
-    const std::size_t turn =
-        static_cast<std::size_t>(this->plan.caller + this->number + this->tries);
+    const std::size_t turn = static_cast<std::size_t>(
+        this->plan.caller + this->number + this->tries);
     ++this->tries;
     const test::Response response =
         test::Call(this->entries[turn % this->entries.size()], "POST",
@@ -120,14 +120,14 @@
       },
       kPatience);
   const bool is_finished =
-      is_accepted && test::Eventually(
-                         [&] {
-                           return IsFinished(test::Call(
-                               next(), "GET",
-                               "/jobs/" + plan.id + "/wait?timeout=2s"));
-                         },
-                         kPatience);
-  entry.outcome = is_finished    ? Outcome::kFinished
+      is_accepted &&
+      test::Eventually(
+          [&] {
+            return IsFinished(test::Call(
+                next(), "GET", "/jobs/" + plan.id + "/wait?timeout=2s"));
+          },
+          kPatience);
+  entry.outcome = is_finished   ? Outcome::kFinished
                   : is_accepted ? Outcome::kUnknown
                                 : Outcome::kRefused;
   entry.waited = Since(start) - plan.work;
--- a/tests/main_job/ledger.h
+++ b/tests/main_job/ledger.h
@@ -12,7 +12,7 @@
 /// What a caller was told in the end.
 enum class Outcome { kFinished, kRefused, kUnknown };
 
-/// One piece of work as its caller saw it.
+/// One request or job as its caller saw it.
 struct Entry {
   std::string id;
   Outcome outcome = Outcome::kRefused;
--- a/tests/main_job/main.cc
+++ b/tests/main_job/main.cc
@@ -105,8 +105,7 @@
   add_requests(4, {"loop-plan", 0, 10, milliseconds(400), true});
   add_requests(3, {"stock-move", 0, 40, milliseconds(30), false});
   for (int i = 0; i < 12; ++i) {
-    const JobPlan plan{fmt::format("plan-{}", i), 1, false,
-                       milliseconds(1500)};
+    const JobPlan plan{fmt::format("plan-{}", i), 1, false, milliseconds(1500)};
     callers.emplace_back(
         [&entries, &ledger, plan] { RunJob(entries, plan, ledger); });
   }
@@ -142,9 +141,8 @@
 }
 
 void PrintTable(const std::map<std::string, std::vector<Entry>>& classes) {
-  fmt::print("{:<12}{:>10}{:>10}{:>9}{:>9}{:>13}{:>13}\n", "class",
-             "submitted", "finished", "refused", "unknown", "wait p50 ms",
-             "wait p99 ms");
+  fmt::print("{:<12}{:>10}{:>10}{:>9}{:>9}{:>13}{:>13}\n", "class", "submitted",
+             "finished", "refused", "unknown", "wait p50 ms", "wait p99 ms");
   for (const auto& [name, entries] : classes) {
     const Tally tally = TallyOf(entries);
     fmt::print("{:<12}{:>10}{:>10}{:>9}{:>9}{:>13}{:>13}\n", name,
@@ -240,7 +238,7 @@
   CheckRequests(cluster, classes, check);
   CheckTasks(cluster, check);
   const int status = check.Finish();
-  fmt::print("{}\n", status == 0 ? "Every accepted piece finished once."
+  fmt::print("{}\n", status == 0 ? "All accepted work finished exactly once."
                                  : "A promise was broken.");
   return status;
 }
