Add the jobs concern: placement, intents, takeover, reservations

Jobs are at home in a shard by a hash of their id. Attempts are placed under an intent that was read back in the stream of the worker's shard; the worker is called with the shard's epoch, and what it lists is reconciled with the intents.

--- a/packages/core/include/basilspread/core/hooks.h
+++ b/packages/core/include/basilspread/core/hooks.h
@@ -3,28 +3,36 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "basilspread/core/random.h"
 #include "basilspread/core/record.h"
+#include "basilspread/core/resources.h"
 #include "basilspread/core/result.h"
 #include "basilspread/core/tables.h"
 
 namespace basilspread {
 
+class PlacementIndex;
 struct Minion;
 
 /// Picks one of the minions that have a free slot; the list is never empty.
 using MinionChoice =
     std::function<const Minion*(const std::vector<const Minion*>&, Random&)>;
 
+/// Picks the slot of a worker that has room for a task; unset: none has.
+using WorkerChoice = std::function<std::optional<std::size_t>(
+    const PlacementIndex&, const Resources&, Random&)>;
+
 /// Turns the operators' text into tables, or says what is wrong with it.
 using TablesParser = std::function<Result<Tables>(const TablesRecord&)>;
 
 /// Behaviour that varies, by the names that the tables use.
 struct Hooks {
   std::map<std::string, MinionChoice> minion_choices;
+  std::map<std::string, WorkerChoice> worker_choices;
   TablesParser parse_tables;
 };
 
--- a/packages/core/include/basilspread/core/job_message.h
+++ b/packages/core/include/basilspread/core/job_message.h
@@ -62,6 +62,8 @@
 struct TaskGrant {
   TaskAttempt name;
   HostName worker;
+  /// Epoch of the owner that granted the room.
+  Epoch granted_by;
 };
 
 /// The answer to ReserveTasks; no grants when there is no room.
@@ -72,7 +74,8 @@
 };
 
 /// Starts what was reserved. Sent again until it is reported on; an owner
-/// that knows neither the hold nor the attempt reports kNotStarted.
+/// that knows neither the hold nor the attempt reports kNotStarted, unless a
+/// later owner than itself granted the room.
 struct ConfirmTasks {
   HoldId hold;
   ShardId home;
--- a/packages/core/include/basilspread/core/job_record.h
+++ b/packages/core/include/basilspread/core/job_record.h
@@ -19,6 +19,8 @@
   HostName worker;
   /// Shard that the attempt was placed in.
   ShardId place;
+  /// Epoch of the place when it granted the room.
+  Epoch granted_by;
 };
 
 /// Accepts a job, or states it anew before older records expire. Records of
--- a/packages/core/include/basilspread/core/state.h
+++ b/packages/core/include/basilspread/core/state.h
@@ -4,6 +4,7 @@
 #include "basilspread/core/configuration.h"
 #include "basilspread/core/hooks.h"
 #include "basilspread/core/hosts.h"
+#include "basilspread/core/jobs.h"
 #include "basilspread/core/log_state.h"
 #include "basilspread/core/membership.h"
 #include "basilspread/core/ownership.h"
@@ -26,6 +27,7 @@
   MembershipState membership;
   OwnershipState ownership;
   RequestsState requests;
+  JobsState jobs;
   /// Set by StopRequested.
   bool stopping = false;
 };
--- a/packages/core/include/basilspread/core/task.h
+++ b/packages/core/include/basilspread/core/task.h
@@ -38,6 +38,8 @@
 struct TaskStart {
   TaskAttempt name;
   HostName worker;
+  /// Epoch of the worker's shard under which the room was granted.
+  Epoch granted_by;
   Resources reserved;
   std::int32_t priority = 0;
   /// Runs until it is stopped; moved when its worker leaves.
--- a/packages/core/src/hooks.cc
+++ b/packages/core/src/hooks.cc
@@ -1,5 +1,6 @@
 #include "basilspread/core/hooks.h"
 
+#include "basilspread/core/placement.h"
 #include "basilspread/core/requests.h"
 
 namespace basilspread {
@@ -30,6 +31,9 @@
   Hooks hooks;
   hooks.minion_choices["least-loaded"] = ChooseLeastLoaded;
   hooks.minion_choices["random"] = ChooseRandom;
+  hooks.worker_choices["best-fit"] = ChooseBestFit;
+  hooks.worker_choices["first-fit"] = ChooseFirstFit;
+  hooks.worker_choices["random"] = ChooseRandomFit;
   return hooks;
 }
 
--- a/packages/core/src/internal/hosts.cc
+++ b/packages/core/src/internal/hosts.cc
@@ -1,5 +1,6 @@
 #include "internal/hosts.h"
 
+#include "internal/jobs.h"
 #include "internal/requests.h"
 
 namespace basilspread::internal::hosts {
@@ -21,6 +22,7 @@
     hosts.hosts.emplace(host.name, host);
   }
   requests::OnHostsChanged(context);
+  jobs::OnHostsChanged(context);
 }
 
 }  // namespace basilspread::internal::hosts
--- a/packages/core/src/internal/jobs.cc
+++ b/packages/core/src/internal/jobs.cc
@@ -1,44 +1,219 @@
 #include "internal/jobs.h"
 
+#include <utility>
+#include <vector>
+
+#include "internal/job_calls.h"
+#include "internal/job_checks.h"
+#include "internal/job_lookup.h"
+#include "internal/job_progress.h"
+#include "internal/job_queue.h"
+#include "internal/job_reservations.h"
+#include "internal/placements.h"
+#include "internal/workers.h"
+
 namespace basilspread::internal::jobs {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(100);
+/// Waiting jobs that are looked at when something has changed, and on a tick.
+constexpr std::size_t kEventScan = 64;
+constexpr std::size_t kTickScan = 1024;
+/// A job that ended can be asked about, and its id used again, for this long.
+constexpr Duration kEndedRetention = std::chrono::minutes(10);
+
+template <typename Action>
+void ForEachOwned(Context& context, const Action& action) {
+  for (auto& [id, shard] : context.state.jobs.shards) {
+    if (ownership::OwnsShard(context, id)) {
+      action(id, shard);
+    }
+  }
+}
+
+/// Answers waiters that are due and forgets what ended long ago.
+void TendJobs(Context& context, JobShard& shard) {
+  std::vector<JobId> forgotten;
+  for (const auto& [id, job] : shard.jobs) {
+    if (!job->waiters.empty()) {
+      AnswerWaiters(context, *job);
+    }
+    if (job->ended && context.now - *job->ended >= kEndedRetention) {
+      forgotten.push_back(id);
+    }
+  }
+  for (const JobId& id : forgotten) {
+    shard.jobs.erase(id);
+  }
+}
+
+void Tick(Context& context, const ShardId& id, JobShard& shard) {
+  ExpireHolds(context, shard);
+  RepeatReports(context, id, shard);
+  WatchWorkers(context, id, shard);
+  WatchTasks(context, id, shard);
+  TendJobs(context, shard);
+  Schedule(context, id, shard, kTickScan);
+}
+
+/// Callers are told what is true: what was appended may still be read back.
+void DropWaiters(Context& context, Job& job) {
+  for (const JobWaiter& waiter : std::exchange(job.waiters, {})) {
+    const bool has_effect = waiter.operation == JobOperation::kSubmit ||
+                            waiter.operation == JobOperation::kCancel;
+    AnswerJob(context, waiter.caller,
+              has_effect ? ErrorKind::kOutcomeUnknown : ErrorKind::kNotOwner,
+              job.home.value, nullptr);
+  }
+}
+
+/// Takes back what only the owner knows of its jobs.
+void ForgetOwnJobs(Context& context, JobShard& shard) {
+  const std::map<JobId, JobPtr> jobs = shard.jobs;
+  for (const auto& [id, job] : jobs) {
+    DropWaiters(context, *job);
+    job->cancelling = false;
+    job->reserving = false;
+    job->never_fits = false;
+    for (Task& task : job->tasks) {
+      task.intending = false;
+      task.ending = false;
+      task.running = false;
+      task.confirmed_at.reset();
+    }
+    if (!job->accepted) {
+      shard.jobs.erase(id);
+    }
+  }
+}
+
+/// Takes back what only the owner knows of its workers and their tasks.
+void ForgetWorkers(JobShard& shard) {
+  std::erase_if(shard.placed, [](const auto& entry) {
+    return entry.second->phase == PlacedPhase::kIntending;
+  });
+  for (const auto& [name, task] : shard.placed) {
+    task->unlink();
+    task->stopping = false;
+    if (task->phase != PlacedPhase::kEnded) {
+      task->phase = PlacedPhase::kStarting;
+    }
+  }
+  shard.holds.clear();
+  shard.home_epochs.clear();
+  shard.due.clear();
+  shard.workers.clear();
+  shard.slots.clear();
+  shard.index = PlacementIndex();
+}
+
+}  // namespace
+
+void Start(Context& context) { context.ArmIn(TimerKind::kJobs, kTick); }
+
+void OnTimer(Context& context) {
+  SumUsage(context);
+  ExpireReservations(context);
+  ExpireCallers(context);
+  ForEachOwned(context, [&context](const ShardId& id, JobShard& shard) {
+    Tick(context, id, shard);
+  });
+  context.ArmIn(TimerKind::kJobs, kTick);
+}
+
+void OnWorkerAnswered(Context& context, const WorkerAnswered& event) {
+  JobShard* shard = FindOwned(context, event.shard);
+  if (shard != nullptr) {
+    HandleWorkerAnswer(context, *shard, event);
+  }
+}
+
+void Settle(Context& context) {
+  ForEachOwned(context, [&context](const ShardId& id, JobShard& shard) {
+    if (shard.confirm_due) {
+      WatchTasks(context, id, shard);
+    }
+    if (shard.dirty) {
+      Schedule(context, id, shard, kEventScan);
+    }
+    CallDueWorkers(context, id, shard);
+  });
+}
+
+void OnHostsChanged(Context& context) {
+  for (const auto& [id, ownership] : context.state.ownership.shards) {
+    JobShard* shard = FindOwned(context, id);
+    if (shard != nullptr) {
+      MatchWorkers(context, id, *shard);
+      CheckJobsAgain(context, *shard);
+    }
+  }
+}
+
+void OnStreamReset(Context& context, const ShardId& id) {
+  const auto found = context.state.jobs.shards.find(id);
+  if (found == context.state.jobs.shards.end()) {
+    return;
+  }
+  OnShardLost(context, id);
+  context.state.jobs.shards.erase(found);
+}
+
+void OnShardGained(Context& context, const ShardId& id, TakeoverKind kind) {
+  JobShard* shard = FindShard(context, id);
+  if (shard == nullptr) {
+    return;
+  }
+  const Settings& settings = context.state.settings;
+  // A former owner that is cut off may go on calling workers until it misses
+  // its peers, and its last call may be under way then.
+  const Duration unseen = settings.peer_timeout + settings.heartbeat_interval +
+                          settings.worker_timeout;
+  const bool is_clean = kind == TakeoverKind::kClean;
+  shard->previous_owner_ceased =
+      context.now + (is_clean ? Duration::zero() : unseen);
+  shard->confirm_due = true;
+  MatchWorkers(context, id, *shard);
+  CheckJobsAgain(context, *shard);
+}
+
+void OnShardReady(Context& context, const ShardId& id) {
+  JobShard* shard = FindOwned(context, id);
+  if (shard != nullptr) {
+    shard->dirty = true;
+  }
+}
+
+void OnShardLost(Context& context, const ShardId& id) {
+  const auto found = context.state.jobs.shards.find(id);
+  if (found == context.state.jobs.shards.end()) {
+    return;
+  }
+  DropReservations(context, id);
+  ForgetOwnJobs(context, found->second);
+  ForgetWorkers(found->second);
+}
+
+std::vector<TeamUsage> Usage(const Context& context) {
+  std::vector<TeamUsage> usage;
+  for (const auto& [team, reserved] : context.state.jobs.usage) {
+    usage.push_back(TeamUsage{team, reserved});
+  }
+  return usage;
+}
 
-void Start(Context& /*context*/) {}
-void OnTimer(Context& /*context*/) {}
-void OnArrived(Context& /*context*/, const JobArrived& /*event*/) {}
-void OnCallerGone(Context& /*context*/, const CallerGone& /*event*/) {}
-void OnWorkerAnswered(Context& /*context*/, const WorkerAnswered& /*event*/) {}
-void OnMessage(Context& /*context*/, const ProcessId& /*from*/,
-               const JobCall& /*message*/) {}
-void OnMessage(Context& /*context*/, const ProcessId& /*from*/,
-               const JobAnswer& /*message*/) {}
-void OnMessage(Context& /*context*/, const ProcessId& /*from*/,
-               const ReserveTasks& /*message*/) {}
-void OnMessage(Context& /*context*/, const ProcessId& /*from*/,
-               const ReserveAnswer& /*message*/) {}
-void OnMessage(Context& /*context*/, const ProcessId& /*from*/,
-               const ConfirmTasks& /*message*/) {}
-void OnMessage(Context& /*context*/, const ProcessId& /*from*/,
-               const ReleaseHold& /*message*/) {}
-void OnMessage(Context& /*context*/, const ProcessId& /*from*/,
-               const StopTasks& /*message*/) {}
-void OnMessage(Context& /*context*/, const ProcessId& /*from*/,
-               const TaskReports& /*message*/) {}
-void OnMessage(Context& /*context*/, const ProcessId& /*from*/,
-               const TaskReportsAck& /*message*/) {}
-void OnRecord(Context& /*context*/, const JobRecord& /*record*/) {}
-void OnRecord(Context& /*context*/, const IntentRecord& /*record*/) {}
-void OnRecord(Context& /*context*/, const OutcomeRecord& /*record*/) {}
-void OnRecord(Context& /*context*/, const CancelRecord& /*record*/) {}
-void OnRecordsApplied(Context& /*context*/) {}
-void OnHostsChanged(Context& /*context*/) {}
-void OnStreamReset(Context& /*context*/, const ShardId& /*shard*/) {}
-void OnShardGained(Context& /*context*/, const ShardId& /*shard*/,
-                   TakeoverKind /*kind*/) {}
-void OnShardReady(Context& /*context*/, const ShardId& /*shard*/) {}
-void OnShardLost(Context& /*context*/, const ShardId& /*shard*/) {}
-void OnPeerLost(Context& /*context*/, const NodeName& /*peer*/) {}
-void AppendCheckpoint(Context& /*context*/, const ShardId& /*shard*/) {}
-std::vector<TeamUsage> Usage(const Context& /*context*/) { return {}; }
-bool IsIdle(const Context& /*context*/) { return true; }
+bool IsIdle(const Context& context) {
+  if (!context.state.jobs.callers.empty()) {
+    return false;
+  }
+  for (const auto& [id, shard] : context.state.jobs.shards) {
+    for (const auto& [name, worker] : shard.workers) {
+      if (worker.calling) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
 
 }  // namespace basilspread::internal::jobs
--- a/packages/core/src/internal/jobs.h
+++ b/packages/core/src/internal/jobs.h
@@ -41,8 +41,9 @@
 void OnRecord(Context& context, const IntentRecord& record);
 void OnRecord(Context& context, const OutcomeRecord& record);
 void OnRecord(Context& context, const CancelRecord& record);
-/// All records of one read were applied.
-void OnRecordsApplied(Context& context);
+
+/// Starts and sends what the event that was handled has made possible.
+void Settle(Context& context);
 
 /// Matches the workers of the owned shards to hosts and tables.
 void OnHostsChanged(Context& context);
--- a/packages/core/src/internal/log.cc
+++ b/packages/core/src/internal/log.cc
@@ -132,7 +132,6 @@
   if (!event.at_end || stream.in_flight) {
     Read(context, event.stream, stream);
   }
-  jobs::OnRecordsApplied(context);
   SendPending(context, event.stream, stream);
 }
 
--- a/packages/core/src/internal/membership.cc
+++ b/packages/core/src/internal/membership.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "internal/jobs.h"
 #include "internal/requests.h"
 
 namespace basilspread::internal::membership {
@@ -29,6 +30,7 @@
     }
     heartbeat.shards.push_back(report);
   }
+  heartbeat.usage = jobs::Usage(context);
   return heartbeat;
 }
 
@@ -57,6 +59,7 @@
       context.Log(LogLevel::kWarning, kPart,
                   fmt::format("Peer went silent. peer={}", node.value));
       requests::OnPeerLost(context, node);
+      jobs::OnPeerLost(context, node);
     }
   }
   context.ArmIn(TimerKind::kMembership,
@@ -70,6 +73,7 @@
   const bool is_new_run = peer.incarnation != from.incarnation;
   if (is_new_run && peer.incarnation != 0) {
     requests::OnPeerLost(context, from.node);
+    jobs::OnPeerLost(context, from.node);
   }
   if (is_new_run || !peer.last_heard) {
     context.Log(LogLevel::kInfo, kPart,
--- a/packages/core/src/internal/ownership.cc
+++ b/packages/core/src/internal/ownership.cc
@@ -89,10 +89,6 @@
   jobs::OnShardLost(context, shard);
 }
 
-ShardId ShardAt(const PoolName& pool, std::uint64_t index) {
-  return ShardId{fmt::format("{}#{}", pool.value, index)};
-}
-
 }  // namespace
 
 void Start(Context& context) {
@@ -116,6 +112,7 @@
     }
   }
   requests::OnHostsChanged(context);
+  jobs::OnHostsChanged(context);
 }
 
 void OnClaim(Context& context, const ClaimRecord& record) {
@@ -166,6 +163,10 @@
   }
 }
 
+ShardId ShardAt(const PoolName& pool, std::uint64_t index) {
+  return ShardId{fmt::format("{}#{}", pool.value, index)};
+}
+
 ShardId ShardOf(const Pool& pool, const Host& host) {
   const std::uint64_t index = StableHash(host.rack) % pool.shards;
   return ShardAt(pool.name, index);
--- a/packages/core/src/internal/ownership.h
+++ b/packages/core/src/internal/ownership.h
@@ -23,6 +23,9 @@
 /// list's order does not matter, so that every process decides alike.
 ShardId ShardOf(const Pool& pool, const Host& host);
 
+/// The shard of the pool with this index.
+ShardId ShardAt(const PoolName& pool, std::uint64_t index);
+
 /// The stream that holds the claims and records of a shard.
 StreamName StreamOf(const ShardId& shard);
 
--- a/packages/core/src/internal/report.cc
+++ b/packages/core/src/internal/report.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "internal/membership.h"
+#include "internal/report_jobs.h"
 
 namespace basilspread::internal::report {
 namespace {
@@ -60,7 +61,8 @@
 
 StateReport Describe(const Context& context) {
   return {DescribeProcess(context), DescribeMembers(context),
-          DescribeShards(context), DescribeMinions(context)};
+          DescribeShards(context),  DescribeMinions(context),
+          DescribeWorkers(context), DescribeJobs(context)};
 }
 
 }  // namespace basilspread::internal::report
--- /dev/null
+++ b/packages/core/src/internal/worker_health.cc
@@ -0,0 +1,73 @@
+#include "internal/worker_health.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "internal/job_lookup.h"
+#include "internal/placements.h"
+
+namespace basilspread::internal::jobs::health {
+namespace {
+
+/// Failed starts one after another that eject a worker.
+constexpr std::uint32_t kFailuresToEject = 3;
+constexpr Duration kFirstEjection = std::chrono::seconds(10);
+constexpr Duration kLongestEjection = std::chrono::minutes(5);
+constexpr std::uint32_t kMaxDoublings = 5;
+/// Share of a shard's workers that may be out at once, in percent.
+constexpr std::size_t kMaxEjectedPercent = 34;
+constexpr std::size_t kPercent = 100;
+
+bool MayEject(const JobShard& shard) {
+  const auto is_out = [](const auto& entry) {
+    return entry.second.ejected_until.has_value();
+  };
+  const auto out = static_cast<std::size_t>(
+      std::count_if(shard.workers.begin(), shard.workers.end(), is_out));
+  return (out + 1) * kPercent <= shard.workers.size() * kMaxEjectedPercent;
+}
+
+Duration EjectionFor(const Worker& worker) {
+  const std::uint32_t doublings = std::min(worker.ejections, kMaxDoublings);
+  return std::min(kFirstEjection * (1U << doublings), kLongestEjection);
+}
+
+}  // namespace
+
+void OnStarted(const Context& context, JobShard& shard, Worker& worker) {
+  worker.failures = 0;
+  worker.ejections = 0;
+  worker.on_probation = false;
+  UpdateIndex(context, shard, worker);
+}
+
+void OnStartFailed(Context& context, JobShard& shard, Worker& worker) {
+  ++worker.failures;
+  const bool is_due =
+      worker.on_probation || worker.failures >= kFailuresToEject;
+  if (!is_due || worker.ejected_until || !MayEject(shard)) {
+    return;
+  }
+  const Duration duration = EjectionFor(worker);
+  ++worker.ejections;
+  worker.ejected_until = context.now + duration;
+  UpdateIndex(context, shard, worker);
+  context.Log(
+      LogLevel::kWarning, kPart,
+      fmt::format(
+          "Worker is left out. worker={} failures={} seconds={}",
+          worker.name.value, worker.failures,
+          std::chrono::duration_cast<std::chrono::seconds>(duration).count()));
+}
+
+void OnTimer(const Context& context, JobShard& shard, Worker& worker) {
+  if (worker.ejected_until && *worker.ejected_until <= context.now) {
+    worker.ejected_until.reset();
+    worker.on_probation = true;
+    UpdateIndex(context, shard, worker);
+    shard.dirty = true;
+  }
+}
+
+}  // namespace basilspread::internal::jobs::health
--- /dev/null
+++ b/packages/core/src/internal/worker_health.h
@@ -0,0 +1,19 @@
+#ifndef BASILSPREAD_CORE_INTERNAL_WORKER_HEALTH_H_
+#define BASILSPREAD_CORE_INTERNAL_WORKER_HEALTH_H_
+
+#include "basilspread/core/jobs.h"
+#include "internal/context.h"
+
+/// Leaves out workers that fail everything they start: they look idle and
+/// would draw all work.
+namespace basilspread::internal::jobs::health {
+
+void OnStarted(const Context& context, JobShard& shard, Worker& worker);
+void OnStartFailed(Context& context, JobShard& shard, Worker& worker);
+
+/// Takes a worker back on probation when its ejection is over.
+void OnTimer(const Context& context, JobShard& shard, Worker& worker);
+
+}  // namespace basilspread::internal::jobs::health
+
+#endif  // BASILSPREAD_CORE_INTERNAL_WORKER_HEALTH_H_
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -37,6 +37,7 @@
 
   void operator()(const CallerGone& event) const {
     internal::requests::OnCallerGone(this->context, event);
+    internal::jobs::OnCallerGone(this->context, event);
   }
 
   void operator()(const MinionAnswered& event) const {
@@ -142,6 +143,7 @@
   Effects effects;
   Context context{state, event.time, effects};
   std::visit(Dispatcher{context}, event.body);
+  internal::jobs::Settle(context);
   return effects;
 }
 
--- a/packages/wire/src/job_parts.cc
+++ b/packages/wire/src/job_parts.cc
@@ -58,7 +58,7 @@
   const auto reserved = PackPart(builder, part.reserved);
   const auto command = builder.CreateString(part.command);
   return fb::CreateTaskStart(builder, name, worker, reserved, part.priority,
-                             part.service, command);
+                             part.service, command, part.granted_by.value);
 }
 
 flatbuffers::Offset<fb::TaskReport> PackPart(Builder& builder,
@@ -81,7 +81,7 @@
                                             const TaskGrant& part) {
   const auto name = PackPart(builder, part.name);
   const auto worker = builder.CreateString(part.worker.value);
-  return fb::CreateTaskGrant(builder, name, worker);
+  return fb::CreateTaskGrant(builder, name, worker, part.granted_by.value);
 }
 
 flatbuffers::Offset<fb::HoldId> PackPart(Builder& builder, const HoldId& part) {
@@ -144,6 +144,7 @@
   start.priority = packed.priority();
   start.service = packed.service();
   start.command = packed.command()->str();
+  start.granted_by = Epoch{packed.granted_by()};
   return start;
 }
 
@@ -162,8 +163,8 @@
 }
 
 TaskGrant UnpackPart(const fb::TaskGrant& packed) {
-  return TaskGrant{UnpackPart(*packed.name()),
-                   HostName{packed.worker()->str()}};
+  return TaskGrant{UnpackPart(*packed.name()), HostName{packed.worker()->str()},
+                   Epoch{packed.granted_by()}};
 }
 
 HoldId UnpackPart(const fb::HoldId& packed) {
--- a/packages/wire/src/job_record_codec.cc
+++ b/packages/wire/src/job_record_codec.cc
@@ -9,16 +9,18 @@
                                              const TaskRecord& part) {
   const auto worker = builder.CreateString(part.worker.value);
   const auto place = builder.CreateString(part.place.value);
-  return fb::CreateTaskRecord(builder, part.attempt.value,
-                              static_cast<std::uint8_t>(part.result),
-                              part.failures, worker, place);
+  return fb::CreateTaskRecord(
+      builder, part.attempt.value, static_cast<std::uint8_t>(part.result),
+      part.failures, worker, place, part.granted_by.value);
 }
 
 TaskRecord Unpack(const fb::TaskRecord& packed) {
   return TaskRecord{Attempt{packed.attempt()},
                     EnumOf(packed.result(), TaskResult::kLost),
-                    packed.failures(), HostName{packed.worker()->str()},
-                    ShardId{packed.place()->str()}};
+                    packed.failures(),
+                    HostName{packed.worker()->str()},
+                    ShardId{packed.place()->str()},
+                    Epoch{packed.granted_by()}};
 }
 
 JobRecord Unpack(const fb::JobRecord& packed) {
--- a/packages/wire/tests/job_codec_test.cc
+++ b/packages/wire/tests/job_codec_test.cc
@@ -25,7 +25,8 @@
 
 TaskStart MakeStart() {
   return TaskStart{
-      kName, HostName{"worker-1"}, Resources{1500, 2048, 1}, 9, true, "draw"};
+      kName, HostName{"worker-1"}, Epoch{6}, Resources{1500, 2048, 1}, 9, true,
+      "draw"};
 }
 
 template <typename Message>
@@ -60,6 +61,7 @@
   REQUIRE(confirmed.tasks.size() == 1);
   CHECK(confirmed.tasks[0].name == kName);
   CHECK(confirmed.tasks[0].service);
+  CHECK(confirmed.tasks[0].granted_by == Epoch{6});
 
   TaskReports reports;
   reports.tasks = {TaskReport{kName, HostName{"worker-1"}, false,
@@ -80,7 +82,8 @@
   job.epoch = Epoch{2};
   job.spec = MakeSpec();
   job.tasks = {TaskRecord{Attempt{2}, TaskResult::kFailed, 1,
-                          HostName{"worker-1"}, ShardId{"workers#0"}}};
+                          HostName{"worker-1"}, ShardId{"workers#0"},
+                          Epoch{4}}};
   IntentRecord intent;
   intent.start = MakeStart();
   intent.place = ShardId{"workers#0"};
