--- /dev/null
+++ b/packages/platform/include/basilspread/platform/worker_client.h
@@ -0,0 +1,31 @@
+#ifndef BASILSPREAD_PLATFORM_WORKER_CLIENT_H_
+#define BASILSPREAD_PLATFORM_WORKER_CLIENT_H_
+
+#include <functional>
+#include <string>
+
+#include "basilspread/core/time.h"
+#include "basilspread/core/worker.h"
+
+namespace basilspread::platform {
+
+/// The workers' protocol over HTTP, see docs/PLATFORM.md. May be called from
+/// several threads.
+class WorkerClient {
+ public:
+  using Now = std::function<TimePoint()>;
+
+  WorkerClient(std::string holder_name, Now clock_hook);
+
+  /// Blocks until the answer, a failure or the deadline. Writes nothing when
+  /// `not_after` has passed by the time the connection stands.
+  WorkerAnswered Call(const CallWorker& call) const;
+
+ private:
+  std::string holder;
+  Now now;
+};
+
+}  // namespace basilspread::platform
+
+#endif  // BASILSPREAD_PLATFORM_WORKER_CLIENT_H_
