--- a/packages/core/include/basilspread/core/jobs.h
+++ b/packages/core/include/basilspread/core/jobs.h
@@ -255,6 +255,8 @@
   std::map<HoldId, Reservation> reservations;
   /// By team: what the home shards of this process have reserved.
   std::map<TeamName, Resources> usage;
+  /// Calls to workers that are under way.
+  std::size_t worker_calls = 0;
   std::uint64_t next_hold = 1;
   std::uint64_t next_job = 1;
 };
--- a/packages/core/src/internal/jobs.cc
+++ b/packages/core/src/internal/jobs.cc
@@ -122,6 +122,7 @@
 }
 
 void OnWorkerAnswered(Context& context, const WorkerAnswered& event) {
+  --context.state.jobs.worker_calls;
   JobShard* shard = FindOwned(context, event.shard);
   if (shard != nullptr) {
     HandleWorkerAnswer(context, *shard, event);
--- a/packages/core/src/internal/report.cc
+++ b/packages/core/src/internal/report.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "internal/configuration.h"
 #include "internal/membership.h"
 #include "internal/report_jobs.h"
 
@@ -60,9 +61,10 @@
 }  // namespace
 
 StateReport Describe(const Context& context) {
-  return {DescribeProcess(context), DescribeMembers(context),
-          DescribeShards(context),  DescribeMinions(context),
-          DescribeWorkers(context), DescribeJobs(context)};
+  return {DescribeProcess(context), configuration::Describe(context),
+          DescribeMembers(context), DescribeShards(context),
+          DescribeMinions(context), DescribeWorkers(context),
+          DescribeJobs(context)};
 }
 
 }  // namespace basilspread::internal::report
--- a/packages/core/src/internal/workers.cc
+++ b/packages/core/src/internal/workers.cc
@@ -289,9 +289,16 @@
   if (!until || context.state.stopping) {
     return;
   }
-  for (const HostName& name : std::exchange(shard.due, {})) {
+  std::size_t& under_way = context.state.jobs.worker_calls;
+  while (!shard.due.empty() && under_way < kMaxWorkerCalls) {
+    const HostName name = *shard.due.begin();
+    shard.due.erase(shard.due.begin());
     const auto found = shard.workers.find(name);
-    if (found != shard.workers.end() && !found->second.calling) {
+    const bool is_callable = found != shard.workers.end() &&
+                             !found->second.calling &&
+                             !found->second.address.empty();
+    if (is_callable) {
+      ++under_way;
       Call(context, id, found->second, *until);
     }
   }
--- a/packages/node/src/job_api.cc
+++ b/packages/node/src/job_api.cc
@@ -6,7 +6,8 @@
 #include <Poco/JSON/Parser.h>
 #include <Poco/URI.h>
 
-#include <limits>
+#include <algorithm>
+#include <cctype>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -29,7 +30,6 @@
 constexpr std::int32_t kMaxPriority = 1000;
 constexpr std::uint32_t kMaxMaxAttempts = 100;
 constexpr std::int64_t kMaxAmount = 1'000'000'000;
-constexpr int kAccepted = 202;
 constexpr int kOk = 200;
 
 Error BadRequest(std::string detail) {
@@ -83,8 +83,7 @@
 /// Errors: kBadRequest.
 Result<TaskGroup> ReadGroup(const Object& object) {
   TaskGroup group;
-  BOOST_OUTCOME_TRY(count,
-                    ReadNumber(object, "count", 1, kMaxTasksPerJob, 1));
+  BOOST_OUTCOME_TRY(count, ReadNumber(object, "count", 1, kMaxTasksPerJob, 1));
   BOOST_OUTCOME_TRY(cpu,
                     ReadNumber(object, "cpu_millicores", 0, kMaxAmount, 0));
   BOOST_OUTCOME_TRY(memory,
@@ -133,8 +132,8 @@
   spec.gang = object.optValue<bool>("gang", false);
   spec.service = object.optValue<bool>("service", false);
   BOOST_OUTCOME_TRY(groups, ReadGroups(object));
-  BOOST_OUTCOME_TRY(priority, ReadNumber(object, "priority", -kMaxPriority,
-                                         kMaxPriority, 0));
+  BOOST_OUTCOME_TRY(
+      priority, ReadNumber(object, "priority", -kMaxPriority, kMaxPriority, 0));
   BOOST_OUTCOME_TRY(attempts, ReadNumber(object, "max_attempts", 1,
                                          kMaxMaxAttempts, spec.max_attempts));
   BOOST_OUTCOME_TRY(expected, ReadDuration(object, "expected_run_time"));
@@ -268,11 +267,7 @@
   root.set("jobs", jobs);
   std::ostringstream out;
   root.stringify(out);
-  boost::intrusive_ptr<Payload> response(new Payload);
-  response->status = kOk;
-  response->headers.push_back(Header{"Content-Type", "application/json"});
-  response->body = out.str();
-  return response;
+  return MakeJsonResponse(kOk, out.str());
 }
 
 }  // namespace basilspread::node
--- a/packages/platform/src/worker_client.cc
+++ b/packages/platform/src/worker_client.cc
@@ -82,8 +82,8 @@
                      Duration time_left) {
   Array commands;
   for (const WorkerCommand& command : call.commands) {
-    commands.add(std::visit(
-        [](const auto& body) { return MakeCommand(body); }, command));
+    commands.add(std::visit([](const auto& body) { return MakeCommand(body); },
+                            command));
   }
   Object root;
   root.set("holder", holder);
