--- a/packages/config/src/node_settings.cc
+++ b/packages/config/src/node_settings.cc
@@ -135,6 +135,10 @@
     reader.Read("max_body_kibibytes", 1, 8192,
                 this->settings.max_body_kibibytes);
     reader.Read("minion_threads", 1, 2048, this->settings.minion_threads);
+    reader.Read("task_lease", std::chrono::seconds(1), std::chrono::hours(1),
+                this->settings.core.task_lease);
+    reader.Read("lapse_margin", std::chrono::seconds(1),
+                std::chrono::minutes(10), this->settings.core.lapse_margin);
   }
 
   const IniFile& file;
--- a/tests/standin/main.cc
+++ b/tests/standin/main.cc
@@ -1,4 +1,5 @@
-// Stand-ins for the platform: standin log|hosts|minion PORT [NAME SLOTS]
+// Stand-ins for the platform: standin log|hosts PORT, standin minion PORT NAME
+// SLOTS, standin worker PORT MILLICORES MEBIBYTES ACCELERATORS
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -54,6 +55,10 @@
   if (role == "minion" && argc == 5) {
     return MakeMinion(argv[3], std::stoi(argv[4]));
   }
+  if (role == "worker" && argc == 6) {
+    return MakeWorker(WorkerCapacity{std::stoll(argv[3]), std::stoll(argv[4]),
+                                     std::stoll(argv[5])});
+  }
   return nullptr;
 }
 
@@ -100,7 +105,7 @@
     const standin::Handler handler =
         argc >= 3 ? standin::MakeHandler(argc, argv) : nullptr;
     if (!handler) {
-      fmt::print(stderr, "usage: standin log|hosts|minion PORT [NAME SLOTS]\n");
+      fmt::print(stderr, "usage: standin log|hosts|minion|worker PORT [...]\n");
       return 2;
     }
     standin::Serve(static_cast<std::uint16_t>(std::stoi(argv[2])), handler);
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -21,10 +21,18 @@
 void Reply(Poco::Net::HTTPServerResponse& response, int status,
            const std::string& body);
 
-/// Handlers of the platform's services and of a minion.
+/// What a worker has.
+struct WorkerCapacity {
+  std::int64_t cpu_millicores = 0;
+  std::int64_t memory_mebibytes = 0;
+  std::int64_t accelerators = 0;
+};
+
+/// Handlers of the platform's services, of a minion and of a worker.
 Handler MakeLog();
 Handler MakeHostList();
 Handler MakeMinion(const std::string& name, int slots);
+Handler MakeWorker(const WorkerCapacity& capacity);
 
 }  // namespace standin
 
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -16,6 +16,8 @@
 namespace test {
 namespace {
 
+constexpr int kMillicores = 1000;
+constexpr int kMebibytesPerCore = 1024;
 constexpr std::array kZones = {"glasgow", "dundee", "inverness"};
 
 std::string MakeFolder() {
@@ -66,6 +68,8 @@
       entry.http, entry.admin, entry.peer);
   file << fmt::format("[platform]\nlog = 127.0.0.1:{}\nhosts = 127.0.0.1:{}\n",
                       this->log_port, this->hosts_port);
+  // Short leases keep the tests that wait for a lapse short.
+  file << "[limits]\ntask_lease = 3s\nlapse_margin = 1s\n";
   file << "[peers]\n";
   for (const EntryProcess& other : this->entries) {
     if (other.name != entry.name) {
@@ -98,6 +102,22 @@
   }
 }
 
+void Cluster::AddWorkers(int count, int cores, int per_rack) {
+  for (int i = 0; i < count; ++i) {
+    WorkerProcess worker;
+    const auto number = static_cast<int>(this->workers.size());
+    worker.name = fmt::format("worker-{}", number + 1);
+    worker.port = FreePort();
+    worker.cpu_millicores = cores * kMillicores;
+    worker.rack = fmt::format("rack-{}", number / per_rack + 1);
+    worker.process = std::make_unique<Process>(std::vector<std::string>{
+        STANDIN_BINARY, "worker", std::to_string(worker.port),
+        std::to_string(worker.cpu_millicores),
+        std::to_string(cores * kMebibytesPerCore), "0"});
+    this->workers.push_back(std::move(worker));
+  }
+}
+
 void Cluster::PublishHosts() const {
   Poco::JSON::Array list;
   for (const MinionProcess& minion : this->minions) {
@@ -111,6 +131,18 @@
     host.set("connections", 64);
     list.add(host);
   }
+  for (const WorkerProcess& worker : this->workers) {
+    Poco::JSON::Object host;
+    host.set("name", worker.name);
+    host.set("address", fmt::format("127.0.0.1:{}", worker.port));
+    host.set("group", "workers");
+    host.set("rack", worker.rack);
+    host.set("leaving", worker.leaving);
+    host.set("cpu_millicores", worker.cpu_millicores);
+    host.set("memory_mebibytes",
+             worker.cpu_millicores / kMillicores * kMebibytesPerCore);
+    list.add(host);
+  }
   Poco::JSON::Object root;
   root.set("hosts", list);
   std::ostringstream out;
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -29,6 +29,15 @@
   std::unique_ptr<Process> process;
 };
 
+struct WorkerProcess {
+  std::string name;
+  std::uint16_t port = 0;
+  int cpu_millicores = 0;
+  std::string rack;
+  bool leaving = false;
+  std::unique_ptr<Process> process;
+};
+
 /// Stand-ins and entry processes on free loopback ports.
 class Cluster {
  public:
@@ -40,6 +49,8 @@
   void AddEntries(int count);
   void StartEntry(std::size_t index);
   void AddMinions(int count, int slots, int per_rack);
+  /// Workers of the group "workers", with 1 GiB and no accelerator a core.
+  void AddWorkers(int count, int cores, int per_rack);
   /// Sends the host list to its stand-in.
   void PublishHosts() const;
   /// Publishes tables with basilctl against `base`; its exit status.
@@ -52,6 +63,7 @@
 
   std::vector<EntryProcess> entries;
   std::vector<MinionProcess> minions;
+  std::vector<WorkerProcess> workers;
   std::uint16_t log_port = 0;
   std::uint16_t hosts_port = 0;
   std::string folder;
