--- a/packages/config/src/routes_table.cc
+++ b/packages/config/src/routes_table.cc
@@ -21,7 +21,13 @@
     {"short", ServiceClass::kShort},
     {"long", ServiceClass::kLong}};
 const std::map<std::string, std::string> kChoices = {
-    {"least-loaded", "least-loaded"}, {"random", "random"}};
+    {"least-loaded", "least-loaded"},
+    {"random", "random"},
+    {"round-robin", "round-robin"}};
+const std::map<std::string, std::string> kOrders = {
+    {"shortest-first", "shortest-first"}, {"fifo", "fifo"}};
+const std::map<std::string, std::string> kAdmissionRules = {
+    {"deadline-aware", "deadline-aware"}, {"always", "always"}};
 
 Route ReadRoute(const std::string& name, SectionReader& reader) {
   Route route;
@@ -39,6 +45,8 @@
   reader.Read("expected_run_time", kMinRunTime, kMaxDeadline,
               route.expected_run_time);
   reader.Read("choice", kChoices, route.choice);
+  reader.Read("order", kOrders, route.order);
+  reader.Read("admission", kAdmissionRules, route.admission);
   return route;
 }
 
