--- a/packages/core/src/internal/ownership.cc
+++ b/packages/core/src/internal/ownership.cc
@@ -172,10 +172,6 @@
   return ShardAt(pool.name, index);
 }
 
-ShardId ShardAt(const PoolName& pool, std::uint64_t index) {
-  return ShardId{fmt::format("{}#{}", pool.value, index)};
-}
-
 StreamName StreamOf(const ShardId& shard) {
   return StreamName{"shard-" + shard.value};
 }
