Run several reducers under virtual time and generated faults

Cause: the promises were checked on two or three chosen paths only. Four reducers now share an in-memory log, host list, network, minions and workers; RapidCheck generates kills, pauses, stops, cuts, silences, outages, lost answers and racing edits from a seed, and shrinks what fails. Every promise is checked where it would be broken: at the minion, at the worker, at the caller, at each process's tables.

Seen on the thin path: after a kill the next owner fills minions beyond their slots; an owner cut from the log writes to a minion after the next owner did.

--- /dev/null
+++ b/packages/core/tests/random/fake_minion.cc
@@ -0,0 +1,55 @@
+#include "random/fake_minion.h"
+
+#include <fmt/format.h>
+
+#include <string>
+
+namespace random_test {
+namespace {
+
+using basilspread::Payload;
+
+constexpr int kOk = 200;
+constexpr int kServerError = 500;
+/// A frozen minion takes requests and gets no further for this long.
+constexpr Duration kFreeze = std::chrono::seconds(30);
+/// New work may reach a leaving minion for this long, beside the list's lag.
+constexpr Duration kLeavingGrace = std::chrono::seconds(4);
+
+}  // namespace
+
+void FakeMinion::CheckLeaving() const {
+  if (this->leaving_since &&
+      this->schedule.Now() > *this->leaving_since + kLeavingGrace) {
+    throw Violation(fmt::format("A leaving minion gets new work. host={}",
+                                this->name.value));
+  }
+}
+
+void FakeMinion::Run(CallId call, Duration work, const PayloadPtr& request,
+                     const std::function<void(PayloadPtr)>& reply) {
+  this->CheckLeaving();
+  this->ledger.OnRequestRun(call, this->name);
+  ++this->running;
+  if (this->running > this->slots) {
+    throw Violation(
+        fmt::format("A minion runs more than its slots. host={} "
+                    "running={} call={}",
+                    this->name.value, this->running, call.value));
+  }
+  const bool fails = this->failing > 0;
+  const Duration duration = fails ? Duration{} : work;
+  const Duration freeze = this->frozen > 0 ? kFreeze : Duration{};
+  this->schedule.After(duration + freeze, [this, request, reply, fails] {
+    --this->running;
+    if (this->losing_answers > 0 || this->frozen > 0) {
+      return;
+    }
+    auto* answer = new Payload;
+    answer->status = fails ? kServerError : kOk;
+    answer->body = request->body;
+    reply(PayloadPtr(answer));
+  });
+}
+
+}  // namespace random_test
--- /dev/null
+++ b/packages/core/tests/random/random_test.cc
@@ -0,0 +1,115 @@
+#include <rapidcheck.h>
+#include <stdlib.h>
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "basilspread/core/invariant.h"
+#include "random/scenario.h"
+#include "random/test_cluster.h"
+
+namespace random_test {
+namespace {
+
+constexpr int kLargestIndex = 24;
+
+rc::Gen<Duration> GenDuration(Duration from, Duration to) {
+  const auto milliseconds = [](Duration duration) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+        .count();
+  };
+  return rc::gen::map(rc::gen::inRange(milliseconds(from), milliseconds(to)),
+                      [](std::int64_t count) -> Duration {
+                        return std::chrono::milliseconds(count);
+                      });
+}
+
+rc::Gen<Fault> GenFault() {
+  return rc::gen::build<Fault>(
+      rc::gen::set(
+          &Fault::kind,
+          rc::gen::map(rc::gen::inRange(0, kFaultKinds),
+                       [](int kind) { return static_cast<FaultKind>(kind); })),
+      rc::gen::set(&Fault::at, GenDuration(kFaultsBegin, kLastFault)),
+      rc::gen::set(&Fault::lasts,
+                   GenDuration(std::chrono::milliseconds(100), kLongestFault)),
+      rc::gen::set(&Fault::first,
+                   rc::gen::inRange<std::uint32_t>(0, kLargestIndex)),
+      rc::gen::set(&Fault::second,
+                   rc::gen::inRange<std::uint32_t>(0, kLargestIndex)));
+}
+
+rc::Gen<Scenario> GenScenario() {
+  return rc::gen::build<Scenario>(
+      rc::gen::set(&Scenario::seed,
+                   rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>())),
+      rc::gen::set(&Scenario::faults,
+                   rc::gen::container<std::vector<Fault>>(GenFault())));
+}
+
+/// Fixed unless the caller sets its own; RapidCheck reads it once.
+void FixSeed() {
+  setenv("RC_PARAMS", "seed=20261204 max_success=60 max_size=24", 0);
+}
+
+void FailOnBrokenInvariants() {
+  basilspread::SetViolationHandler(
+      [](std::string_view name, const std::string& detail) {
+        throw Violation("invariant " + std::string(name) + ": " + detail);
+      });
+}
+
+bool HoldsUnderFaults(bool with_jobs) {
+  FixSeed();
+  FailOnBrokenInvariants();
+  return rc::check([with_jobs] {
+    const Scenario scenario = *GenScenario();
+    try {
+      TestCluster(scenario, with_jobs).Run();
+    } catch (const Violation& violation) {
+      RC_FAIL(std::string(violation.what()));
+    }
+  });
+}
+
+TEST_CASE("A run without faults answers its callers", "[random][quiet]") {
+  FailOnBrokenInvariants();
+  Scenario scenario;
+  scenario.seed = 1;
+  const RunSummary summary = TestCluster(scenario, false).Run();
+  CHECK(summary.answered > 1000);
+  CHECK(summary.answered_well * 100 > summary.answered * 95);
+}
+
+TEST_CASE("Requests and tables keep their promises under random faults",
+          "[random][requests]") {
+  REQUIRE(HoldsUnderFaults(false));
+}
+
+/// Tallies violations by their first sentence instead of stopping at one.
+TEST_CASE("A survey of random runs counts broken promises", "[.survey]") {
+  constexpr std::uint64_t kRuns = 300;
+  constexpr int kSize = 24;
+  FailOnBrokenInvariants();
+  std::map<std::string, std::vector<std::string>> broken;
+  for (std::uint64_t seed = 0; seed < kRuns; ++seed) {
+    const Scenario scenario = GenScenario()(rc::Random(seed), kSize).value();
+    try {
+      TestCluster(scenario, false).Run();
+    } catch (const Violation& violation) {
+      const std::string what = violation.what();
+      broken[what.substr(0, what.find('.'))].push_back(
+          "survey seed " + std::to_string(seed) + ": " + what);
+    }
+  }
+  for (const auto& [sentence, cases] : broken) {
+    WARN(sentence << ": " << cases.size() << " of " << kRuns << ", first "
+                  << cases.front());
+  }
+  CHECK(broken.empty());
+}
+
+}  // namespace
+}  // namespace random_test
--- /dev/null
+++ b/packages/core/tests/random/scenario.h
@@ -0,0 +1,67 @@
+#ifndef BASILSPREAD_CORE_TESTS_RANDOM_SCENARIO_H_
+#define BASILSPREAD_CORE_TESTS_RANDOM_SCENARIO_H_
+
+#include <cstdint>
+#include <iosfwd>
+#include <vector>
+
+#include "basilspread/core/time.h"
+
+namespace random_test {
+
+using basilspread::Duration;
+
+enum class FaultKind {
+  kKill,
+  kPause,
+  kStop,
+  kLogDown,
+  kLogLoseAnswers,
+  kLogSlow,
+  kLogCut,
+  kPeerCut,
+  kPeerSilent,
+  kPeerSlow,
+  kListLag,
+  kMinionRefuses,
+  kMinionFreezes,
+  kMinionLosesAnswers,
+  kMinionFails,
+  kHostLeaves,
+  kWorkerCut,
+  kWorkerLosesAnswers,
+  kWorkerSlow,
+  kWorkerFails,
+  kEdit,
+  kRacingEdits,
+};
+
+inline constexpr int kFaultKinds =
+    static_cast<int>(FaultKind::kRacingEdits) + 1;
+
+/// One fault; `first` and `second` are taken modulo what they choose from.
+struct Fault {
+  FaultKind kind = FaultKind::kKill;
+  Duration at{};
+  Duration lasts{};
+  std::uint32_t first = 0;
+  std::uint32_t second = 0;
+};
+
+/// Everything that decides a run.
+struct Scenario {
+  std::uint64_t seed = 0;
+  std::vector<Fault> faults;
+};
+
+/// Faults begin before this point and have ended by the next.
+inline constexpr Duration kFaultsBegin = std::chrono::seconds(5);
+inline constexpr Duration kLastFault = std::chrono::seconds(30);
+inline constexpr Duration kLongestFault = std::chrono::seconds(20);
+inline constexpr Duration kFaultsEnd = kLastFault + kLongestFault;
+
+std::ostream& operator<<(std::ostream& out, const Scenario& scenario);
+
+}  // namespace random_test
+
+#endif  // BASILSPREAD_CORE_TESTS_RANDOM_SCENARIO_H_
--- /dev/null
+++ b/packages/core/tests/random/test_cluster_effects.cc
@@ -0,0 +1,219 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "internal/context.h"
+#include "internal/ownership.h"
+#include "random/test_cluster.h"
+#include "random/test_tables.h"
+
+namespace random_test {
+namespace {
+
+using basilspread::Host;
+using basilspread::HostsListed;
+using basilspread::MinionAnswered;
+using basilspread::MinionResult;
+using basilspread::SendToPeer;
+using basilspread::WorkerResult;
+
+constexpr Duration kLatency = std::chrono::milliseconds(1);
+/// From a graceful exit to the next incarnation.
+constexpr Duration kReplaceTime = std::chrono::seconds(2);
+constexpr Duration kListLatency = std::chrono::milliseconds(20);
+/// A call to a slow worker takes up to this to arrive; less than the settings'
+/// lapse_margin, which is what is assumed of the network.
+constexpr Duration kSlowestDelivery = std::chrono::seconds(4);
+
+MinionAnswered AnswerOf(const basilspread::SendToMinion& send,
+                        MinionResult result, PayloadPtr payload) {
+  MinionAnswered answered;
+  answered.request = send.request;
+  answered.attempt = send.attempt;
+  answered.host = send.host;
+  answered.result = result;
+  answered.payload = std::move(payload);
+  return answered;
+}
+
+/// The shard and the epoch under which the process acts on the host.
+std::pair<ShardId, Epoch> ActingFor(const TestProcess& process,
+                                    const Host& host) {
+  const basilspread::State& state = process.GetState();
+  for (const auto& [name, pool] : state.configuration.tables.pools) {
+    if (pool.group != host.group) {
+      continue;
+    }
+    const ShardId shard = basilspread::internal::ownership::ShardOf(pool, host);
+    const auto found = state.ownership.shards.find(shard);
+    if (found != state.ownership.shards.end()) {
+      return {shard, found->second.epoch};
+    }
+  }
+  return {};
+}
+
+Duration WorkOf(const PayloadPtr& payload) {
+  const auto* use = std::find_if(
+      std::begin(kRouteUses), std::end(kRouteUses),
+      [&payload](const RouteUse& row) { return payload->target == row.route; });
+  return use == std::end(kRouteUses) ? Duration{} : use->work;
+}
+
+}  // namespace
+
+void TestCluster::Interpret(TestProcess& process, Effect effect) {
+  if (const auto* answer = std::get_if<AnswerCaller>(&effect)) {
+    this->ledger.OnAnswered(*answer);
+    std::erase(this->waiting[process.Node()], answer->call);
+  } else if (const auto* answer_job = std::get_if<AnswerJobCaller>(&effect)) {
+    this->ledger.OnJobAnswered(*answer_job);
+    std::erase(this->waiting[process.Node()], answer_job->answer.call);
+  } else if (const auto* minion =
+                 std::get_if<basilspread::SendToMinion>(&effect)) {
+    this->SendToMinion(process, *minion);
+  } else if (const auto* worker =
+                 std::get_if<basilspread::CallWorker>(&effect)) {
+    this->CallWorker(process, *worker);
+  } else if (const auto* peer = std::get_if<SendToPeer>(&effect)) {
+    process.AfterWhenRunning(Duration{},
+                             [this, from = process.Self(), send = *peer] {
+                               this->network.Send(from, send);
+                             });
+  } else if (const auto* append = std::get_if<AppendLog>(&effect)) {
+    process.AfterWhenRunning(kLatency, [this, &process, append = *append] {
+      this->log.Append(process.Node(), append, process.Poster());
+    });
+  } else if (const auto* read = std::get_if<ReadLog>(&effect)) {
+    process.AfterWhenRunning(kLatency, [this, &process, read = *read] {
+      this->log.Read(process.Node(), read, process.Poster());
+    });
+  } else if (std::holds_alternative<basilspread::ReadHosts>(effect)) {
+    this->ListHosts(process);
+  } else if (std::holds_alternative<basilspread::ExitProcess>(effect)) {
+    this->OnExit(process);
+  }
+  if (process.IsAlive()) {
+    this->CheckTables(process);
+  }
+}
+
+void TestCluster::SendToMinion(TestProcess& process,
+                               const basilspread::SendToMinion& send) {
+  const auto host = std::find_if(
+      this->hosts.begin(), this->hosts.end(),
+      [&send](const Host& other) { return other.name == send.host; });
+  const auto acting = ActingFor(process, *host);
+  process.AfterWhenRunning(kLatency, [this, &process, send, acting] {
+    if (process.Clock() >= send.not_after) {
+      process.Post(AnswerOf(send, MinionResult::kNotSent, nullptr));
+      return;
+    }
+    this->ledger.OnOwnerActed(acting.first, acting.second);
+    this->ReachMinion(process, send);
+  });
+}
+
+void TestCluster::ReachMinion(TestProcess& process,
+                              const basilspread::SendToMinion& send) {
+  FakeMinion& minion = *this->minions.at(send.host);
+  if (minion.refusing > 0) {
+    process.Post(AnswerOf(send, MinionResult::kNotSent, nullptr));
+    return;
+  }
+  const auto settled = std::make_shared<bool>(false);
+  const auto settle = [settled, send, post = process.Poster()](
+                          MinionResult result, const PayloadPtr& payload) {
+    if (!std::exchange(*settled, true)) {
+      post(AnswerOf(send, result, payload));
+    }
+  };
+  const Duration patience =
+      std::max(Duration{}, Duration{send.deadline - process.Clock()});
+  this->schedule.After(patience,
+                       [settle] { settle(MinionResult::kLost, nullptr); });
+  this->schedule.After(kLatency, [&minion, send, settle] {
+    minion.Run(send.request.call, WorkOf(send.payload), send.payload,
+               [settle](const PayloadPtr& payload) {
+                 settle(MinionResult::kAnswered, payload);
+               });
+  });
+}
+
+void TestCluster::CallWorker(TestProcess& process,
+                             const basilspread::CallWorker& call) {
+  process.AfterWhenRunning(kLatency, [this, &process, call] {
+    const auto worker = this->workers.find(call.worker);
+    const bool is_cut = worker == this->workers.end() ||
+                        worker->second->cut.contains(process.Node());
+    if (process.Clock() >= call.not_after || is_cut) {
+      WorkerAnswered answer;
+      answer.worker = call.worker;
+      answer.shard = call.shard;
+      answer.epoch = call.epoch;
+      answer.result = WorkerResult::kNotSent;
+      process.Post(answer);
+      return;
+    }
+    this->ReachWorker(process, call);
+  });
+}
+
+void TestCluster::ReachWorker(TestProcess& process,
+                              const basilspread::CallWorker& call) {
+  FakeWorker& worker = *this->workers.at(call.worker);
+  const auto settled = std::make_shared<bool>(false);
+  const auto settle = [settled,
+                       post = process.Poster()](const WorkerAnswered& answer) {
+    if (!std::exchange(*settled, true)) {
+      post(answer);
+    }
+  };
+  WorkerAnswered lost;
+  lost.worker = call.worker;
+  lost.shard = call.shard;
+  lost.epoch = call.epoch;
+  const Duration patience =
+      std::max(Duration{}, Duration{call.deadline - process.Clock()});
+  this->schedule.After(patience, [settle, lost] { settle(lost); });
+  const auto slowest = static_cast<std::uint64_t>(kSlowestDelivery.count());
+  const Duration delay =
+      worker.slow > 0
+          ? Duration(static_cast<std::int64_t>(this->random.Below(slowest)))
+          : kLatency;
+  this->schedule.After(delay, [this, &worker, call, settle] {
+    const WorkerAnswered answer = worker.Handle(call);
+    if (worker.losing_answers == 0) {
+      this->schedule.After(kLatency, [settle, answer] { settle(answer); });
+    }
+  });
+}
+
+void TestCluster::ListHosts(TestProcess& process) {
+  // A lagging list is the list of now that comes late.
+  HostsListed listed;
+  listed.ok = true;
+  listed.hosts = this->hosts;
+  const Duration lag =
+      this->list_lag > 0 ? std::chrono::seconds(2) : kListLatency;
+  process.AfterWhenRunning(lag, [&process, listed] { process.Post(listed); });
+}
+
+void TestCluster::OnExit(TestProcess& process) {
+  if (!this->waiting[process.Node()].empty()) {
+    throw Violation(fmt::format(
+        "A graceful stop cuts a request. node={} call={}", process.Node().value,
+        this->waiting[process.Node()].front().value));
+  }
+  process.Kill();
+  this->network.OnNodeChanged(process.Node());
+  this->schedule.After(kReplaceTime, [this, &process] {
+    if (!process.IsAlive()) {
+      this->StartAgain(process);
+    }
+  });
+}
+
+}  // namespace random_test
