--- a/packages/core/src/internal/ownership.cc
+++ b/packages/core/src/internal/ownership.cc
@@ -89,10 +89,6 @@
   jobs::OnShardLost(context, shard);
 }
 
-ShardId ShardAt(const PoolName& pool, std::uint64_t index) {
-  return ShardId{fmt::format("{}#{}", pool.value, index)};
-}
-
 }  // namespace
 
 void Start(Context& context) {
@@ -171,6 +167,10 @@
   return ShardAt(pool.name, index);
 }
 
+ShardId ShardAt(const PoolName& pool, std::uint64_t index) {
+  return ShardId{fmt::format("{}#{}", pool.value, index)};
+}
+
 StreamName StreamOf(const ShardId& shard) {
   return StreamName{"shard-" + shard.value};
 }
