--- a/packages/core/include/basilspread/core/event.h
+++ b/packages/core/include/basilspread/core/event.h
@@ -40,8 +40,10 @@
 /// How an exchange with a minion ended.
 enum class MinionResult {
   kAnswered,
-  /// No byte of the request was written.
+  /// This process wrote no byte: no thread was free, or it was too late.
   kNotSent,
+  /// The minion took no connection; no byte was written.
+  kRefused,
   /// Bytes may have left and no whole answer came.
   kLost,
 };
@@ -68,6 +70,12 @@
   bool connected = false;
 };
 
+/// A message to a peer surely did not leave this process.
+struct PeerMessageNotSent {
+  NodeName peer;
+  PeerMessage message;
+};
+
 /// How an append ended as far as its writer can tell.
 enum class AppendResult { kStored, kRefused, kUnknown };
 
@@ -95,6 +103,8 @@
 /// A read of the platform's host list ended.
 struct HostsListed {
   bool ok = false;
+  /// The list is as it was at the last read; `hosts` is empty.
+  bool unchanged = false;
   std::vector<Host> hosts;
 };
 
@@ -122,8 +132,8 @@
 
 using EventBody =
     std::variant<Started, RequestArrived, CallerGone, MinionAnswered,
-                 PeerReceived, PeerLinkChanged, LogAppended, LogRead,
-                 HostsListed, TimerFired, StopRequested, DumpRequested,
+                 PeerReceived, PeerLinkChanged, PeerMessageNotSent, LogAppended,
+                 LogRead, HostsListed, TimerFired, StopRequested, DumpRequested,
                  JobArrived, WorkerAnswered>;
 
 /// Everything that can change the state of a process.
