--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -37,6 +37,8 @@
       host_list(this->settings.platform_hosts.host,
                 this->settings.platform_hosts.port, kHostListTimeout),
       minions([] { return std::chrono::steady_clock::now(); }),
+      workers(this->settings.core.self.node.value,
+              [] { return std::chrono::steady_clock::now(); }),
       front_end(this->settings, this->MakePost(), this->metrics),
       admin(this->settings.admin,
             Admin::Hooks{this->MakePost(),
@@ -45,10 +47,12 @@
       peers(this->settings, this->MakePost()),
       platform_calls("platform", kPlatformThreads),
       minion_calls("minions", static_cast<int>(this->settings.minion_threads)),
+      worker_calls("workers", static_cast<int>(kMaxWorkerCalls)),
       interpreter(
-          Services{this->log, this->host_list, this->minions, this->front_end,
-                   this->admin, this->peers, this->platform_calls,
-                   this->minion_calls, this->metrics},
+          Services{this->log, this->host_list, this->minions, this->workers,
+                   this->front_end, this->admin, this->peers,
+                   this->platform_calls, this->minion_calls, this->worker_calls,
+                   this->metrics},
           this->MakePost()) {}
 
 void Node::Run() {
@@ -67,6 +71,7 @@
   this->peers.Stop();
   this->platform_calls.Join();
   this->minion_calls.Join();
+  this->worker_calls.Join();
   Log(LogLevel::kInfo, "process", "Stopped.");
 }
 
@@ -96,6 +101,8 @@
       this->settings.max_connections);
   add("minion threads", static_cast<std::size_t>(this->minion_calls.Busy()),
       static_cast<std::size_t>(this->minion_calls.Capacity()));
+  add("worker threads", static_cast<std::size_t>(this->worker_calls.Busy()),
+      static_cast<std::size_t>(this->worker_calls.Capacity()));
   add("platform threads", static_cast<std::size_t>(this->platform_calls.Busy()),
       static_cast<std::size_t>(this->platform_calls.Capacity()));
   return {process, threads};
