--- a/packages/core/tests/random/fake_network.cc
+++ b/packages/core/tests/random/fake_network.cc
@@ -7,6 +7,7 @@
 namespace {
 
 using basilspread::PeerLinkChanged;
+using basilspread::PeerMessageNotSent;
 using basilspread::PeerReceived;
 
 constexpr Duration kLatency = std::chrono::milliseconds(1);
@@ -30,7 +31,11 @@
 void FakeNetwork::Send(const ProcessId& from, const SendToPeer& send) {
   const Ends ends{from.node, send.peer};
   Link& link = this->links[ends];
-  if (!link.connected || link.silent > 0) {
+  if (!link.connected) {
+    this->deliver(from.node, PeerMessageNotSent{send.peer, send.message});
+    return;
+  }
+  if (link.silent > 0) {
     return;
   }
   link.last_delivery =
--- a/packages/core/tests/random/random_test.cc
+++ b/packages/core/tests/random/random_test.cc
@@ -88,8 +88,7 @@
   REQUIRE(HoldsUnderFaults(false));
 }
 
-/// Tallies violations by their first sentence instead of stopping at one.
-TEST_CASE("A survey of random runs counts broken promises", "[.survey]") {
+void Survey(bool with_jobs) {
   constexpr std::uint64_t kRuns = 300;
   constexpr int kSize = 24;
   FailOnBrokenInvariants();
@@ -97,7 +96,7 @@
   for (std::uint64_t seed = 0; seed < kRuns; ++seed) {
     const Scenario scenario = GenScenario()(rc::Random(seed), kSize).value();
     try {
-      TestCluster(scenario, false).Run();
+      TestCluster(scenario, with_jobs).Run();
     } catch (const Violation& violation) {
       const std::string what = violation.what();
       broken[what.substr(0, what.find('.'))].push_back(
@@ -111,5 +110,26 @@
   CHECK(broken.empty());
 }
 
+/// These tally violations by their first sentence, to see them all at once.
+TEST_CASE("A survey of random runs with requests", "[.survey-requests]") {
+  Survey(false);
+}
+
+TEST_CASE("A survey of random runs with jobs", "[.survey-jobs]") {
+  Survey(true);
+}
+
+TEST_CASE("A run without faults finishes its jobs", "[random][quiet]") {
+  FailOnBrokenInvariants();
+  Scenario scenario;
+  scenario.seed = 1;
+  const RunSummary summary = TestCluster(scenario, true).Run();
+  CHECK(summary.accepted_jobs > 20);
+}
+
+TEST_CASE("Jobs keep their promises under random faults", "[random][jobs]") {
+  REQUIRE(HoldsUnderFaults(true));
+}
+
 }  // namespace
 }  // namespace random_test
--- a/packages/core/tests/random/test_cluster_effects.cc
+++ b/packages/core/tests/random/test_cluster_effects.cc
@@ -120,7 +120,7 @@
                               const basilspread::SendToMinion& send) {
   FakeMinion& minion = *this->minions.at(send.host);
   if (minion.refusing > 0) {
-    process.Post(AnswerOf(send, MinionResult::kNotSent, nullptr));
+    process.Post(AnswerOf(send, MinionResult::kRefused, nullptr));
     return;
   }
   const auto settled = std::make_shared<bool>(false);
