--- a/packages/config/src/pools_table.cc
+++ b/packages/config/src/pools_table.cc
@@ -11,6 +11,9 @@
 const std::map<std::string, PoolKind> kPoolKinds = {
     {"minions", PoolKind::kMinions}, {"workers", PoolKind::kWorkers}};
 
+const std::map<std::string, std::string> kPlacements = {
+    {"best-fit", "best-fit"}, {"first-fit", "first-fit"}, {"random", "random"}};
+
 }  // namespace
 
 void ReadPool(const std::string& name, SectionReader& reader, Tables& tables) {
@@ -22,6 +25,7 @@
   reader.Read("shards", 1, kMaxShards, pool.shards);
   reader.Read("short_reserve_percent", 0, kMaxPercent,
               pool.short_reserve_percent);
+  reader.Read("placement", kPlacements, pool.placement);
   tables.pools.emplace(pool.name, pool);
 }
 
--- a/packages/node/src/interpreter.cc
+++ b/packages/node/src/interpreter.cc
@@ -16,6 +16,10 @@
   return event.result == AppendResult::kStored;
 }
 
+bool IsOk(const WorkerAnswered& event) {
+  return event.result == WorkerResult::kAnswered;
+}
+
 bool IsOk(const LogRead& event) { return event.ok; }
 
 bool IsOk(const HostsListed& event) { return event.ok; }
@@ -66,6 +70,22 @@
       std::move(refused));
 }
 
+void Interpreter::operator()(const AnswerJobCaller& effect) {
+  this->services.front_end.Answer(effect);
+}
+
+void Interpreter::operator()(const CallWorker& effect) {
+  WorkerAnswered refused;
+  refused.worker = effect.worker;
+  refused.shard = effect.shard;
+  refused.epoch = effect.epoch;
+  refused.result = WorkerResult::kNotSent;
+  this->RunCall(
+      this->services.worker_calls, "worker",
+      [this, effect] { return this->services.workers.Call(effect); },
+      std::move(refused));
+}
+
 void Interpreter::operator()(const AppendLog& effect) {
   this->RunCall(
       this->services.platform_calls, "log append",
