--- a/packages/ctl/src/commands.cc
+++ b/packages/ctl/src/commands.cc
@@ -3,7 +3,7 @@
 namespace basilspread::ctl {
 
 const std::vector<Command>& Commands() {
-  static const std::vector<Command> commands = {
+  static const std::vector<Command> kCommands = {
       {"check", "check", "check two tables and name every fault", 0, Check},
       {"diff", "diff", "show what two tables would change", 0, Diff},
       {"publish", "publish", "put two tables in force", 0, Publish},
@@ -13,7 +13,7 @@
        Status},
       {"dump", "dump PROCESS", "print the state of one entry process", 1, Dump},
   };
-  return commands;
+  return kCommands;
 }
 
 }  // namespace basilspread::ctl
--- a/packages/ctl/src/entry_dump.cc
+++ b/packages/ctl/src/entry_dump.cc
@@ -31,13 +31,13 @@
 }  // namespace
 
 const std::vector<ReportRow>& EntryDump::Rows(const std::string& title) const {
-  static const std::vector<ReportRow> none;
+  static const std::vector<ReportRow> kNone;
   for (const ReportSection& section : this->sections) {
     if (section.title == title) {
       return section.rows;
     }
   }
-  return none;
+  return kNone;
 }
 
 std::string EntryDump::Node() const {
--- a/packages/ctl/src/status.cc
+++ b/packages/ctl/src/status.cc
@@ -65,9 +65,9 @@
 }
 
 const ReportRow& FirstRow(const EntryDump& dump, const std::string& title) {
-  static const ReportRow none;
+  static const ReportRow kNone;
   const auto& rows = dump.Rows(title);
-  return rows.empty() ? none : rows.front();
+  return rows.empty() ? kNone : rows.front();
 }
 
 void PrintProcesses(const ClusterStatus& status) {
--- a/packages/node/src/http_loop.cc
+++ b/packages/node/src/http_loop.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "line_log.h"
+#include "listener.h"
 
 namespace basilspread::node {
 namespace {
@@ -30,9 +31,7 @@
 HttpLoop::~HttpLoop() { this->Stop(Duration::zero()); }
 
 void HttpLoop::Start() {
-  this->listener.bind(
-      Poco::Net::SocketAddress(this->address.host, this->address.port), true);
-  this->listener.listen(kListenBacklog);
+  this->listener = Listen(this->address, kListenBacklog);
   this->listener.setBlocking(false);
   // A datagram to itself wakes the thread out of the poll set.
   this->wake_socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
--- a/packages/node/src/http_server.cc
+++ b/packages/node/src/http_server.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "listener.h"
+
 namespace basilspread::node {
 namespace {
 
@@ -46,10 +48,9 @@
   params->setMaxQueued(kMaxQueuedConnections);
   params->setKeepAlive(true);
   params->setKeepAliveTimeout(Poco::Timespan(kKeepAliveSeconds, 0));
-  const Poco::Net::SocketAddress address(endpoint.host, endpoint.port);
-  const Poco::Net::ServerSocket socket(address);
   auto server = std::make_unique<Poco::Net::HTTPServer>(
-      new FunctionHandlerFactory(std::move(handler)), pool, socket, params);
+      new FunctionHandlerFactory(std::move(handler)), pool, Listen(endpoint),
+      params);
   return server;
 }
 
--- a/packages/node/src/peer_links.cc
+++ b/packages/node/src/peer_links.cc
@@ -10,6 +10,7 @@
 
 #include "basilspread/wire/peer_codec.h"
 #include "line_log.h"
+#include "listener.h"
 
 namespace basilspread::node {
 namespace {
@@ -104,13 +105,11 @@
       pool("peer", 1, kMaxInboundConnections) {}
 
 void PeerLinks::Start() {
-  const Poco::Net::SocketAddress address(this->settings.peer.host,
-                                         this->settings.peer.port);
   Poco::Net::TCPServerParams::Ptr params(new Poco::Net::TCPServerParams);
   params->setMaxThreads(kMaxInboundConnections);
   this->server = std::make_unique<Poco::Net::TCPServer>(
-      new InboundFactory(this->post), this->pool,
-      Poco::Net::ServerSocket(address), params);
+      new InboundFactory(this->post), this->pool, Listen(this->settings.peer),
+      params);
   this->server->start();
   for (const config::PeerEndpoint& peer : this->settings.peers) {
     this->links.emplace(peer.node,
