--- a/packages/core/src/internal/log.cc
+++ b/packages/core/src/internal/log.cc
@@ -8,6 +8,7 @@
 #include "internal/configuration.h"
 #include "internal/jobs.h"
 #include "internal/ownership.h"
+#include "internal/requests.h"
 
 namespace basilspread::internal::log {
 namespace {
@@ -52,6 +53,10 @@
     ownership::OnClaim(context, *claim);
   } else if (const auto* release = std::get_if<ReleaseRecord>(&record)) {
     ownership::OnRelease(context, *release);
+  } else if (const auto* key = std::get_if<KeyIntentRecord>(&record)) {
+    requests::OnKeyIntent(context, *key);
+  } else if (const auto* end = std::get_if<KeyOutcomeRecord>(&record)) {
+    requests::OnKeyOutcome(context, *end);
   } else if (const auto* job = std::get_if<JobRecord>(&record)) {
     jobs::OnRecord(context, *job);
   } else if (const auto* intent = std::get_if<IntentRecord>(&record)) {
