--- a/packages/core/src/hooks.cc
+++ b/packages/core/src/hooks.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "basilspread/core/minion.h"
+#include "basilspread/core/placement.h"
 
 namespace basilspread {
 namespace {
@@ -73,6 +74,9 @@
   hooks.queue_orders["fifo"] = OrderByArrival;
   hooks.admission_rules["deadline-aware"] = FitsDeadline;
   hooks.admission_rules["always"] = Always;
+  hooks.worker_choices["best-fit"] = ChooseBestFit;
+  hooks.worker_choices["first-fit"] = ChooseFirstFit;
+  hooks.worker_choices["random"] = ChooseRandomFit;
   return hooks;
 }
 
--- a/packages/core/src/internal/report.cc
+++ b/packages/core/src/internal/report.cc
@@ -4,6 +4,7 @@
 
 #include "internal/configuration.h"
 #include "internal/membership.h"
+#include "internal/report_jobs.h"
 
 namespace basilspread::internal::report {
 namespace {
@@ -62,7 +63,8 @@
 StateReport Describe(const Context& context) {
   return {DescribeProcess(context), configuration::Describe(context),
           DescribeMembers(context), DescribeShards(context),
-          DescribeMinions(context)};
+          DescribeMinions(context), DescribeWorkers(context),
+          DescribeJobs(context)};
 }
 
 }  // namespace basilspread::internal::report
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -44,11 +44,13 @@
   platform::LogClient log;
   platform::HostListClient host_list;
   platform::MinionClient minions;
+  platform::WorkerClient workers;
   FrontEnd front_end;
   Admin admin;
   PeerLinks peers;
   Executor platform_calls;
   Executor minion_calls;
+  Executor worker_calls;
   Interpreter interpreter;
 };
 
