--- a/packages/core/include/basilspread/core/minion.h
+++ b/packages/core/include/basilspread/core/minion.h
@@ -62,6 +62,8 @@
 std::uint32_t TotalSlots(const Minion& minion);
 /// Slots that a request could take; 0 while leaving or ejected.
 std::uint32_t FreeSlots(const Minion& minion);
+/// Those of the free slots that a long request could take.
+std::uint32_t FreeOpenSlots(const Minion& minion);
 
 }  // namespace basilspread
 
--- a/packages/core/include/basilspread/core/peer_message.h
+++ b/packages/core/include/basilspread/core/peer_message.h
@@ -22,6 +22,10 @@
   std::uint32_t free_slots = 0;
   /// Requests or tasks that wait.
   std::uint32_t queued = 0;
+  /// Those of the free slots that long requests may take.
+  std::uint32_t free_open_slots = 0;
+  /// Long requests among those that wait.
+  std::uint32_t queued_long = 0;
 };
 
 /// Sent to every peer at the heartbeat interval.
--- a/packages/core/include/basilspread/core/requests.h
+++ b/packages/core/include/basilspread/core/requests.h
@@ -71,6 +71,13 @@
   bool has_retry_tokens = false;
 };
 
+/// A shard that holds a host, as far as the host list says.
+struct PopulatedShard {
+  ShardId shard;
+  /// Slots of its hosts that are not leaving.
+  std::uint32_t slots = 0;
+};
+
 struct RequestsState {
   std::map<ShardId, MinionShard> shards;
   std::map<RequestKey, RequestPtr> requests;
@@ -78,7 +85,7 @@
   std::map<RouteName, RouteLoad> routes;
   KeysState keys;
   /// The shards that hold a host, by pool, in order.
-  std::map<PoolName, std::vector<ShardId>> populated;
+  std::map<PoolName, std::vector<PopulatedShard>> populated;
   /// Queued requests, which end at their deadline.
   ExpirySet<Request> expiry;
   ExpirySet<RemoteRequest> remote_expiry;
@@ -89,8 +96,9 @@
 
 /// All that waits for minions of a shard.
 std::uint32_t QueuedRequests(const MinionShard& shard);
-/// Slots that are free now, over all minions of a shard.
-std::uint32_t FreeSlots(const MinionShard& shard);
+
+/// Fills in what a report says of slots and queues.
+void DescribeLoad(const MinionShard& shard, ShardReport& report);
 
 }  // namespace basilspread
 
--- a/packages/core/src/internal/membership.cc
+++ b/packages/core/src/internal/membership.cc
@@ -22,8 +22,7 @@
     report.epoch = ownership.epoch;
     const auto minions = context.state.requests.shards.find(shard);
     if (minions != context.state.requests.shards.end()) {
-      report.queued = QueuedRequests(minions->second);
-      report.free_slots = FreeSlots(minions->second);
+      DescribeLoad(minions->second, report);
     }
     heartbeat.shards.push_back(report);
   }
--- a/packages/core/src/internal/requests_forwarding.cc
+++ b/packages/core/src/internal/requests_forwarding.cc
@@ -24,6 +24,11 @@
 /// Time after a forwarded request's deadline in which its answer may come.
 constexpr Duration kForwardGrace = std::chrono::milliseconds(500);
 
+bool IsLong(const Context& context, const RemoteRequest& call) {
+  const Route* route = FindRoute(context, call.route);
+  return route != nullptr && route->service_class == ServiceClass::kLong;
+}
+
 void Settle(Context& context, const RemoteRequestPtr& call, Outcome outcome) {
   call->ExpiryHook::unlink();
   context.state.requests.remote.erase(call->call);
@@ -52,7 +57,7 @@
   forward.idempotency_key = call->idempotency_key;
   forward.time_left = call->deadline - context.now;
   forward.payload = call->payload;
-  CountForwarded(context, option);
+  CountForwarded(context, *option.owner, option.shard, IsLong(context, *call));
   context.Emit(SendToPeer{*option.owner, std::move(forward)});
   Track(context, call);
 }
@@ -96,7 +101,7 @@
 std::optional<ShardOption> ChooseFor(Context& context, const Route& route,
                                      const RemoteRequest& call) {
   if (call.idempotency_key.empty()) {
-    return ChooseShard(context, route.pool, call.shard);
+    return ChooseShard(context, route, call.shard);
   }
   const Pool& pool = context.state.configuration.tables.pools.at(route.pool);
   return FindOwner(context, KeyShard(pool, call.idempotency_key));
@@ -177,6 +182,7 @@
   if (!call) {
     return;
   }
+  CountReturned(context, call->owner, call->shard, IsLong(context, *call));
   Outcome outcome{message.kind, message.detail, message.payload};
   const bool has_moved = message.kind == ErrorKind::kNotOwner ||
                          message.kind == ErrorKind::kNoHost;
--- a/packages/core/src/internal/requests_minions.cc
+++ b/packages/core/src/internal/requests_minions.cc
@@ -58,7 +58,7 @@
 void RebuildMinions(Context& context) {
   RequestsState& requests = context.state.requests;
   std::set<HostName> listed;
-  std::map<PoolName, std::set<ShardId>> populated;
+  std::map<PoolName, std::map<ShardId, std::uint32_t>> populated;
   for (const auto& [name, host] : context.state.hosts.hosts) {
     for (const auto& [pool_name, pool] :
          context.state.configuration.tables.pools) {
@@ -67,7 +67,7 @@
       }
       const ShardId shard = ownership::ShardOf(pool, host);
       if (!host.leaving) {
-        populated[pool_name].insert(shard);
+        populated[pool_name][shard] += UsableSlots(host);
       }
       if (ownership::OwnsShard(context, shard)) {
         Refresh(context, pool, host, requests.shards[shard]);
@@ -77,7 +77,9 @@
   }
   requests.populated.clear();
   for (const auto& [pool, shards] : populated) {
-    requests.populated[pool].assign(shards.begin(), shards.end());
+    for (const auto& [shard, slots] : shards) {
+      requests.populated[pool].push_back(PopulatedShard{shard, slots});
+    }
   }
   for (auto& [id, shard] : requests.shards) {
     DropUnlisted(shard, listed);
--- a/packages/core/src/internal/requests_shard_choice.cc
+++ b/packages/core/src/internal/requests_shard_choice.cc
@@ -1,5 +1,7 @@
 #include "internal/requests_shard_choice.h"
 
+#include <algorithm>
+#include <utility>
 #include <vector>
 
 #include "internal/membership.h"
@@ -8,9 +10,14 @@
 namespace basilspread::internal::requests {
 namespace {
 
-std::int64_t FreeSlotsOf(const ShardReport& report) {
-  return static_cast<std::int64_t>(report.free_slots) -
-         static_cast<std::int64_t>(report.queued);
+/// Slots that a request of the class could have at once, less what waits for
+/// them. Long requests that wait are not in the way of the others.
+double FreeSlotsFor(const ShardReport& report, bool is_long) {
+  if (is_long) {
+    return static_cast<double>(report.free_open_slots) - report.queued_long;
+  }
+  const std::uint32_t queued_others = report.queued - report.queued_long;
+  return static_cast<double>(report.free_slots) - queued_others;
 }
 
 const ShardReport* FindReport(const Peer& peer, const ShardId& shard) {
@@ -23,12 +30,10 @@
 }
 
 ShardOption OwnOption(const Context& context, const ShardId& id) {
-  ShardOption option{id, std::nullopt, 0};
+  ShardOption option{id, std::nullopt, {}};
   const auto shard = context.state.requests.shards.find(id);
   if (shard != context.state.requests.shards.end()) {
-    option.free_slots =
-        static_cast<std::int64_t>(FreeSlots(shard->second)) -
-        static_cast<std::int64_t>(QueuedRequests(shard->second));
+    DescribeLoad(shard->second, option.report);
   }
   return option;
 }
@@ -41,26 +46,67 @@
   if (report == nullptr) {
     return std::nullopt;
   }
-  return ShardOption{shard, peer.node, FreeSlotsOf(*report)};
+  return ShardOption{shard, peer.node, *report};
+}
+
+/// A shard with its share of free slots less waiting requests.
+struct Candidate {
+  ShardOption option;
+  double free_share = 0;
+};
+
+/// Place of a random slot among those of all shards.
+std::size_t DrawIndex(Context& context,
+                      const std::vector<PopulatedShard>& shards) {
+  std::uint64_t total = 0;
+  for (const PopulatedShard& shard : shards) {
+    total += shard.slots;
+  }
+  if (total == 0) {
+    return 0;
+  }
+  std::uint64_t slot = context.state.random.Below(total);
+  std::size_t index = 0;
+  while (slot >= shards[index].slots) {
+    slot -= shards[index].slots;
+    ++index;
+  }
+  return index;
 }
 
 /// The first usable shard from a random place on.
-std::optional<ShardOption> Draw(Context& context,
-                                const std::vector<ShardId>& shards,
-                                const ShardId& excluded) {
-  const std::size_t start = context.state.random.Below(shards.size());
+std::optional<Candidate> Draw(Context& context,
+                              const std::vector<PopulatedShard>& shards,
+                              const ShardId& excluded, bool is_long) {
+  const std::size_t start = DrawIndex(context, shards);
   for (std::size_t i = 0; i < shards.size(); ++i) {
-    const ShardId& shard = shards[(start + i) % shards.size()];
-    if (shard == excluded) {
+    const PopulatedShard& shard = shards[(start + i) % shards.size()];
+    if (shard.shard == excluded) {
       continue;
     }
-    if (auto option = FindOwner(context, shard)) {
-      return option;
+    if (auto option = FindOwner(context, shard.shard)) {
+      const double slots = std::max(shard.slots, 1U);
+      const double free_share = FreeSlotsFor(option->report, is_long) / slots;
+      return Candidate{*std::move(option), free_share};
     }
   }
   return std::nullopt;
 }
 
+ShardReport* FindReport(Context& context, const NodeName& owner,
+                        const ShardId& shard) {
+  const auto peer = context.state.membership.peers.find(owner);
+  if (peer == context.state.membership.peers.end()) {
+    return nullptr;
+  }
+  for (ShardReport& report : peer->second.last_heartbeat.shards) {
+    if (report.shard == shard) {
+      return &report;
+    }
+  }
+  return nullptr;
+}
+
 }  // namespace
 
 std::optional<ShardOption> FindOwner(const Context& context,
@@ -93,27 +139,55 @@
 // Algorithm: the power of two choices (Mitzenmacher, 2001); it keeps
 // processes that all hold the same slightly old reports from all choosing
 // the same shard.
-std::optional<ShardOption> ChooseShard(Context& context, const PoolName& pool,
+std::optional<ShardOption> ChooseShard(Context& context, const Route& route,
                                        const ShardId& excluded) {
-  const auto found = context.state.requests.populated.find(pool);
+  const bool is_long = route.service_class == ServiceClass::kLong;
+  const auto found = context.state.requests.populated.find(route.pool);
   if (found == context.state.requests.populated.end()) {
     return std::nullopt;
   }
-  const auto first = Draw(context, found->second, excluded);
+  const auto first = Draw(context, found->second, excluded, is_long);
   if (!first) {
     return std::nullopt;
   }
-  const auto second = Draw(context, found->second, excluded);
-  return second->free_slots > first->free_slots ? second : first;
+  const auto second = Draw(context, found->second, excluded, is_long);
+  return second->free_share > first->free_share ? second->option
+                                                : first->option;
 }
 
-void CountForwarded(Context& context, const ShardOption& option) {
-  Peer& peer = context.state.membership.peers.at(*option.owner);
-  for (ShardReport& report : peer.last_heartbeat.shards) {
-    if (report.shard == option.shard) {
-      ++report.queued;
-    }
+void CountForwarded(Context& context, const NodeName& owner,
+                    const ShardId& shard, bool is_long) {
+  ShardReport* report = FindReport(context, owner, shard);
+  if (report == nullptr) {
+    return;
+  }
+  const bool has_slot = FreeSlotsFor(*report, is_long) > 0;
+  if (!has_slot) {
+    ++report->queued;
+    report->queued_long += is_long ? 1 : 0;
+    return;
+  }
+  --report->free_slots;
+  report->free_open_slots =
+      is_long ? report->free_open_slots - 1
+              : std::min(report->free_open_slots, report->free_slots);
+}
+
+void CountReturned(Context& context, const NodeName& owner,
+                   const ShardId& shard, bool is_long) {
+  ShardReport* report = FindReport(context, owner, shard);
+  if (report == nullptr) {
+    return;
+  }
+  const std::uint32_t queued_others = report->queued - report->queued_long;
+  const bool has_queued = (is_long ? report->queued_long : queued_others) > 0;
+  if (has_queued) {
+    --report->queued;
+    report->queued_long -= is_long ? 1 : 0;
+    return;
   }
+  ++report->free_slots;
+  report->free_open_slots += is_long ? 1 : 0;
 }
 
 }  // namespace basilspread::internal::requests
--- a/packages/core/src/internal/requests_shard_choice.h
+++ b/packages/core/src/internal/requests_shard_choice.h
@@ -1,10 +1,11 @@
 #ifndef BASILSPREAD_CORE_INTERNAL_REQUESTS_SHARD_CHOICE_H_
 #define BASILSPREAD_CORE_INTERNAL_REQUESTS_SHARD_CHOICE_H_
 
-#include <cstdint>
 #include <optional>
 
 #include "basilspread/core/ids.h"
+#include "basilspread/core/peer_message.h"
+#include "basilspread/core/tables.h"
 #include "internal/context.h"
 
 namespace basilspread::internal::requests {
@@ -14,21 +15,26 @@
   ShardId shard;
   /// The peer that owns the shard; unset for this process itself.
   std::optional<NodeName> owner;
-  /// Free slots less waiting requests.
-  std::int64_t free_slots = 0;
+  /// Load of the shard, as far as it is known here.
+  ShardReport report;
 };
 
 /// The shard with its owner; unset when no live process is known to own it.
 std::optional<ShardOption> FindOwner(const Context& context,
                                      const ShardId& shard);
 
-/// The better of two shards of the pool drawn at random, other than
-/// `excluded`; unset when none has a host and a live owner.
-std::optional<ShardOption> ChooseShard(Context& context, const PoolName& pool,
+/// The better for the route of two shards of its pool drawn at random by
+/// their slots, other than `excluded`; unset when none has a host and a live
+/// owner.
+std::optional<ShardOption> ChooseShard(Context& context, const Route& route,
                                        const ShardId& excluded);
 
-/// Counts a request that was passed to the shard's owner since its report.
-void CountForwarded(Context& context, const ShardOption& option);
+/// Keep the last report of a peer's shard close to its load, between two
+/// reports, by what this process passes on and gets back.
+void CountForwarded(Context& context, const NodeName& owner,
+                    const ShardId& shard, bool is_long);
+void CountReturned(Context& context, const NodeName& owner,
+                   const ShardId& shard, bool is_long);
 
 }  // namespace basilspread::internal::requests
 
--- a/packages/core/src/minion.cc
+++ b/packages/core/src/minion.cc
@@ -35,4 +35,8 @@
   return std::min(free, allowance > busy ? allowance - busy : 0);
 }
 
+std::uint32_t FreeOpenSlots(const Minion& minion) {
+  return std::min(FreeSlots(minion), FreeSlots(minion.open));
+}
+
 }  // namespace basilspread
--- a/packages/core/src/requests.cc
+++ b/packages/core/src/requests.cc
@@ -10,12 +10,16 @@
   return queued;
 }
 
-std::uint32_t FreeSlots(const MinionShard& shard) {
-  std::uint32_t free = 0;
+void DescribeLoad(const MinionShard& shard, ShardReport& report) {
+  report.queued = QueuedRequests(shard);
+  report.queued_long =
+      shard.queues[static_cast<std::size_t>(ServiceClass::kLong)].count;
+  report.free_slots = 0;
+  report.free_open_slots = 0;
   for (const auto& [name, minion] : shard.minions) {
-    free += FreeSlots(minion);
+    report.free_slots += FreeSlots(minion);
+    report.free_open_slots += FreeOpenSlots(minion);
   }
-  return free;
 }
 
 }  // namespace basilspread
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -18,8 +18,9 @@
   std::vector<flatbuffers::Offset<fb::ShardReport>> shards;
   for (const ShardReport& report : message.shards) {
     const auto shard = builder.CreateString(report.shard.value);
-    shards.push_back(fb::CreateShardReport(builder, shard, report.epoch.value,
-                                           report.free_slots, report.queued));
+    shards.push_back(fb::CreateShardReport(
+        builder, shard, report.epoch.value, report.free_slots, report.queued,
+        report.free_open_slots, report.queued_long));
   }
   const auto packed = builder.CreateVector(shards);
   const auto usage = job_codec::PackUsage(builder, message.usage);
@@ -61,7 +62,8 @@
     for (const fb::ShardReport* report : *packed.shards()) {
       message.shards.push_back(
           ShardReport{ShardId{report->shard()->str()}, Epoch{report->epoch()},
-                      report->free_slots(), report->queued()});
+                      report->free_slots(), report->queued(),
+                      report->free_open_slots(), report->queued_long()});
     }
   }
   message.usage = job_codec::UnpackUsage(packed.usage());
