--- a/packages/config/include/basilspread/config/node_settings.h
+++ b/packages/config/include/basilspread/config/node_settings.h
@@ -18,6 +18,7 @@
   std::uint16_t port = 0;
 
   std::string ToString() const;
+  friend bool operator==(const Endpoint&, const Endpoint&) = default;
 };
 
 struct PeerEndpoint {
--- a/packages/config/src/node_settings.cc
+++ b/packages/config/src/node_settings.cc
@@ -84,6 +84,7 @@
     this->ReadEndpoint(reader, "http", this->settings.http);
     this->ReadEndpoint(reader, "admin", this->settings.admin);
     this->ReadEndpoint(reader, "peer", this->settings.peer);
+    this->settings.core.peer_address = this->settings.peer.ToString();
   }
 
   void ReadPlatform(SectionReader& reader) {
@@ -116,6 +117,10 @@
     reader.Read("log_read_interval", core.log_read_interval);
     reader.Read("append_interval", core.append_interval);
     reader.Read("claim_delay", core.claim_delay);
+    reader.Read("ownership_freshness", core.ownership_freshness);
+    reader.Read("ownership_margin", core.ownership_margin);
+    reader.Read("takeover_timeout", core.takeover_timeout);
+    reader.Read("log_retention", core.log_retention);
     reader.Read("drain_timeout", core.drain_timeout);
   }
 
--- a/packages/core/include/basilspread/core/effect.h
+++ b/packages/core/include/basilspread/core/effect.h
@@ -44,6 +44,22 @@
   PeerMessage message;
 };
 
+/// Connects to a peer, also in place of its earlier address.
+struct ConnectPeer {
+  NodeName peer;
+  std::string address;
+};
+
+/// Closes and reopens the outbound connection to a peer.
+struct ReopenLink {
+  NodeName peer;
+};
+
+/// Ends the outbound connection to a peer that is gone.
+struct DisconnectPeer {
+  NodeName peer;
+};
+
 /// Appends a batch and reports with LogAppended.
 struct AppendLog {
   StreamName stream;
@@ -88,9 +104,10 @@
 /// Ends the process: everything is drained.
 struct ExitProcess {};
 
-using Effect = std::variant<AnswerCaller, SendToMinion, SendToPeer, AppendLog,
-                            ReadLog, ReadHosts, SetTimer, WriteLine, AnswerDump,
-                            RefuseCallers, ExitProcess>;
+using Effect =
+    std::variant<AnswerCaller, SendToMinion, SendToPeer, AppendLog, ReadLog,
+                 ReadHosts, SetTimer, WriteLine, AnswerDump, RefuseCallers,
+                 ExitProcess, ConnectPeer, ReopenLink, DisconnectPeer>;
 
 using Effects = std::vector<Effect>;
 
--- a/packages/core/include/basilspread/core/event.h
+++ b/packages/core/include/basilspread/core/event.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPREAD_CORE_EVENT_H_
 #define BASILSPREAD_CORE_EVENT_H_
 
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -67,6 +68,12 @@
   bool connected = false;
 };
 
+/// A process sent a frame of another protocol version.
+struct PeerMismatched {
+  NodeName node;
+  std::uint32_t version = 0;
+};
+
 /// How an append ended as far as its writer can tell.
 enum class AppendResult { kStored, kRefused, kUnknown };
 
@@ -109,10 +116,10 @@
   CallId call;
 };
 
-using EventBody =
-    std::variant<Started, RequestArrived, CallerGone, MinionAnswered,
-                 PeerReceived, PeerLinkChanged, LogAppended, LogRead,
-                 HostsListed, TimerFired, StopRequested, DumpRequested>;
+using EventBody = std::variant<Started, RequestArrived, CallerGone,
+                               MinionAnswered, PeerReceived, PeerLinkChanged,
+                               LogAppended, LogRead, HostsListed, TimerFired,
+                               StopRequested, DumpRequested, PeerMismatched>;
 
 /// Everything that can change the state of a process.
 struct Event {
--- a/packages/core/include/basilspread/core/log_state.h
+++ b/packages/core/include/basilspread/core/log_state.h
@@ -16,15 +16,31 @@
 struct LogStream {
   /// Next offset to read.
   Offset next;
+  /// Oldest offset that the log kept at the last read.
+  Offset first_kept;
+  /// Time between reads while nothing is awaited.
+  Duration read_interval{};
+  /// Set after the first answered read.
+  bool started = false;
   bool reading = false;
+  /// Start of the latest read.
+  TimePoint read_at;
+  /// A record may have come since the read that is under way began.
+  bool read_again = false;
   /// Set after a read that reached the end.
   bool at_end = false;
-  std::optional<TimePoint> last_read;
+  /// Start of the latest read that reached the end.
+  std::optional<TimePoint> fresh_at;
   /// Records that wait for the next batch.
   std::vector<LogRecord> pending;
   /// The batch that was sent and not yet read back.
   std::optional<LogBatch> in_flight;
-  std::optional<TimePoint> appended_at;
+  /// An append of that batch ended without a sure answer.
+  bool in_flight_unknown = false;
+  /// When `pending` is to be sent, or `in_flight` to be sent again.
+  std::optional<TimePoint> send_at;
+  std::optional<TimePoint> last_sent;
+  Duration retry_delay{};
   /// Highest batch applied, by writer: a repeated batch counts once.
   std::map<ProcessId, AppendId> applied;
 };
@@ -32,6 +48,9 @@
 struct LogState {
   std::map<StreamName, LogStream> streams;
   std::uint64_t next_append = 1;
+  /// Latest answers of the log service.
+  std::optional<TimePoint> last_answered;
+  std::optional<TimePoint> last_failed;
 };
 
 }  // namespace basilspread
--- a/packages/core/include/basilspread/core/ownership.h
+++ b/packages/core/include/basilspread/core/ownership.h
@@ -17,22 +17,50 @@
   kUnclean,
 };
 
-/// Who owns a shard, as far as this process has read its stream.
+/// Who owns a shard, and whether this process may act on it.
 struct ShardOwnership {
   ShardId shard;
   PoolName pool;
-  /// Highest epoch read; 0 before any claim.
+
+  /// Highest epoch in log order, as far as the stream was read.
   Epoch epoch;
+  /// Owner in that epoch; unset before any claim and after a release.
   std::optional<ProcessId> owner;
-  /// Since when no live process is known to own it.
-  std::optional<TimePoint> orphaned_since;
+  /// Whom the release in force names; empty without one.
+  NodeName successor;
+  /// How the owner came to it.
+  TakeoverKind kind = TakeoverKind::kClean;
+  /// Unset while the stream's oldest kept record may follow a claim that has
+  /// expired: then a checkpoint decides.
+  bool anchored = false;
+
+  /// Who serves it by the latest heartbeats, and when that was last known.
+  std::optional<ProcessId> server;
+  Epoch served_epoch;
+  std::optional<TimePoint> served_at;
+
+  /// Since when its stream is followed, by a process that is not its owner.
+  std::optional<TimePoint> followed_at;
   /// A claim of this process awaits its read-back.
   bool claiming = false;
+  /// Whom that claim deposes.
+  std::optional<ProcessId> deposed;
   bool owned_by_self = false;
+  /// Until when no other process can act on the shard's hosts.
+  TimePoint valid_until;
+  /// When a deposed owner has stopped acting at the latest.
+  TimePoint act_after;
+  /// Whether the other concerns were told that it may be acted on.
+  bool ready = false;
+  /// A release of this process awaits its read-back.
+  bool releasing = false;
+  std::optional<TimePoint> checkpointed_at;
 };
 
 struct OwnershipState {
   std::map<ShardId, ShardOwnership> shards;
+  /// When the releases of a graceful stop are no longer waited for.
+  std::optional<TimePoint> stop_by;
 };
 
 }  // namespace basilspread
--- a/packages/core/include/basilspread/core/peer_message.h
+++ b/packages/core/include/basilspread/core/peer_message.h
@@ -21,6 +21,14 @@
   std::uint32_t free_slots = 0;
   /// Requests or tasks that wait.
   std::uint32_t queued = 0;
+  /// Who is to claim it once it is released; empty but before a stop.
+  NodeName successor;
+};
+
+/// When the sender last heard another process.
+struct HeardReport {
+  ProcessId process;
+  Duration age{};
 };
 
 /// Sent to every peer at the heartbeat interval.
@@ -30,6 +38,18 @@
   bool stopping = false;
   /// The shards that the sender owns.
   std::vector<ShardReport> shards;
+  /// Grows with each heartbeat of a run.
+  std::uint64_t number = 0;
+  /// The receiver's run and its latest heartbeat that has arrived; 0 when
+  /// none has, or when the sender is about to depose the receiver.
+  std::uint64_t confirmed_incarnation = 0;
+  std::uint64_t confirmed_number = 0;
+  /// Processes that the sender does not hear.
+  std::vector<NodeName> unheard;
+  /// Of those that others do not hear: when the sender last heard them.
+  std::vector<HeardReport> heard;
+  /// Where the sender's peers connect to; left out once it was confirmed.
+  std::string address;
 };
 
 /// Names one request across processes.
--- a/packages/core/include/basilspread/core/record.h
+++ b/packages/core/include/basilspread/core/record.h
@@ -34,7 +34,24 @@
   NodeName successor;
 };
 
-using LogRecord = std::variant<TablesRecord, ClaimRecord, ReleaseRecord>;
+/// Repeats the claim in force, before its record expires.
+struct CheckpointRecord {
+  ShardId shard;
+  Epoch epoch;
+  ProcessId owner;
+};
+
+/// Tells later processes where this one is.
+struct MemberRecord {
+  ProcessId process;
+  /// Where its peers connect to.
+  std::string address;
+  /// Written before a graceful exit.
+  bool leaving = false;
+};
+
+using LogRecord = std::variant<TablesRecord, ClaimRecord, ReleaseRecord,
+                               CheckpointRecord, MemberRecord>;
 
 /// What one append holds: the records of one writer, in order.
 struct LogBatch {
--- a/packages/core/include/basilspread/core/settings.h
+++ b/packages/core/include/basilspread/core/settings.h
@@ -2,6 +2,7 @@
 #define BASILSPREAD_CORE_SETTINGS_H_
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "basilspread/core/ids.h"
@@ -18,13 +19,27 @@
   /// Seed of everything random in the state.
   std::uint64_t seed = 1;
 
-  Duration heartbeat_interval = std::chrono::milliseconds(250);
+  /// Where peers connect to this process, as it advertises it.
+  std::string peer_address;
+
+  Duration heartbeat_interval = std::chrono::milliseconds(500);
   /// A peer that was silent for this long counts as dead.
   Duration peer_timeout = std::chrono::seconds(2);
   Duration host_list_interval = std::chrono::milliseconds(500);
-  Duration log_read_interval = std::chrono::milliseconds(250);
+  Duration log_read_interval = std::chrono::milliseconds(500);
   /// Records wait this long for others of the same batch.
   Duration append_interval = std::chrono::milliseconds(20);
+  /// An owner acts for this long after it has last read its own epoch in
+  /// force, or heard that every peer still hears it.
+  Duration ownership_freshness = std::chrono::seconds(2);
+  /// Added to every wait for an owner to stop: the drift of clocks and the
+  /// time between a check and its write.
+  Duration ownership_margin = std::chrono::milliseconds(500);
+  /// A shard whose owner was heard by nobody for this long is claimed. Must
+  /// exceed the freshness with its margin.
+  Duration takeover_timeout = std::chrono::seconds(3);
+  /// How long the log keeps a record; checkpoints go well before that.
+  Duration log_retention = std::chrono::hours(1);
   /// Delay between claim attempts of processes that rank one apart.
   Duration claim_delay = std::chrono::milliseconds(300);
   /// A graceful stop gives up on what is in flight after this.
--- /dev/null
+++ b/packages/core/src/internal/handover.cc
@@ -0,0 +1,96 @@
+#include "internal/handover.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "internal/jobs.h"
+#include "internal/log.h"
+#include "internal/membership.h"
+#include "internal/ownership.h"
+#include "internal/peers.h"
+#include "internal/requests.h"
+#include "internal/takeover.h"
+
+namespace basilspread::internal::handover {
+namespace {
+
+constexpr std::string_view kPart = "process";
+constexpr Duration kCheckInterval = std::chrono::milliseconds(20);
+/// Releases that are not read back within this time are given up: the
+/// successors then take over as from a process that died.
+constexpr Duration kReleaseTimeout = std::chrono::seconds(2);
+
+void Release(Context& context, ShardOwnership& ownership) {
+  ownership.releasing = true;
+  ReleaseRecord record;
+  record.shard = ownership.shard;
+  record.epoch = ownership.epoch;
+  record.owner = context.state.settings.self;
+  record.successor = takeover::SuccessorFor(context, ownership.shard);
+  log::Append(context, ownership::StreamOf(ownership.shard), record);
+}
+
+/// Releases the shards that have nothing in flight; the others follow.
+void ReleaseIdle(Context& context) {
+  if (!jobs::IsIdle(context)) {
+    return;
+  }
+  for (auto& [shard, ownership] : context.state.ownership.shards) {
+    if (ownership.owned_by_self && !ownership.releasing &&
+        requests::IsShardIdle(context, shard)) {
+      Release(context, ownership);
+    }
+  }
+}
+
+bool OwnsNothing(const Context& context) {
+  const auto& shards = context.state.ownership.shards;
+  return std::none_of(shards.begin(), shards.end(), [](const auto& entry) {
+    return entry.second.owned_by_self || entry.second.claiming;
+  });
+}
+
+bool IsDrained(const Context& context) {
+  return requests::IsIdle(context) && jobs::IsIdle(context);
+}
+
+void Exit(Context& context, std::string_view text) {
+  context.Log(LogLevel::kInfo, kPart, std::string(text));
+  context.Emit(ExitProcess{});
+}
+
+}  // namespace
+
+void OnStopRequested(Context& context) {
+  if (context.state.stopping) {
+    return;
+  }
+  context.state.stopping = true;
+  context.state.ownership.stop_by =
+      context.now + context.state.settings.drain_timeout;
+  context.Log(LogLevel::kInfo, kPart, "Stop was requested.");
+  context.Emit(RefuseCallers{});
+  peers::AnnounceLeaving(context);
+  membership::SendHeartbeats(context);
+  OnStopTimer(context);
+}
+
+void OnStopTimer(Context& context) {
+  ReleaseIdle(context);
+  if (IsDrained(context) && OwnsNothing(context)) {
+    Exit(context, "Everything is drained and released.");
+    return;
+  }
+  TimePoint& stop_by = *context.state.ownership.stop_by;
+  if (IsDrained(context)) {
+    stop_by = std::min(stop_by, context.now + kReleaseTimeout);
+  }
+  if (context.now >= stop_by) {
+    Exit(context, "Gave up what is still in flight.");
+    return;
+  }
+  context.ArmIn(TimerKind::kStop, kCheckInterval);
+}
+
+}  // namespace basilspread::internal::handover
--- a/packages/core/src/internal/log.cc
+++ b/packages/core/src/internal/log.cc
@@ -7,37 +7,101 @@
 
 #include "internal/configuration.h"
 #include "internal/ownership.h"
+#include "internal/peers.h"
 
 namespace basilspread::internal::log {
 namespace {
 
 constexpr std::string_view kPart = "log";
 
+/// Appends that all shard streams together may take. The log takes several
+/// hundred a second for everybody; the rest is for repeats and other streams.
+constexpr std::int64_t kShardAppendsPerSecond = 240;
+/// Bounds the size of one append.
+constexpr std::size_t kMaxBatchRecords = 256;
 /// A batch that was not read back for this long is appended again.
-constexpr Duration kAppendRetry = std::chrono::seconds(2);
+constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(500);
+constexpr Duration kMaxRetryDelay = std::chrono::seconds(4);
+/// An answer of the log is fresh for this long.
+constexpr Duration kAvailableBound = std::chrono::seconds(2);
+
+/// Least time between two appends to one stream: with all streams busy, the
+/// whole cluster stays within its share of the log.
+Duration Spacing(const Context& context) {
+  const auto shards =
+      static_cast<std::int64_t>(context.state.ownership.shards.size());
+  const Duration share =
+      Duration(std::chrono::seconds(1)) * shards / kShardAppendsPerSecond;
+  return std::max(context.state.settings.append_interval, share);
+}
 
 void Read(Context& context, const StreamName& name, LogStream& stream) {
   if (stream.reading) {
+    stream.read_again = true;
     return;
   }
   stream.reading = true;
+  stream.read_again = false;
+  stream.read_at = context.now;
   context.Emit(ReadLog{name, stream.next});
 }
 
+void ArmRead(Context& context) {
+  std::optional<TimePoint> next;
+  for (const auto& [name, stream] : context.state.log.streams) {
+    if (!stream.reading) {
+      const TimePoint due = stream.read_at + stream.read_interval;
+      next = next ? std::min(*next, due) : due;
+    }
+  }
+  if (next) {
+    context.Emit(SetTimer{TimerKind::kLogRead, *next});
+  }
+}
+
+void ArmAppend(Context& context) {
+  std::optional<TimePoint> next;
+  for (const auto& [name, stream] : context.state.log.streams) {
+    if (stream.send_at) {
+      next = next ? std::min(*next, *stream.send_at) : *stream.send_at;
+    }
+  }
+  if (next) {
+    context.Emit(SetTimer{TimerKind::kLogAppend, *next});
+  }
+}
+
+/// Sets when the waiting records go out, unless a batch is under way.
+void Schedule(Context& context, LogStream& stream) {
+  if (stream.in_flight || stream.pending.empty() || stream.send_at) {
+    return;
+  }
+  TimePoint at = context.now + context.state.settings.append_interval;
+  if (stream.last_sent) {
+    at = std::max(at, *stream.last_sent + Spacing(context));
+  }
+  stream.send_at = at;
+  ArmAppend(context);
+}
+
 void Send(Context& context, const StreamName& name, LogStream& stream) {
-  stream.appended_at = context.now;
+  stream.last_sent = context.now;
+  stream.send_at.reset();
   context.Emit(AppendLog{name, *stream.in_flight});
 }
 
 void SendPending(Context& context, const StreamName& name, LogStream& stream) {
-  if (stream.in_flight || stream.pending.empty()) {
-    return;
-  }
+  const std::size_t count = std::min(stream.pending.size(), kMaxBatchRecords);
+  const auto end = stream.pending.begin() + static_cast<std::ptrdiff_t>(count);
   LogBatch batch;
   batch.writer = context.state.settings.self;
   batch.id = AppendId{context.state.log.next_append++};
-  batch.records = std::exchange(stream.pending, {});
+  batch.records.assign(std::make_move_iterator(stream.pending.begin()),
+                       std::make_move_iterator(end));
+  stream.pending.erase(stream.pending.begin(), end);
   stream.in_flight = std::move(batch);
+  stream.in_flight_unknown = false;
+  stream.retry_delay = kFirstRetryDelay;
   Send(context, name, stream);
 }
 
@@ -48,10 +112,15 @@
     ownership::OnClaim(context, *claim);
   } else if (const auto* release = std::get_if<ReleaseRecord>(&record)) {
     ownership::OnRelease(context, *release);
+  } else if (const auto* checkpoint = std::get_if<CheckpointRecord>(&record)) {
+    ownership::OnCheckpoint(context, *checkpoint);
+  } else if (const auto* member = std::get_if<MemberRecord>(&record)) {
+    peers::OnMemberRecord(context, *member);
   }
 }
 
-void ApplyBatch(Context& context, LogStream& stream, const LogBatch& batch) {
+void ApplyBatch(Context& context, const StreamName& name, LogStream& stream,
+                const LogBatch& batch) {
   // An append that was sent again because its answer was lost may stand
   // twice; batches of one writer are numbered, so only the first counts.
   AppendId& applied = stream.applied[batch.writer];
@@ -59,89 +128,191 @@
     return;
   }
   applied = batch.id;
-  for (const LogRecord& record : batch.records) {
-    Apply(context, record);
-  }
   const bool is_own = batch.writer == context.state.settings.self;
   if (is_own && stream.in_flight && stream.in_flight->id == batch.id) {
     stream.in_flight.reset();
+    stream.send_at.reset();
+  }
+  for (const LogRecord& record : batch.records) {
+    if (ownership::IsInForce(context, name, batch.writer, record)) {
+      Apply(context, record);
+    }
+  }
+}
+
+void NoteAnswer(Context& context, bool ok) {
+  LogState& log = context.state.log;
+  const bool was_available = IsAvailable(context);
+  (ok ? log.last_answered : log.last_failed) = context.now;
+  if (ok) {
+    log.last_failed.reset();
+  }
+  if (was_available && !IsAvailable(context)) {
+    context.Log(LogLevel::kWarning, kPart, "The log is unavailable.");
+  } else if (!was_available && IsAvailable(context)) {
+    context.Log(LogLevel::kInfo, kPart, "The log is available.");
+  }
+}
+
+/// Begins anew where the stream begins, if records that this process has not
+/// read have expired.
+void RestartIfExpired(Context& context, const StreamName& name,
+                      LogStream& stream, Offset first_kept) {
+  stream.first_kept = first_kept;
+  if (stream.started && first_kept <= stream.next) {
+    return;
+  }
+  if (stream.started) {
+    context.Log(LogLevel::kWarning, kPart,
+                fmt::format("Unread records have expired. stream={} next={} "
+                            "first={}",
+                            name.value, stream.next.value, first_kept.value));
   }
+  stream.started = true;
+  ownership::OnStreamRestart(context, name, first_kept.value == 0);
+}
+
+/// A claim that surely was not stored is withdrawn: whether it is still
+/// wanted is decided anew.
+bool IsLoneClaim(const LogBatch& batch) {
+  return batch.records.size() == 1 &&
+         std::holds_alternative<ClaimRecord>(batch.records.front());
 }
 
 }  // namespace
 
 void Start(Context& context) {
-  Follow(context, configuration::TablesStream());
-  context.ArmIn(TimerKind::kLogRead, context.state.settings.log_read_interval);
+  Follow(context, configuration::TablesStream(),
+         context.state.settings.log_read_interval);
 }
 
 void OnReadTimer(Context& context) {
   for (auto& [name, stream] : context.state.log.streams) {
-    Read(context, name, stream);
-    if (stream.in_flight && context.now - *stream.appended_at >= kAppendRetry) {
-      Send(context, name, stream);
+    if (!stream.reading &&
+        stream.read_at + stream.read_interval <= context.now) {
+      Read(context, name, stream);
     }
   }
-  context.ArmIn(TimerKind::kLogRead, context.state.settings.log_read_interval);
+  ArmRead(context);
 }
 
 void OnAppendTimer(Context& context) {
   for (auto& [name, stream] : context.state.log.streams) {
-    SendPending(context, name, stream);
+    if (!stream.send_at || *stream.send_at > context.now) {
+      continue;
+    }
+    if (stream.in_flight) {
+      Send(context, name, stream);
+    } else {
+      SendPending(context, name, stream);
+    }
   }
+  ArmAppend(context);
 }
 
 void OnAppended(Context& context, const LogAppended& event) {
-  // Whatever the answer says, only a record that was read back counts.
-  const auto stream = context.state.log.streams.find(event.stream);
-  if (stream == context.state.log.streams.end()) {
+  NoteAnswer(context, event.result == AppendResult::kStored);
+  const auto found = context.state.log.streams.find(event.stream);
+  if (found == context.state.log.streams.end()) {
+    return;
+  }
+  LogStream& stream = found->second;
+  if (!stream.in_flight || stream.in_flight->id != event.id) {
     return;
   }
-  if (event.result == AppendResult::kStored) {
-    Read(context, stream->first, stream->second);
+  // Whatever the answer says, only a record that was read back counts; one
+  // that is not is appended again under the same number.
+  stream.send_at = context.now + stream.retry_delay;
+  stream.retry_delay = std::min(stream.retry_delay * 2, kMaxRetryDelay);
+  if (event.result != AppendResult::kRefused) {
+    stream.in_flight_unknown = true;
+    Read(context, event.stream, stream);
+  } else if (!stream.in_flight_unknown && IsLoneClaim(*stream.in_flight)) {
+    const auto claim = std::get<ClaimRecord>(stream.in_flight->records.front());
+    stream.in_flight.reset();
+    stream.send_at.reset();
+    ownership::OnClaimRefused(context, claim.shard);
+    Schedule(context, stream);
   }
+  ArmAppend(context);
 }
 
 void OnRead(Context& context, const LogRead& event) {
+  NoteAnswer(context, event.ok);
   const auto found = context.state.log.streams.find(event.stream);
-  if (found == context.state.log.streams.end()) {
+  if (found == context.state.log.streams.end() || !found->second.reading) {
     return;
   }
   LogStream& stream = found->second;
   stream.reading = false;
   if (!event.ok) {
+    stream.at_end = false;
+    ArmRead(context);
     return;
   }
-  stream.last_read = context.now;
+  RestartIfExpired(context, event.stream, stream, event.first_kept);
   for (const StoredBatch& stored : event.batches) {
     if (stored.offset >= stream.next) {
-      ApplyBatch(context, stream, stored.batch);
+      ApplyBatch(context, event.stream, stream, stored.batch);
     }
   }
   stream.next = std::max(stream.next, event.next);
   stream.at_end = event.at_end;
-  if (!event.at_end || stream.in_flight) {
+  if (event.at_end) {
+    stream.fresh_at = stream.read_at;
+    ownership::OnStreamFresh(context, event.stream, stream.read_at);
+  }
+  if (!event.at_end || stream.read_again) {
     Read(context, event.stream, stream);
   }
-  SendPending(context, event.stream, stream);
+  Schedule(context, stream);
+  ArmRead(context);
 }
 
-void Follow(Context& context, const StreamName& stream) {
+void Follow(Context& context, const StreamName& stream, Duration interval) {
   const auto [found, is_new] = context.state.log.streams.try_emplace(stream);
-  if (is_new) {
+  const bool is_sooner = interval < found->second.read_interval;
+  found->second.read_interval = interval;
+  if (is_new || is_sooner) {
+    Read(context, stream, found->second);
+    ArmRead(context);
+  }
+}
+
+bool Unfollow(Context& context, const StreamName& stream) {
+  const auto found = context.state.log.streams.find(stream);
+  if (found == context.state.log.streams.end()) {
+    return true;
+  }
+  if (found->second.in_flight || !found->second.pending.empty() ||
+      found->second.reading) {
+    return false;
+  }
+  context.state.log.streams.erase(found);
+  return true;
+}
+
+void ReadNow(Context& context, const StreamName& stream) {
+  const auto found = context.state.log.streams.find(stream);
+  if (found != context.state.log.streams.end()) {
     Read(context, stream, found->second);
   }
 }
 
 void Append(Context& context, const StreamName& stream, LogRecord record) {
-  Follow(context, stream);
+  const auto found = context.state.log.streams.find(stream);
+  if (found == context.state.log.streams.end()) {
+    Follow(context, stream, context.state.settings.log_read_interval);
+  }
   LogStream& target = context.state.log.streams[stream];
-  const bool is_first = target.pending.empty();
   target.pending.push_back(std::move(record));
-  if (is_first) {
-    context.ArmIn(TimerKind::kLogAppend,
-                  context.state.settings.append_interval);
-  }
+  Schedule(context, target);
+}
+
+bool IsAvailable(const Context& context) {
+  const LogState& log = context.state.log;
+  return log.last_answered && !log.last_failed &&
+         context.now - *log.last_answered <= kAvailableBound;
 }
 
 }  // namespace basilspread::internal::log
--- a/packages/core/src/internal/log.h
+++ b/packages/core/src/internal/log.h
@@ -12,13 +12,25 @@
 void OnAppended(Context& context, const LogAppended& event);
 void OnRead(Context& context, const LogRead& event);
 
-/// Follows a stream from its oldest kept record on.
-void Follow(Context& context, const StreamName& stream);
+/// Follows a stream from its oldest kept record on, or changes how often a
+/// followed one is read while nothing is awaited.
+void Follow(Context& context, const StreamName& stream, Duration interval);
 
-/// Adds a record to the stream's next batch. The record takes effect only
-/// when it is read back.
+/// Stops following a stream that has nothing to append; false when it has.
+bool Unfollow(Context& context, const StreamName& stream);
+
+/// Reads a followed stream now.
+void ReadNow(Context& context, const StreamName& stream);
+
+/// Adds a record to the next batch of a followed stream. The record takes
+/// effect only when it is read back. One that names a shard and an epoch is
+/// dropped by every reader unless its writer owns the shard in that epoch at
+/// that place of the stream.
 void Append(Context& context, const StreamName& stream, LogRecord record);
 
+/// Whether the log has answered lately, and has not failed since.
+bool IsAvailable(const Context& context);
+
 }  // namespace basilspread::internal::log
 
 #endif  // BASILSPREAD_CORE_INTERNAL_LOG_H_
--- a/packages/core/src/internal/ownership.cc
+++ b/packages/core/src/internal/ownership.cc
@@ -3,7 +3,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <vector>
+#include <string_view>
+#include <variant>
 
 #include "basilspread/core/random.h"
 #include "internal/jobs.h"
@@ -15,58 +16,31 @@
 namespace {
 
 constexpr std::string_view kPart = "ownership";
-constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
-
-std::uint64_t RankWeight(const NodeName& node, const ShardId& shard) {
-  return StableHash(node.value + "|" + shard.value);
-}
-
-/// Place of this process among the live ones for the shard, from 0.
-/// Algorithm: rendezvous hashing (Thaler and Ravishankar, 1998).
-std::int64_t OwnRank(const Context& context, const ShardId& shard) {
-  const std::uint64_t own = RankWeight(context.state.settings.self.node, shard);
-  std::int64_t rank = 0;
-  for (const auto& [node, peer] : context.state.membership.peers) {
-    const bool is_candidate =
-        membership::IsLive(context, peer) && !peer.last_heartbeat.stopping;
-    if (is_candidate && RankWeight(node, shard) > own) {
-      ++rank;
-    }
-  }
-  return rank;
-}
+constexpr std::string_view kStreamPrefix = "shard-";
+/// Checkpoints in the time that the log keeps a record.
+constexpr int kCheckpointsPerRetention = 4;
 
-bool HasLiveOwner(const Context& context, const ShardOwnership& ownership) {
-  return ownership.owner && membership::IsLive(context, *ownership.owner);
+ShardOwnership* Find(Context& context, const ShardId& shard) {
+  const auto found = context.state.ownership.shards.find(shard);
+  return found == context.state.ownership.shards.end() ? nullptr
+                                                       : &found->second;
 }
 
-void Claim(Context& context, ShardOwnership& ownership) {
-  ownership.claiming = true;
-  ClaimRecord claim;
-  claim.shard = ownership.shard;
-  claim.epoch = Epoch{ownership.epoch.value + 1};
-  claim.claimant = context.state.settings.self;
-  log::Append(context, StreamOf(ownership.shard), claim);
+const ShardOwnership* Find(const Context& context, const ShardId& shard) {
+  const auto found = context.state.ownership.shards.find(shard);
+  return found == context.state.ownership.shards.end() ? nullptr
+                                                       : &found->second;
 }
 
-void ConsiderClaim(Context& context, ShardOwnership& ownership) {
-  if (HasLiveOwner(context, ownership)) {
-    ownership.orphaned_since.reset();
-    return;
-  }
-  if (!ownership.orphaned_since) {
-    ownership.orphaned_since = context.now;
-  }
-  const LogStream& stream =
-      context.state.log.streams[StreamOf(ownership.shard)];
-  if (ownership.claiming || !stream.at_end || context.state.stopping) {
-    return;
-  }
-  const Duration delay = context.state.settings.claim_delay *
-                         (1 + OwnRank(context, ownership.shard));
-  if (context.now - *ownership.orphaned_since >= delay) {
-    Claim(context, ownership);
+ShardOwnership* FindByStream(Context& context, const StreamName& stream) {
+  if (!stream.value.starts_with(kStreamPrefix)) {
+    return nullptr;
   }
+  return Find(context, ShardId{stream.value.substr(kStreamPrefix.size())});
+}
+
+ShardId ShardAt(const PoolName& pool, std::uint64_t index) {
+  return ShardId{fmt::format("{}#{}", pool.value, index)};
 }
 
 void AddShard(Context& context, const Pool& pool, const ShardId& shard) {
@@ -74,38 +48,117 @@
   ownership.shard = shard;
   ownership.pool = pool.name;
   context.state.ownership.shards.emplace(shard, ownership);
-  log::Follow(context, StreamOf(shard));
 }
 
-void Gain(Context& context, const ShardId& shard, TakeoverKind kind) {
-  requests::OnShardGained(context, shard, kind);
-  jobs::OnShardGained(context, shard, kind);
-  requests::OnShardReady(context, shard);
-  jobs::OnShardReady(context, shard);
+void AppendCheckpoint(Context& context, ShardOwnership& ownership) {
+  ownership.checkpointed_at = context.now;
+  log::Append(context, StreamOf(ownership.shard),
+              CheckpointRecord{ownership.shard, ownership.epoch,
+                               context.state.settings.self});
+  jobs::AppendCheckpoint(context, ownership.shard);
 }
 
-void Lose(Context& context, const ShardId& shard) {
-  requests::OnShardLost(context, shard);
-  jobs::OnShardLost(context, shard);
+void Gain(Context& context, ShardOwnership& ownership) {
+  const Settings& settings = context.state.settings;
+  ownership.owned_by_self = true;
+  ownership.releasing = false;
+  ownership.ready = false;
+  ownership.checkpointed_at = context.now;
+  ownership.act_after = context.now;
+  if (ownership.kind == TakeoverKind::kUnclean) {
+    // The deposed owner may have read the stream just before the claim, and
+    // acts on that for the freshness time.
+    ownership.act_after +=
+        settings.ownership_freshness + settings.ownership_margin;
+  }
+  context.Log(LogLevel::kInfo, kPart,
+              fmt::format("Gained a shard. shard={} epoch={} after={}",
+                          ownership.shard.value, ownership.epoch.value,
+                          ownership.kind == TakeoverKind::kClean ? "release"
+                                                                 : "silence"));
+  log::Follow(context, StreamOf(ownership.shard), settings.log_read_interval);
+  if (!ownership.anchored) {
+    AppendCheckpoint(context, ownership);
+  }
+  requests::OnShardGained(context, ownership.shard, ownership.kind);
+  jobs::OnShardGained(context, ownership.shard, ownership.kind);
+  membership::SendHeartbeats(context);
 }
 
-ShardId ShardAt(const PoolName& pool, std::uint64_t index) {
-  return ShardId{fmt::format("{}#{}", pool.value, index)};
+void Lose(Context& context, ShardOwnership& ownership) {
+  ownership.owned_by_self = false;
+  ownership.releasing = false;
+  ownership.ready = false;
+  ownership.valid_until = TimePoint{};
+  ownership.followed_at = context.now;
+  context.Log(LogLevel::kInfo, kPart,
+              fmt::format("Lost a shard. shard={} epoch={}",
+                          ownership.shard.value, ownership.epoch.value));
+  requests::OnShardLost(context, ownership.shard);
+  jobs::OnShardLost(context, ownership.shard);
+  membership::SendHeartbeats(context);
 }
 
-}  // namespace
-
-void Start(Context& context) {
-  context.ArmIn(TimerKind::kOwnership, kCheckInterval);
+void TellIfReady(Context& context, ShardOwnership& ownership) {
+  const bool may_act = MayAct(context, ownership.shard);
+  const bool is_new = may_act && !ownership.ready;
+  ownership.ready = may_act;
+  if (is_new) {
+    requests::OnShardReady(context, ownership.shard);
+    jobs::OnShardReady(context, ownership.shard);
+  }
 }
 
-void OnOwnershipTimer(Context& context) {
-  for (auto& [shard, ownership] : context.state.ownership.shards) {
-    ConsiderClaim(context, ownership);
+/// Sets the owner that a record names, at its place of the stream.
+void SetOwner(Context& context, ShardOwnership& ownership, Epoch epoch,
+              const std::optional<ProcessId>& owner) {
+  ownership.epoch = epoch;
+  ownership.owner = owner;
+  ownership.successor = NodeName{};
+  if (ownership.owned_by_self && owner != context.state.settings.self) {
+    Lose(context, ownership);
   }
-  context.ArmIn(TimerKind::kOwnership, kCheckInterval);
 }
 
+/// Whether the stream was read to its end before: a record that is read now
+/// is new, and not part of the history.
+bool IsCaughtUp(const Context& context, const ShardId& shard) {
+  const auto found = context.state.log.streams.find(StreamOf(shard));
+  return found != context.state.log.streams.end() && found->second.fresh_at;
+}
+
+/// Tells whether a record counts at its place of a stream.
+struct InForce {
+  const Context& context;
+  const StreamName& stream;
+  const ProcessId& writer;
+
+  bool operator()(const ClaimRecord& record) const {
+    return this->stream == StreamOf(record.shard) &&
+           this->writer == record.claimant;
+  }
+  bool operator()(const ReleaseRecord& record) const {
+    return this->stream == StreamOf(record.shard) &&
+           this->writer == record.owner;
+  }
+  bool operator()(const CheckpointRecord& record) const {
+    return this->stream == StreamOf(record.shard) &&
+           this->writer == record.owner;
+  }
+  template <typename Record>
+  bool operator()(const Record& record) const {
+    if constexpr (requires { record.shard.value, record.epoch.value; }) {
+      const ShardOwnership* ownership = Find(this->context, record.shard);
+      return ownership != nullptr && this->stream == StreamOf(record.shard) &&
+             record.epoch == ownership->epoch &&
+             ownership->owner == this->writer;
+    }
+    return true;
+  }
+};
+
+}  // namespace
+
 void OnTablesChanged(Context& context) {
   for (const auto& [name, pool] : context.state.configuration.tables.pools) {
     for (std::uint32_t index = 0; index < pool.shards; ++index) {
@@ -118,52 +171,115 @@
   requests::OnHostsChanged(context);
 }
 
+void OnStreamRestart(Context& context, const StreamName& stream,
+                     bool complete) {
+  ShardOwnership* ownership = FindByStream(context, stream);
+  if (ownership == nullptr) {
+    return;
+  }
+  SetOwner(context, *ownership, Epoch{}, std::nullopt);
+  ownership->anchored = complete;
+  jobs::OnStreamReset(context, ownership->shard);
+}
+
 void OnClaim(Context& context, const ClaimRecord& record) {
-  const auto found = context.state.ownership.shards.find(record.shard);
-  if (found == context.state.ownership.shards.end()) {
+  ShardOwnership* ownership = Find(context, record.shard);
+  if (ownership == nullptr) {
     return;
   }
-  ShardOwnership& ownership = found->second;
   const bool is_own = record.claimant == context.state.settings.self;
   if (is_own) {
-    ownership.claiming = false;
+    ownership->claiming = false;
   }
-  if (record.epoch.value != ownership.epoch.value + 1) {
+  if (record.epoch <= ownership->epoch) {
     return;
   }
-  const bool was_own = ownership.owned_by_self;
-  const TakeoverKind kind =
-      ownership.owner ? TakeoverKind::kUnclean : TakeoverKind::kClean;
-  ownership.epoch = record.epoch;
-  ownership.owner = record.claimant;
-  ownership.owned_by_self = is_own;
-  ownership.orphaned_since.reset();
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("Shard has an owner. shard={} epoch={} owner={}",
-                          record.shard.value, record.epoch.value,
-                          record.claimant.node.value));
-  if (was_own && !is_own) {
-    Lose(context, record.shard);
-  }
-  if (!was_own && is_own) {
-    Gain(context, record.shard, kind);
+  const bool is_released = ownership->anchored && !ownership->owner;
+  ownership->kind = is_released ? TakeoverKind::kClean : TakeoverKind::kUnclean;
+  SetOwner(context, *ownership, record.epoch, record.claimant);
+  if (!is_own && IsCaughtUp(context, record.shard)) {
+    ownership->served_at = context.now;
   }
 }
 
 void OnRelease(Context& context, const ReleaseRecord& record) {
-  const auto found = context.state.ownership.shards.find(record.shard);
-  if (found == context.state.ownership.shards.end()) {
+  ShardOwnership* ownership = Find(context, record.shard);
+  if (ownership == nullptr) {
+    return;
+  }
+  const bool is_in_force =
+      record.epoch == ownership->epoch && ownership->owner == record.owner;
+  const bool is_first = !ownership->anchored && record.epoch > ownership->epoch;
+  if (is_in_force || is_first) {
+    SetOwner(context, *ownership, record.epoch, std::nullopt);
+    ownership->successor = record.successor;
+  }
+}
+
+void OnCheckpoint(Context& context, const CheckpointRecord& record) {
+  ShardOwnership* ownership = Find(context, record.shard);
+  if (ownership == nullptr || ownership->anchored ||
+      record.epoch < ownership->epoch) {
     return;
   }
-  ShardOwnership& ownership = found->second;
-  if (record.epoch != ownership.epoch || ownership.owner != record.owner) {
+  // What stands before it may be of an owner whose deposing has expired; all
+  // that is live follows.
+  ownership->anchored = true;
+  ownership->kind = TakeoverKind::kUnclean;
+  SetOwner(context, *ownership, record.epoch, record.owner);
+  jobs::OnStreamReset(context, ownership->shard);
+}
+
+void OnStreamFresh(Context& context, const StreamName& stream,
+                   TimePoint read_at) {
+  ShardOwnership* ownership = FindByStream(context, stream);
+  if (ownership == nullptr || ownership->owner != context.state.settings.self) {
     return;
   }
-  ownership.owner.reset();
-  if (ownership.owned_by_self) {
-    ownership.owned_by_self = false;
-    Lose(context, record.shard);
+  ownership->valid_until =
+      std::max(ownership->valid_until,
+               read_at + context.state.settings.ownership_freshness);
+  if (!ownership->owned_by_self) {
+    Gain(context, *ownership);
   }
+  TellIfReady(context, *ownership);
+}
+
+void OnClaimRefused(Context& context, const ShardId& shard) {
+  if (ShardOwnership* ownership = Find(context, shard)) {
+    ownership->claiming = false;
+  }
+}
+
+void OnHeardByAll(Context& context, TimePoint heard_at) {
+  const TimePoint until = heard_at + context.state.settings.ownership_freshness;
+  for (auto& [shard, ownership] : context.state.ownership.shards) {
+    // Hearing all peers only prolongs: a right that has lapsed comes back by
+    // reading the stream, since a claim may stand there by now.
+    if (ownership.owned_by_self && context.now < ownership.valid_until) {
+      ownership.valid_until = std::max(ownership.valid_until, until);
+    }
+  }
+}
+
+void Maintain(Context& context) {
+  const Duration interval =
+      context.state.settings.log_retention / kCheckpointsPerRetention;
+  for (auto& [shard, ownership] : context.state.ownership.shards) {
+    if (!ownership.owned_by_self) {
+      continue;
+    }
+    TellIfReady(context, ownership);
+    if (context.now - *ownership.checkpointed_at >= interval &&
+        log::IsAvailable(context) && !ownership.releasing) {
+      AppendCheckpoint(context, ownership);
+    }
+  }
+}
+
+bool IsInForce(const Context& context, const StreamName& stream,
+               const ProcessId& writer, const LogRecord& record) {
+  return std::visit(InForce{context, stream, writer}, record);
 }
 
 ShardId ShardOf(const Pool& pool, const Host& host) {
@@ -172,32 +288,50 @@
 }
 
 StreamName StreamOf(const ShardId& shard) {
-  return StreamName{"shard-" + shard.value};
+  return StreamName{std::string(kStreamPrefix) + shard.value};
 }
 
 bool OwnsShard(const Context& context, const ShardId& shard) {
-  const auto found = context.state.ownership.shards.find(shard);
-  return found != context.state.ownership.shards.end() &&
-         found->second.owned_by_self;
+  const ShardOwnership* ownership = Find(context, shard);
+  return ownership != nullptr && ownership->owned_by_self;
+}
+
+bool TakesWork(const Context& context, const ShardId& shard) {
+  const ShardOwnership* ownership = Find(context, shard);
+  return ownership != nullptr && ownership->owned_by_self &&
+         !ownership->releasing;
 }
 
 std::optional<TimePoint> MayActUntil(const Context& context,
                                      const ShardId& shard) {
-  if (!OwnsShard(context, shard)) {
+  const ShardOwnership* ownership = Find(context, shard);
+  if (ownership == nullptr || !TakesWork(context, shard) ||
+      context.now < ownership->act_after ||
+      context.now >= ownership->valid_until) {
     return std::nullopt;
   }
-  return context.now + context.state.settings.peer_timeout;
+  return ownership->valid_until;
 }
 
 bool MayAct(const Context& context, const ShardId& shard) {
-  const std::optional<TimePoint> until = MayActUntil(context, shard);
-  return until && context.now < *until;
+  return MayActUntil(context, shard).has_value();
 }
 
 Epoch EpochOf(const Context& context, const ShardId& shard) {
-  const auto found = context.state.ownership.shards.find(shard);
-  return found == context.state.ownership.shards.end() ? Epoch{}
-                                                       : found->second.epoch;
+  const ShardOwnership* ownership = Find(context, shard);
+  return ownership == nullptr ? Epoch{} : ownership->epoch;
+}
+
+bool IsDeposing(const Context& context, const ProcessId& process) {
+  const auto& shards = context.state.ownership.shards;
+  return std::any_of(
+      shards.begin(), shards.end(), [&context, &process](const auto& entry) {
+        const ShardOwnership& ownership = entry.second;
+        const bool is_waiting =
+            ownership.owned_by_self && context.now < ownership.act_after;
+        return ownership.deposed == process &&
+               (ownership.claiming || is_waiting);
+      });
 }
 
 }  // namespace basilspread::internal::ownership
--- a/packages/core/src/internal/ownership.h
+++ b/packages/core/src/internal/ownership.h
@@ -9,15 +9,35 @@
 #include "basilspread/core/tables.h"
 #include "internal/context.h"
 
+/// Who owns a shard by its stream, and whether the owner may act.
 namespace basilspread::internal::ownership {
 
-void Start(Context& context);
-void OnOwnershipTimer(Context& context);
-
 /// Matches the shards to the pools of the tables in force.
 void OnTablesChanged(Context& context);
+
+/// Reading of a stream starts at its oldest kept record; `complete` when
+/// nothing before it has expired.
+void OnStreamRestart(Context& context, const StreamName& stream, bool complete);
 void OnClaim(Context& context, const ClaimRecord& record);
 void OnRelease(Context& context, const ReleaseRecord& record);
+void OnCheckpoint(Context& context, const CheckpointRecord& record);
+/// A read that began at `read_at` has reached the end of the stream.
+void OnStreamFresh(Context& context, const StreamName& stream,
+                   TimePoint read_at);
+/// A claim of this process surely was not stored and is withdrawn.
+void OnClaimRefused(Context& context, const ShardId& shard);
+
+/// Every peer that could claim still heard this process at `heard_at`.
+void OnHeardByAll(Context& context, TimePoint heard_at);
+
+/// Tells the other concerns of shards that may be acted on again, and
+/// appends the checkpoints that are due.
+void Maintain(Context& context);
+
+/// Whether a record counts at its place of the stream: one that names a
+/// shard and an epoch was written by the owner in that epoch.
+bool IsInForce(const Context& context, const StreamName& stream,
+               const ProcessId& writer, const LogRecord& record);
 
 /// The shard that a host belongs to: hosts of a rack stay together, and the
 /// list's order does not matter, so that every process decides alike.
@@ -30,6 +50,9 @@
 /// start anything on the shard's hosts it also needs MayAct.
 bool OwnsShard(const Context& context, const ShardId& shard);
 
+/// Whether this process owns the shard and is not about to release it.
+bool TakesWork(const Context& context, const ShardId& shard);
+
 /// Until when this process, as owner, may start something on the shard's
 /// hosts; unset when it may not now. Goes into the not-after time of effects.
 std::optional<TimePoint> MayActUntil(const Context& context,
@@ -41,6 +64,10 @@
 /// The epoch in force as far as the stream was read; 0 before any claim.
 Epoch EpochOf(const Context& context, const ShardId& shard);
 
+/// Whether this process is taking a shard over from that one, which must not
+/// be told that it is still heard.
+bool IsDeposing(const Context& context, const ProcessId& process);
+
 }  // namespace basilspread::internal::ownership
 
 #endif  // BASILSPREAD_CORE_INTERNAL_OWNERSHIP_H_
--- /dev/null
+++ b/packages/core/src/internal/peers.cc
@@ -0,0 +1,185 @@
+#include "internal/peers.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "internal/log.h"
+#include "internal/membership.h"
+#include "internal/requests.h"
+
+namespace basilspread::internal::peers {
+namespace {
+
+constexpr std::string_view kPart = "membership";
+
+/// Time between reads of the stream of members; heartbeats are the usual way
+/// to learn of a new process.
+constexpr Duration kMembersReadInterval = std::chrono::seconds(5);
+/// Announcements of a process in the time that the log keeps a record.
+constexpr int kAnnouncementsPerRetention = 4;
+/// A peer that is not in the settings is forgotten after this silence.
+constexpr Duration kForgetTime = std::chrono::minutes(1);
+/// Runs of a node that are remembered as replaced.
+constexpr std::size_t kMaxReplacedRuns = 16;
+/// Bounds what peers and records can make this process remember.
+constexpr std::size_t kMaxPeers = 256;
+constexpr Duration kMaxReopenDelay = std::chrono::seconds(16);
+
+StreamName MembersStream() { return StreamName{"members"}; }
+
+void Announce(Context& context, bool leaving) {
+  context.state.membership.announced = context.now;
+  log::Append(context, MembersStream(),
+              MemberRecord{context.state.settings.self,
+                           context.state.settings.peer_address, leaving});
+}
+
+/// Whether the peer has confirmed no heartbeat for too long though the link
+/// to it is open: something between the two has lost track of it.
+bool IsLinkSilent(const Context& context, const Peer& peer) {
+  const Duration timeout = context.state.settings.peer_timeout;
+  const TimePoint since =
+      std::max(peer.connected_at, context.state.membership.listening_since);
+  const TimePoint last = peer.confirmed.value_or(since);
+  return peer.connected && context.now - std::max(last, since) >= timeout;
+}
+
+void ReopenIfSilent(Context& context, Peer& peer) {
+  if (!IsLinkSilent(context, peer)) {
+    if (peer.live) {
+      peer.reopen_delay = Duration::zero();
+    }
+    return;
+  }
+  if (peer.reopened && context.now - *peer.reopened < peer.reopen_delay) {
+    return;
+  }
+  peer.reopened = context.now;
+  peer.reopen_delay =
+      std::clamp(peer.reopen_delay * 2, context.state.settings.peer_timeout,
+                 kMaxReopenDelay);
+  context.Log(LogLevel::kWarning, kPart,
+              fmt::format("Reopening a silent link. peer={}", peer.node.value));
+  context.Emit(ReopenLink{peer.node});
+}
+
+bool IsForgotten(const Context& context, const Peer& peer) {
+  return !peer.configured && !membership::IsLive(context, peer) &&
+         context.now - std::max(peer.learnt,
+                                context.state.membership.listening_since) >=
+             kForgetTime;
+}
+
+void ForgetDead(Context& context) {
+  auto& peers = context.state.membership.peers;
+  for (auto peer = peers.begin(); peer != peers.end();) {
+    while (peer->second.replaced.size() > kMaxReplacedRuns) {
+      peer->second.replaced.erase(peer->second.replaced.begin());
+    }
+    if (!IsForgotten(context, peer->second)) {
+      ++peer;
+      continue;
+    }
+    context.Log(LogLevel::kInfo, kPart,
+                fmt::format("Forgot a peer. peer={}", peer->first.value));
+    context.Emit(DisconnectPeer{peer->first});
+    peer = peers.erase(peer);
+  }
+}
+
+}  // namespace
+
+void Start(Context& context) {
+  for (auto& [node, peer] : context.state.membership.peers) {
+    peer.learnt = context.now;
+    peer.configured = true;
+  }
+  log::Follow(context, MembersStream(), kMembersReadInterval);
+  Announce(context, false);
+}
+
+void OnLinkChanged(Context& context, const PeerLinkChanged& event) {
+  const auto found = context.state.membership.peers.find(event.peer);
+  if (found == context.state.membership.peers.end()) {
+    return;
+  }
+  Peer& peer = found->second;
+  peer.connected = event.connected;
+  if (event.connected) {
+    // The first heartbeat need not wait for the timer.
+    peer.connected_at = context.now;
+    membership::SendHeartbeats(context);
+  }
+}
+
+void OnMismatch(Context& context, const PeerMismatched& event) {
+  const auto found = context.state.membership.peers.find(event.node);
+  if (found == context.state.membership.peers.end() ||
+      found->second.other_version == event.version) {
+    return;
+  }
+  found->second.other_version = event.version;
+  context.Log(LogLevel::kError, kPart,
+              fmt::format("Peer speaks another version of the protocol. "
+                          "peer={} version={}",
+                          event.node.value, event.version));
+}
+
+void OnMemberRecord(Context& context, const MemberRecord& record) {
+  const Settings& settings = context.state.settings;
+  if (record.process.node == settings.self.node) {
+    return;
+  }
+  auto& peers = context.state.membership.peers;
+  const auto known = peers.find(record.process.node);
+  if (known != peers.end() &&
+      (membership::IsLive(context, known->second) ||
+       known->second.replaced.contains(record.process.incarnation))) {
+    return;
+  }
+  if (!HasRoomFor(context, record.process.node)) {
+    return;
+  }
+  Peer& peer = peers[record.process.node];
+  peer.node = record.process.node;
+  peer.learnt = context.now;
+  peer.gone = record.leaving;
+  if (!record.leaving) {
+    LearnAddress(context, peer, record.address);
+  }
+}
+
+bool HasRoomFor(const Context& context, const NodeName& node) {
+  const auto& peers = context.state.membership.peers;
+  return peers.contains(node) || peers.size() < kMaxPeers;
+}
+
+void LearnAddress(Context& context, Peer& peer, const std::string& address) {
+  if (address.empty() || address == peer.address) {
+    return;
+  }
+  peer.address = address;
+  context.Log(LogLevel::kInfo, kPart,
+              fmt::format("Learnt the address of a peer. peer={} address={}",
+                          peer.node.value, address));
+  context.Emit(ConnectPeer{peer.node, address});
+}
+
+void Maintain(Context& context) {
+  for (auto& [node, peer] : context.state.membership.peers) {
+    ReopenIfSilent(context, peer);
+  }
+  ForgetDead(context);
+  const Duration interval =
+      context.state.settings.log_retention / kAnnouncementsPerRetention;
+  if (!context.state.stopping &&
+      context.now - *context.state.membership.announced >= interval) {
+    Announce(context, false);
+  }
+}
+
+void AnnounceLeaving(Context& context) { Announce(context, true); }
+
+}  // namespace basilspread::internal::peers
--- a/packages/core/src/internal/requests.cc
+++ b/packages/core/src/internal/requests.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <utility>
@@ -270,7 +271,7 @@
 void OnForwarded(Context& context, const ProcessId& from,
                  const ForwardRequest& message) {
   const RequestKey key{from, message.call};
-  if (!ownership::OwnsShard(context, message.shard)) {
+  if (!ownership::TakesWork(context, message.shard)) {
     Answer(context, key, ErrorKind::kNotOwner, message.shard.value, nullptr);
     return;
   }
@@ -406,6 +407,13 @@
   }
 }
 
+bool IsShardIdle(const Context& context, const ShardId& shard) {
+  const auto& requests = context.state.requests.requests;
+  return std::none_of(
+      requests.begin(), requests.end(),
+      [&shard](const auto& entry) { return entry.second->shard == shard; });
+}
+
 bool IsIdle(const Context& context) {
   return context.state.requests.requests.empty() &&
          context.state.requests.remote.empty();
--- a/packages/core/src/internal/requests.h
+++ b/packages/core/src/internal/requests.h
@@ -24,6 +24,8 @@
 /// Settles what was passed to a peer that is gone.
 void OnPeerLost(Context& context, const NodeName& peer);
 
+/// Whether no request waits or runs in the shard.
+bool IsShardIdle(const Context& context, const ShardId& shard);
 /// Whether nothing of any caller is in flight here.
 bool IsIdle(const Context& context);
 
--- /dev/null
+++ b/packages/core/src/internal/takeover.cc
@@ -0,0 +1,233 @@
+#include "internal/takeover.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "basilspread/core/random.h"
+#include "internal/log.h"
+#include "internal/membership.h"
+#include "internal/ownership.h"
+
+namespace basilspread::internal::takeover {
+namespace {
+
+constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
+/// Time between reads of a stream whose shard may have to be claimed.
+constexpr Duration kCandidateReadInterval = std::chrono::milliseconds(100);
+/// A claim is decided on a read that began within this time.
+constexpr Duration kMaxReadAge = std::chrono::seconds(1);
+/// The stream of a shard that another serves is followed no longer than this.
+constexpr Duration kFollowTime = std::chrono::seconds(5);
+/// A process that hears nobody waits longer: it may be the one that is cut.
+constexpr int kLoneFactor = 2;
+
+std::uint64_t RankWeight(const NodeName& node, const ShardId& shard) {
+  return StableHash(node.value + "|" + shard.value);
+}
+
+bool IsCandidate(const Context& context, const Peer& peer) {
+  return membership::IsLive(context, peer) && !peer.last_heartbeat.stopping;
+}
+
+/// Place of this process among the live ones for the shard, from 0.
+std::int64_t OwnRank(const Context& context, const ShardId& shard) {
+  const std::uint64_t own = RankWeight(context.state.settings.self.node, shard);
+  std::int64_t rank = 0;
+  for (const auto& [node, peer] : context.state.membership.peers) {
+    if (IsCandidate(context, peer) && RankWeight(node, shard) > own) {
+      ++rank;
+    }
+  }
+  return rank;
+}
+
+/// How long nobody has known the shard to be served.
+Duration SilenceOf(const Context& context, const ShardOwnership& ownership) {
+  const TimePoint listening = context.state.membership.listening_since;
+  const TimePoint last = ownership.served_at.value_or(listening);
+  return context.now - std::max(last, listening);
+}
+
+bool IsNamedSuccessor(const Context& context, const ShardOwnership& ownership) {
+  const NodeName& self = context.state.settings.self.node;
+  if (ownership.successor == self) {
+    return true;
+  }
+  for (const auto& [node, peer] : context.state.membership.peers) {
+    if (!membership::IsLive(context, peer)) {
+      continue;
+    }
+    for (const ShardReport& report : peer.last_heartbeat.shards) {
+      if (report.shard == ownership.shard && report.successor == self) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+/// Whether the owner's node surely runs another process by now.
+bool IsReplaced(const Context& context, const ProcessId& owner) {
+  if (owner.node == context.state.settings.self.node) {
+    return owner != context.state.settings.self;
+  }
+  const auto peer = context.state.membership.peers.find(owner.node);
+  return peer != context.state.membership.peers.end() &&
+         peer->second.replaced.contains(owner.incarnation);
+}
+
+bool HearsNobody(const Context& context) {
+  const auto& peers = context.state.membership.peers;
+  const auto is_live = [&context](const auto& entry) {
+    return membership::IsLive(context, entry.second);
+  };
+  const auto may_live = [](const auto& entry) { return !entry.second.gone; };
+  return std::any_of(peers.begin(), peers.end(), may_live) &&
+         std::none_of(peers.begin(), peers.end(), is_live);
+}
+
+/// How long the shard must have been unserved before this process claims it.
+Duration ClaimDelay(const Context& context, const ShardOwnership& ownership) {
+  const Settings& settings = context.state.settings;
+  const Duration turn =
+      settings.claim_delay * OwnRank(context, ownership.shard);
+  if (!ownership.owner) {
+    if (ownership.successor == settings.self.node) {
+      return Duration::zero();
+    }
+    return settings.heartbeat_interval * 2 + turn;
+  }
+  if (IsReplaced(context, *ownership.owner)) {
+    return settings.heartbeat_interval * 2 + turn;
+  }
+  const int factor = HearsNobody(context) ? kLoneFactor : 1;
+  return settings.takeover_timeout * factor + turn;
+}
+
+/// Above every epoch that was ever claimed in the stream: each took a record,
+/// so that no epoch exceeds the offsets that have expired.
+Epoch NextEpoch(const ShardOwnership& ownership, const LogStream& stream) {
+  const std::uint64_t expired =
+      ownership.anchored ? 0 : stream.first_kept.value;
+  return Epoch{std::max(ownership.epoch.value, expired) + 1};
+}
+
+void Claim(Context& context, ShardOwnership& ownership,
+           const LogStream& stream) {
+  ownership.claiming = true;
+  ownership.deposed = ownership.owner;
+  ClaimRecord claim;
+  claim.shard = ownership.shard;
+  claim.epoch = NextEpoch(ownership, stream);
+  claim.claimant = context.state.settings.self;
+  log::Append(context, ownership::StreamOf(ownership.shard), claim);
+}
+
+void ConsiderClaim(Context& context, ShardOwnership& ownership,
+                   const LogStream& stream) {
+  const bool is_fresh = stream.at_end && stream.fresh_at &&
+                        context.now - *stream.fresh_at <= kMaxReadAge;
+  if (ownership.claiming || context.state.stopping || !is_fresh ||
+      !log::IsAvailable(context)) {
+    return;
+  }
+  if (SilenceOf(context, ownership) >= ClaimDelay(context, ownership)) {
+    Claim(context, ownership, stream);
+  }
+}
+
+/// Follows the stream while the shard may have to be claimed.
+void ConsiderTakeover(Context& context, ShardOwnership& ownership) {
+  const Settings& settings = context.state.settings;
+  const StreamName name = ownership::StreamOf(ownership.shard);
+  const Duration silence = SilenceOf(context, ownership);
+  const bool is_named = IsNamedSuccessor(context, ownership);
+  const auto stream = context.state.log.streams.find(name);
+  if (stream == context.state.log.streams.end()) {
+    const Duration turn =
+        settings.claim_delay * OwnRank(context, ownership.shard);
+    if (is_named || silence >= settings.heartbeat_interval * 2 + turn) {
+      ownership.followed_at = context.now;
+      log::Follow(context, name, kCandidateReadInterval);
+    }
+    return;
+  }
+  const bool is_served = silence < settings.heartbeat_interval * 2;
+  const bool is_old = !ownership.followed_at ||
+                      context.now - *ownership.followed_at >= kFollowTime;
+  if (is_served && is_old && !is_named && !ownership.claiming) {
+    log::Unfollow(context, name);
+    return;
+  }
+  log::Follow(context, name,
+              is_served && !is_named ? settings.log_read_interval
+                                     : kCandidateReadInterval);
+  ConsiderClaim(context, ownership, stream->second);
+}
+
+void NoteServer(Context& context, const Peer& peer, const ShardReport& report) {
+  const auto found = context.state.ownership.shards.find(report.shard);
+  if (found == context.state.ownership.shards.end()) {
+    return;
+  }
+  ShardOwnership& ownership = found->second;
+  if (report.epoch < ownership.epoch || report.epoch < ownership.served_epoch) {
+    return;
+  }
+  const std::optional<TimePoint> heard = membership::LastHeard(peer);
+  if (!heard) {
+    return;
+  }
+  ownership.server = ProcessId{peer.node, peer.incarnation};
+  ownership.served_epoch = report.epoch;
+  ownership.served_at = std::max(ownership.served_at.value_or(*heard), *heard);
+}
+
+}  // namespace
+
+void Start(Context& context) {
+  context.ArmIn(TimerKind::kOwnership, kCheckInterval);
+}
+
+void OnTimer(Context& context) {
+  for (const auto& [node, peer] : context.state.membership.peers) {
+    for (const ShardReport& report : peer.last_heartbeat.shards) {
+      NoteServer(context, peer, report);
+    }
+  }
+  ownership::Maintain(context);
+  for (auto& [shard, ownership] : context.state.ownership.shards) {
+    if (!ownership.owned_by_self) {
+      ConsiderTakeover(context, ownership);
+    }
+  }
+  context.ArmIn(TimerKind::kOwnership, kCheckInterval);
+}
+
+void OnReports(Context& context, const NodeName& peer) {
+  for (const ShardReport& report :
+       context.state.membership.peers.at(peer).last_heartbeat.shards) {
+    const auto found = context.state.ownership.shards.find(report.shard);
+    if (found == context.state.ownership.shards.end()) {
+      continue;
+    }
+    if (found->second.owned_by_self && report.epoch > found->second.epoch) {
+      log::ReadNow(context, ownership::StreamOf(report.shard));
+    }
+  }
+}
+
+NodeName SuccessorFor(const Context& context, const ShardId& shard) {
+  NodeName best;
+  for (const auto& [node, peer] : context.state.membership.peers) {
+    const bool is_candidate = IsCandidate(context, peer) && peer.connected;
+    if (is_candidate && (best.value.empty() ||
+                         RankWeight(node, shard) > RankWeight(best, shard))) {
+      best = node;
+    }
+  }
+  return best;
+}
+
+}  // namespace basilspread::internal::takeover
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -4,21 +4,20 @@
 
 #include "internal/configuration.h"
 #include "internal/context.h"
+#include "internal/handover.h"
 #include "internal/hosts.h"
-#include "internal/jobs.h"
 #include "internal/log.h"
 #include "internal/membership.h"
-#include "internal/ownership.h"
+#include "internal/peers.h"
 #include "internal/report.h"
 #include "internal/requests.h"
+#include "internal/takeover.h"
 
 namespace basilspread {
 namespace {
 
 using internal::Context;
 
-constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(20);
-
 /// Hands each event to the concern that it belongs to.
 struct Dispatcher {
   Context& context;
@@ -27,7 +26,8 @@
     internal::log::Start(this->context);
     internal::hosts::Start(this->context);
     internal::membership::Start(this->context);
-    internal::ownership::Start(this->context);
+    internal::peers::Start(this->context);
+    internal::takeover::Start(this->context);
   }
 
   void operator()(const RequestArrived& event) const {
@@ -47,7 +47,11 @@
   }
 
   void operator()(const PeerLinkChanged& event) const {
-    internal::membership::OnLinkChanged(this->context, event);
+    internal::peers::OnLinkChanged(this->context, event);
+  }
+
+  void operator()(const PeerMismatched& event) const {
+    internal::peers::OnMismatch(this->context, event);
   }
 
   void operator()(const LogAppended& event) const {
@@ -69,7 +73,7 @@
       case TimerKind::kMembership:
         return internal::membership::OnMembershipTimer(this->context);
       case TimerKind::kOwnership:
-        return internal::ownership::OnOwnershipTimer(this->context);
+        return internal::takeover::OnTimer(this->context);
       case TimerKind::kHostList:
         return internal::hosts::OnHostListTimer(this->context);
       case TimerKind::kLogRead:
@@ -81,15 +85,12 @@
       case TimerKind::kJobs:
         return;
       case TimerKind::kStop:
-        return this->CheckDrained();
+        return internal::handover::OnStopTimer(this->context);
     }
   }
 
   void operator()(const StopRequested& /*event*/) const {
-    this->context.state.stopping = true;
-    this->context.Log(LogLevel::kInfo, "process", "Stop was requested.");
-    this->context.Emit(RefuseCallers{});
-    this->CheckDrained();
+    internal::handover::OnStopRequested(this->context);
   }
 
   void operator()(const DumpRequested& event) const {
@@ -112,15 +113,6 @@
       internal::requests::OnForwardAnswered(this->context, message);
     }
   };
-
-  void CheckDrained() const {
-    if (internal::requests::IsIdle(this->context) &&
-        internal::jobs::IsIdle(this->context)) {
-      this->context.Emit(ExitProcess{});
-      return;
-    }
-    this->context.ArmIn(TimerKind::kStop, kDrainCheckInterval);
-  }
 };
 
 }  // namespace
@@ -128,6 +120,7 @@
 Effects Reduce(State& state, const Event& event) {
   Effects effects;
   Context context{state, event.time, effects};
+  internal::membership::OnEvent(context);
   std::visit(Dispatcher{context}, event.body);
   return effects;
 }
--- a/packages/node/src/control_loop.cc
+++ b/packages/node/src/control_loop.cc
@@ -6,6 +6,12 @@
 #include "basilspread/core/reducer.h"
 
 namespace basilspread::node {
+namespace {
+
+/// Events that may wait before those of peers are held back.
+constexpr std::size_t kMaxQueuedEvents = 1024;
+
+}  // namespace
 
 ControlLoop::ControlLoop(State& control_state, Interpreter effect_hook)
     : state(control_state), interpret(std::move(effect_hook)) {}
@@ -18,6 +24,21 @@
   this->has_events.notify_one();
 }
 
+bool ControlLoop::PostWhenRoom(EventBody body) {
+  {
+    std::unique_lock lock(this->mutex);
+    this->has_room.wait(lock, [this] {
+      return this->ended || this->events.size() < kMaxQueuedEvents;
+    });
+    if (this->ended) {
+      return false;
+    }
+    this->events.push_back(std::move(body));
+  }
+  this->has_events.notify_one();
+  return true;
+}
+
 void ControlLoop::Run() {
   this->Handle(Started{});
   while (this->running) {
@@ -26,6 +47,11 @@
       this->Handle(*std::move(body));
     }
   }
+  {
+    const std::lock_guard lock(this->mutex);
+    this->ended = true;
+  }
+  this->has_room.notify_all();
 }
 
 std::optional<EventBody> ControlLoop::Next() {
@@ -45,6 +71,8 @@
   }
   EventBody body = std::move(this->events.front());
   this->events.pop_front();
+  lock.unlock();
+  this->has_room.notify_one();
   return body;
 }
 
--- a/packages/node/src/control_loop.h
+++ b/packages/node/src/control_loop.h
@@ -27,6 +27,11 @@
   /// Takes an event from any thread.
   void Post(EventBody body);
 
+  /// Takes an event of a peer. Waits while too many are queued, so that a
+  /// flood stays in the sender's socket; never called on the loop's thread.
+  /// False once the loop has ended.
+  bool PostWhenRoom(EventBody body);
+
   /// Runs until an ExitProcess effect.
   void Run();
 
@@ -42,6 +47,8 @@
   bool running = true;
   std::mutex mutex;
   std::condition_variable has_events;
+  std::condition_variable has_room;
+  bool ended = false;
   std::deque<EventBody> events;
 };
 
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -47,8 +47,12 @@
                 [this](EventBody body) { this->loop.Post(std::move(body)); }),
       admin(this->settings,
             [this](EventBody body) { this->loop.Post(std::move(body)); }),
-      peers(this->settings,
-            [this](EventBody body) { this->loop.Post(std::move(body)); }),
+      peers(
+          this->settings,
+          [this](EventBody body) { this->loop.Post(std::move(body)); },
+          [this](EventBody body) {
+            return this->loop.PostWhenRoom(std::move(body));
+          }),
       platform_calls("platform", kPlatformThreads),
       minion_calls("minions", static_cast<int>(this->settings.minion_threads)) {
 }
@@ -85,6 +89,9 @@
           },
           [this](const AnswerDump& answer) { this->admin.Answer(answer); },
           [this](const SendToPeer& send) { this->peers.Send(send); },
+          [this](const ConnectPeer& connect) { this->peers.Connect(connect); },
+          [this](const ReopenLink& link) { this->peers.Reopen(link); },
+          [this](const DisconnectPeer& peer) { this->peers.Disconnect(peer); },
           [this, post](const SendToMinion& send) {
             const bool is_started = this->minion_calls.Run(
                 [this, post, send] { post(this->minions.Send(send)); });
--- a/packages/node/src/outbound_link.cc
+++ b/packages/node/src/outbound_link.cc
@@ -2,7 +2,6 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
 
 #include <algorithm>
 #include <random>
@@ -66,53 +65,101 @@
   return true;
 }
 
+void OutboundLink::Reopen() {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->reopening = true;
+    this->ShutDownSocket();
+  }
+  this->changed.notify_all();
+}
+
+void OutboundLink::Redirect(const config::Endpoint& endpoint) {
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->peer.endpoint == endpoint) {
+      return;
+    }
+    this->peer.endpoint = endpoint;
+  }
+  this->Reopen();
+}
+
+void OutboundLink::Close() {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->stopping = true;
+    this->frames.clear();
+    this->ShutDownSocket();
+  }
+  this->changed.notify_all();
+}
+
+bool OutboundLink::HasEnded() const {
+  const std::lock_guard lock(this->mutex);
+  return this->ended;
+}
+
 void OutboundLink::Run() {
   Duration delay = kFirstRetryDelay;
   while (true) {
+    bool was_connected = false;
     try {
       this->Serve();
-      return;
     } catch (const Poco::Exception&) {
-      bool was_connected = false;
-      {
-        const std::lock_guard lock(this->mutex);
-        was_connected = this->connected;
+    }
+    {
+      const std::lock_guard lock(this->mutex);
+      was_connected = this->connected;
+      this->open_socket.reset();
+      if (this->stopping) {
+        this->ended = true;
+        return;
       }
-      delay = was_connected ? kFirstRetryDelay
-                            : std::min(delay * 2, kMaxRetryDelay);
-      this->SetConnected(false);
     }
+    delay =
+        was_connected ? kFirstRetryDelay : std::min(delay * 2, kMaxRetryDelay);
+    this->SetConnected(false);
     this->Wait(Jitter(delay));
-    const std::lock_guard lock(this->mutex);
-    if (this->stopping) {
-      return;
-    }
   }
 }
 
 void OutboundLink::Serve() {
-  const Poco::Net::SocketAddress address(this->peer.endpoint.host,
-                                         this->peer.endpoint.port);
-  Poco::Net::StreamSocket socket;
-  socket.connect(address, kConnectTimeout);
-  socket.setNoDelay(true);
-  socket.setSendTimeout(kSendTimeout);
+  Poco::Net::StreamSocket socket = this->Open();
   this->SetConnected(true);
-  while (true) {
-    const std::string frame = this->TakeFrame();
-    if (frame.empty()) {
-      return;
+  while (const std::optional<std::string> frame = this->TakeFrame()) {
+    // The peer sends nothing here, so that a readable socket has ended.
+    if (socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+      throw Poco::IOException("the peer closed the connection");
     }
-    SendAll(socket, frame);
+    SendAll(socket, *frame);
+  }
+}
+
+Poco::Net::StreamSocket OutboundLink::Open() {
+  config::Endpoint endpoint;
+  {
+    const std::lock_guard lock(this->mutex);
+    endpoint = this->peer.endpoint;
+    this->reopening = false;
   }
+  Poco::Net::StreamSocket socket;
+  socket.connect(Poco::Net::SocketAddress(endpoint.host, endpoint.port),
+                 kConnectTimeout);
+  socket.setNoDelay(true);
+  socket.setSendTimeout(kSendTimeout);
+  const std::lock_guard lock(this->mutex);
+  this->open_socket = socket;
+  return socket;
 }
 
-std::string OutboundLink::TakeFrame() {
+std::optional<std::string> OutboundLink::TakeFrame() {
   std::unique_lock lock(this->mutex);
-  this->changed.wait(
-      lock, [this] { return this->stopping || !this->frames.empty(); });
-  if (this->frames.empty()) {
-    return {};
+  this->changed.wait(lock, [this] {
+    return this->stopping || this->reopening || !this->frames.empty();
+  });
+  if (this->reopening || this->frames.empty()) {
+    return std::nullopt;
   }
   std::string frame = std::move(this->frames.front());
   this->frames.pop_front();
@@ -136,4 +183,15 @@
   this->changed.wait_for(lock, delay, [this] { return this->stopping; });
 }
 
+void OutboundLink::ShutDownSocket() {
+  if (!this->open_socket) {
+    return;
+  }
+  try {
+    this->open_socket->shutdown();
+  } catch (const Poco::Exception&) {
+    // It is closed already.
+  }
+}
+
 }  // namespace basilspread::node
--- a/packages/node/src/peer_links.cc
+++ b/packages/node/src/peer_links.cc
@@ -1,7 +1,6 @@
 #include "peer_links.h"
 
 #include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/TCPServerConnection.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <fmt/format.h>
 
@@ -9,6 +8,7 @@
 #include <utility>
 
 #include "basilspread/wire/peer_codec.h"
+#include "inbound_connection.h"
 #include "line_log.h"
 
 namespace basilspread::node {
@@ -17,75 +17,10 @@
 constexpr std::string_view kPart = "peer";
 constexpr int kMaxInboundConnections = 128;
 
-/// False when the connection ended before `size` bytes came.
-bool ReceiveAll(Poco::Net::StreamSocket& socket, char* data, std::size_t size) {
-  std::size_t received = 0;
-  while (received < size) {
-    const int count =
-        socket.receiveBytes(data + received, static_cast<int>(size - received));
-    if (count <= 0) {
-      return false;
-    }
-    received += static_cast<std::size_t>(count);
-  }
-  return true;
-}
-
-/// Reads the frames of one inbound connection until it ends or is malformed.
-class InboundConnection : public Poco::Net::TCPServerConnection {
- public:
-  InboundConnection(const Poco::Net::StreamSocket& socket,
-                    const PeerLinks::Post& event_hook)
-      : TCPServerConnection(socket), post(event_hook) {}
-
-  void run() override {
-    try {
-      while (this->TakeFrame()) {
-      }
-    } catch (const Poco::Exception& exception) {
-      Log(LogLevel::kDebug, kPart,
-          fmt::format("Connection broke. reason=\"{}\"",
-                      exception.displayText()));
-    }
-  }
-
- private:
-  bool TakeFrame() {
-    std::string prefix(wire::kLengthBytes, '\0');
-    if (!ReceiveAll(this->socket(), prefix.data(), prefix.size())) {
-      return false;
-    }
-    const Result<std::uint32_t> length = wire::DecodeLength(prefix);
-    if (!length) {
-      return this->Refuse(length.error());
-    }
-    std::string bytes(length.value(), '\0');
-    if (!ReceiveAll(this->socket(), bytes.data(), bytes.size())) {
-      return false;
-    }
-    Result<wire::PeerFrame> frame = wire::DecodeFrame(bytes);
-    if (!frame) {
-      return this->Refuse(frame.error());
-    }
-    this->post(
-        PeerReceived{frame.value().sender, std::move(frame.value().message)});
-    return true;
-  }
-
-  bool Refuse(const Error& error) {
-    Log(LogLevel::kWarning, kPart,
-        fmt::format("Closing a connection. error={} reason=\"{}\"",
-                    AnswerFor(error.kind).name, error.detail));
-    return false;
-  }
-
-  const PeerLinks::Post& post;
-};
-
 class InboundFactory : public Poco::Net::TCPServerConnectionFactory {
  public:
-  explicit InboundFactory(const PeerLinks::Post& event_hook)
-      : post(event_hook) {}
+  explicit InboundFactory(const PeerLinks::PostReceived& received_hook)
+      : post(received_hook) {}
 
   Poco::Net::TCPServerConnection* createConnection(
       const Poco::Net::StreamSocket& socket) override {
@@ -93,14 +28,16 @@
   }
 
  private:
-  const PeerLinks::Post& post;
+  const PeerLinks::PostReceived& post;
 };
 
 }  // namespace
 
-PeerLinks::PeerLinks(const config::NodeSettings& node_settings, Post event_hook)
+PeerLinks::PeerLinks(const config::NodeSettings& node_settings, Post event_hook,
+                     PostReceived received_hook)
     : settings(node_settings),
       post(std::move(event_hook)),
+      post_received(std::move(received_hook)),
       pool("peer", 1, kMaxInboundConnections) {}
 
 void PeerLinks::Start() {
@@ -109,20 +46,17 @@
   Poco::Net::TCPServerParams::Ptr params(new Poco::Net::TCPServerParams);
   params->setMaxThreads(kMaxInboundConnections);
   this->server = std::make_unique<Poco::Net::TCPServer>(
-      new InboundFactory(this->post), this->pool,
+      new InboundFactory(this->post_received), this->pool,
       Poco::Net::ServerSocket(address), params);
   this->server->start();
   for (const config::PeerEndpoint& peer : this->settings.peers) {
-    this->links.emplace(peer.node,
-                        std::make_unique<OutboundLink>(
-                            peer, [this, node = peer.node](bool connected) {
-                              this->post(PeerLinkChanged{node, connected});
-                            }));
+    this->Open(peer);
   }
 }
 
 void PeerLinks::Stop() {
   this->links.clear();
+  this->closed.clear();
   this->server->stop();
 }
 
@@ -142,4 +76,48 @@
   link->second->Send(std::move(frame).value());
 }
 
+void PeerLinks::Connect(const ConnectPeer& connect) {
+  const Result<config::Endpoint> endpoint =
+      config::ParseEndpoint(connect.address);
+  if (!endpoint) {
+    Log(LogLevel::kWarning, kPart,
+        fmt::format("Peer has no valid address. peer={} reason=\"{}\"",
+                    connect.peer.value, endpoint.error().detail));
+    return;
+  }
+  const auto link = this->links.find(connect.peer);
+  if (link != this->links.end()) {
+    link->second->Redirect(endpoint.value());
+    return;
+  }
+  this->Open(config::PeerEndpoint{connect.peer, endpoint.value()});
+}
+
+void PeerLinks::Reopen(const ReopenLink& link) {
+  const auto found = this->links.find(link.peer);
+  if (found != this->links.end()) {
+    found->second->Reopen();
+  }
+}
+
+void PeerLinks::Disconnect(const DisconnectPeer& peer) {
+  const auto found = this->links.find(peer.peer);
+  if (found == this->links.end()) {
+    return;
+  }
+  found->second->Close();
+  this->closed.push_back(std::move(found->second));
+  this->links.erase(found);
+  std::erase_if(this->closed,
+                [](const auto& link) { return link->HasEnded(); });
+}
+
+void PeerLinks::Open(const config::PeerEndpoint& peer) {
+  this->links.emplace(peer.node,
+                      std::make_unique<OutboundLink>(
+                          peer, [this, node = peer.node](bool connected) {
+                            this->post(PeerLinkChanged{node, connected});
+                          }));
+}
+
 }  // namespace basilspread::node
--- a/packages/platform/src/http.cc
+++ b/packages/platform/src/http.cc
@@ -9,6 +9,14 @@
 namespace {
 
 constexpr int kFirstErrorStatus = 300;
+constexpr int kFirstServerErrorStatus = 500;
+
+/// Whether a service that answered so may have carried the call out: one that
+/// refuses says so with a 4xx or 503.
+bool MayHaveRun(int status) {
+  return status >= kFirstServerErrorStatus &&
+         status != Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+}
 
 Error MakeError(bool was_sent, const std::string& detail) {
   return Error{
@@ -35,7 +43,7 @@
     std::string body;
     Poco::StreamCopier::copyToString(in, body);
     if (response.getStatus() >= kFirstErrorStatus) {
-      return MakeError(false, response.getReason());
+      return MakeError(MayHaveRun(response.getStatus()), response.getReason());
     }
     return body;
   } catch (const Poco::Exception& exception) {
--- a/packages/wire/include/basilspread/wire/peer_codec.h
+++ b/packages/wire/include/basilspread/wire/peer_codec.h
@@ -2,6 +2,7 @@
 #define BASILSPREAD_WIRE_PEER_CODEC_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -34,6 +35,16 @@
 /// Errors: kBadRequest when it is 0, kTooLarge above kMaxFrameBytes.
 Result<std::uint32_t> DecodeLength(std::string_view prefix);
 
+/// The sender of a frame of another protocol version.
+struct OtherVersion {
+  ProcessId sender;
+  std::uint32_t version = 0;
+};
+
+/// Whether a frame is of another protocol version, and whose it is. Unset
+/// for a frame of this version and for malformed bytes.
+std::optional<OtherVersion> FindOtherVersion(std::string_view bytes);
+
 /// Verifies and decodes a frame without its length.
 /// Errors: kBadRequest for malformed bytes, kProtocolMismatch for a frame of
 /// another protocol version.
--- /dev/null
+++ b/packages/wire/src/heartbeat_codec.cc
@@ -0,0 +1,108 @@
+#include "heartbeat_codec.h"
+
+#include <string>
+#include <vector>
+
+#include "common.h"
+
+namespace basilspread::wire {
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+/// Empty strings and vectors are left out: most heartbeats have none.
+flatbuffers::Offset<flatbuffers::String> PackIfAny(Builder& builder,
+                                                   const std::string& text) {
+  if (text.empty()) {
+    return 0;
+  }
+  return builder.CreateString(text);
+}
+
+template <typename T>
+flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<T>>> PackIfAny(
+    Builder& builder, const std::vector<flatbuffers::Offset<T>>& items) {
+  if (items.empty()) {
+    return 0;
+  }
+  return builder.CreateVector(items);
+}
+
+flatbuffers::Offset<fb::ShardReport> PackReport(Builder& builder,
+                                                const ShardReport& report) {
+  const auto shard = builder.CreateString(report.shard.value);
+  const auto successor = PackIfAny(builder, report.successor.value);
+  return fb::CreateShardReport(builder, shard, report.epoch.value,
+                               report.free_slots, report.queued, successor);
+}
+
+ShardReport UnpackReport(const fb::ShardReport& packed) {
+  ShardReport report;
+  report.shard = ShardId{packed.shard()->str()};
+  report.epoch = Epoch{packed.epoch()};
+  report.free_slots = packed.free_slots();
+  report.queued = packed.queued();
+  if (packed.successor() != nullptr) {
+    report.successor = NodeName{packed.successor()->str()};
+  }
+  return report;
+}
+
+}  // namespace
+
+flatbuffers::Offset<fb::Heartbeat> PackHeartbeat(Builder& builder,
+                                                 const Heartbeat& message) {
+  std::vector<flatbuffers::Offset<fb::ShardReport>> shards;
+  for (const ShardReport& report : message.shards) {
+    shards.push_back(PackReport(builder, report));
+  }
+  std::vector<flatbuffers::Offset<flatbuffers::String>> unheard;
+  for (const NodeName& node : message.unheard) {
+    unheard.push_back(builder.CreateString(node.value));
+  }
+  std::vector<flatbuffers::Offset<fb::HeardReport>> heard;
+  for (const HeardReport& report : message.heard) {
+    const auto process = Pack(builder, report.process);
+    heard.push_back(
+        fb::CreateHeardReport(builder, process, report.age.count()));
+  }
+  const auto packed_shards = PackIfAny(builder, shards);
+  const auto packed_unheard = PackIfAny(builder, unheard);
+  const auto packed_heard = PackIfAny(builder, heard);
+  const auto address = PackIfAny(builder, message.address);
+  return fb::CreateHeartbeat(
+      builder, message.tables.value, message.stopping, packed_shards,
+      message.number, message.confirmed_incarnation, message.confirmed_number,
+      packed_unheard, packed_heard, address);
+}
+
+Heartbeat UnpackHeartbeat(const fb::Heartbeat& packed) {
+  Heartbeat message;
+  message.tables = TablesVersion{packed.tables()};
+  message.stopping = packed.stopping();
+  if (packed.shards() != nullptr) {
+    for (const fb::ShardReport* report : *packed.shards()) {
+      message.shards.push_back(UnpackReport(*report));
+    }
+  }
+  message.number = packed.number();
+  message.confirmed_incarnation = packed.confirmed_incarnation();
+  message.confirmed_number = packed.confirmed_number();
+  if (packed.unheard() != nullptr) {
+    for (const flatbuffers::String* node : *packed.unheard()) {
+      message.unheard.push_back(NodeName{node->str()});
+    }
+  }
+  if (packed.heard() != nullptr) {
+    for (const fb::HeardReport* report : *packed.heard()) {
+      message.heard.push_back(
+          HeardReport{Unpack(*report->process()), Duration(report->age_ns())});
+    }
+  }
+  if (packed.address() != nullptr) {
+    message.address = packed.address()->str();
+  }
+  return message;
+}
+
+}  // namespace basilspread::wire
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "common.h"
+#include "heartbeat_codec.h"
 
 namespace basilspread::wire {
 namespace {
@@ -61,17 +62,7 @@
 }
 
 PackedBody Pack(Builder& builder, const Heartbeat& message) {
-  std::vector<flatbuffers::Offset<fb::ShardReport>> shards;
-  for (const ShardReport& report : message.shards) {
-    const auto shard = builder.CreateString(report.shard.value);
-    shards.push_back(fb::CreateShardReport(builder, shard, report.epoch.value,
-                                           report.free_slots, report.queued));
-  }
-  const auto packed = builder.CreateVector(shards);
-  return {fb::PeerBody::Heartbeat,
-          fb::CreateHeartbeat(builder, message.tables.value, message.stopping,
-                              packed)
-              .Union()};
+  return {fb::PeerBody::Heartbeat, PackHeartbeat(builder, message).Union()};
 }
 
 PackedBody Pack(Builder& builder, const ForwardRequest& message) {
@@ -98,20 +89,6 @@
               .Union()};
 }
 
-Heartbeat Unpack(const fb::Heartbeat& packed) {
-  Heartbeat message;
-  message.tables = TablesVersion{packed.tables()};
-  message.stopping = packed.stopping();
-  if (packed.shards() != nullptr) {
-    for (const fb::ShardReport* report : *packed.shards()) {
-      message.shards.push_back(
-          ShardReport{ShardId{report->shard()->str()}, Epoch{report->epoch()},
-                      report->free_slots(), report->queued()});
-    }
-  }
-  return message;
-}
-
 ForwardRequest Unpack(const fb::ForwardRequest& packed) {
   ForwardRequest message;
   message.call = CallId{packed.call()};
@@ -136,7 +113,7 @@
 Result<PeerMessage> UnpackBody(const fb::Frame& frame) {
   switch (frame.body_type()) {
     case fb::PeerBody::Heartbeat:
-      return PeerMessage(Unpack(*frame.body_as_Heartbeat()));
+      return PeerMessage(UnpackHeartbeat(*frame.body_as_Heartbeat()));
     case fb::PeerBody::ForwardRequest:
       return PeerMessage(Unpack(*frame.body_as_ForwardRequest()));
     case fb::PeerBody::ForwardAnswer:
@@ -182,6 +159,18 @@
   return length;
 }
 
+std::optional<OtherVersion> FindOtherVersion(std::string_view bytes) {
+  flatbuffers::Verifier verifier = MakeVerifier(bytes);
+  if (!verifier.VerifyBuffer<fb::Frame>(nullptr)) {
+    return std::nullopt;
+  }
+  const auto* frame = flatbuffers::GetRoot<fb::Frame>(bytes.data());
+  if (frame->version() == kProtocolVersion) {
+    return std::nullopt;
+  }
+  return OtherVersion{Unpack(*frame->sender()), frame->version()};
+}
+
 Result<PeerFrame> DecodeFrame(std::string_view bytes) {
   flatbuffers::Verifier verifier = MakeVerifier(bytes);
   if (!verifier.VerifyBuffer<fb::Frame>(nullptr)) {
--- a/packages/wire/src/record_codec.cc
+++ b/packages/wire/src/record_codec.cc
@@ -44,6 +44,22 @@
               .Union()};
 }
 
+PackedRecord PackRecord(Builder& builder, const CheckpointRecord& record) {
+  const auto shard = builder.CreateString(record.shard.value);
+  const auto owner = Pack(builder, record.owner);
+  return {fb::RecordBody::CheckpointRecord,
+          fb::CreateCheckpointRecord(builder, shard, record.epoch.value, owner)
+              .Union()};
+}
+
+PackedRecord PackRecord(Builder& builder, const MemberRecord& record) {
+  const auto process = Pack(builder, record.process);
+  const auto address = builder.CreateString(record.address);
+  return {fb::RecordBody::MemberRecord,
+          fb::CreateMemberRecord(builder, process, address, record.leaving)
+              .Union()};
+}
+
 LogRecord UnpackRecord(const fb::TablesRecord& packed) {
   return TablesRecord{TablesVersion{packed.base()}, packed.author()->str(),
                       packed.route_table()->str(), packed.pool_table()->str()};
@@ -60,6 +76,16 @@
                        NodeName{packed.successor()->str()}};
 }
 
+LogRecord UnpackRecord(const fb::CheckpointRecord& packed) {
+  return CheckpointRecord{ShardId{packed.shard()->str()}, Epoch{packed.epoch()},
+                          Unpack(*packed.owner())};
+}
+
+LogRecord UnpackRecord(const fb::MemberRecord& packed) {
+  return MemberRecord{Unpack(*packed.process()), packed.address()->str(),
+                      packed.leaving()};
+}
+
 Result<LogRecord> UnpackBody(const fb::Record& record) {
   switch (record.body_type()) {
     case fb::RecordBody::TablesRecord:
@@ -68,6 +94,10 @@
       return UnpackRecord(*record.body_as_ClaimRecord());
     case fb::RecordBody::ReleaseRecord:
       return UnpackRecord(*record.body_as_ReleaseRecord());
+    case fb::RecordBody::CheckpointRecord:
+      return UnpackRecord(*record.body_as_CheckpointRecord());
+    case fb::RecordBody::MemberRecord:
+      return UnpackRecord(*record.body_as_MemberRecord());
     case fb::RecordBody::NONE:
       break;
   }
