--- /dev/null
+++ b/packages/config/src/timing_settings.cc
@@ -0,0 +1,60 @@
+#include "timing_settings.h"
+
+#include <fmt/format.h>
+
+namespace basilspread::config {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+/// Two lost heartbeats must not make a peer look dead.
+constexpr int kMinHeartbeatsPerTimeout = 3;
+
+}  // namespace
+
+void ReadTiming(SectionReader& reader, Settings& settings) {
+  reader.Read("heartbeat_interval", milliseconds(10), seconds(10),
+              settings.heartbeat_interval);
+  reader.Read("peer_timeout", milliseconds(30), minutes(5),
+              settings.peer_timeout);
+  reader.Read("host_list_interval", milliseconds(50), minutes(1),
+              settings.host_list_interval);
+  reader.Read("log_read_interval", milliseconds(10), seconds(10),
+              settings.log_read_interval);
+  reader.Read("append_interval", milliseconds(1), seconds(5),
+              settings.append_interval);
+  reader.Read("claim_delay", milliseconds(1), minutes(1), settings.claim_delay);
+  reader.Read("ownership_freshness", milliseconds(100), minutes(1),
+              settings.ownership_freshness);
+  reader.Read("ownership_margin", milliseconds(10), minutes(1),
+              settings.ownership_margin);
+  reader.Read("takeover_timeout", milliseconds(100), minutes(5),
+              settings.takeover_timeout);
+  reader.Read("log_retention", minutes(1), hours(24 * 365),
+              settings.log_retention);
+  reader.Read("tables_checkpoint_interval", seconds(1), hours(24),
+              settings.tables_checkpoint_interval);
+  reader.Read("drain_timeout", milliseconds(1), hours(1),
+              settings.drain_timeout);
+  const Duration stopped =
+      settings.ownership_freshness + settings.ownership_margin;
+  if (settings.takeover_timeout < stopped) {
+    reader.Fault("takeover_timeout",
+                 fmt::format("{} is below {}, ownership_freshness with "
+                             "ownership_margin",
+                             FormatDuration(settings.takeover_timeout),
+                             FormatDuration(stopped)));
+  }
+  const Duration least = kMinHeartbeatsPerTimeout * settings.heartbeat_interval;
+  if (settings.peer_timeout < least) {
+    reader.Fault("peer_timeout",
+                 fmt::format("{} is below {}, {} times heartbeat_interval",
+                             FormatDuration(settings.peer_timeout),
+                             FormatDuration(least), kMinHeartbeatsPerTimeout));
+  }
+}
+
+}  // namespace basilspread::config
--- a/packages/core/src/internal/log.cc
+++ b/packages/core/src/internal/log.cc
@@ -105,9 +105,12 @@
   Send(context, name, stream);
 }
 
-void Apply(Context& context, const LogRecord& record) {
+void Apply(Context& context, Offset offset, const LogRecord& record) {
   if (const auto* tables = std::get_if<TablesRecord>(&record)) {
-    configuration::OnTablesRecord(context, *tables);
+    configuration::OnTablesRecord(context, offset, *tables);
+  } else if (const auto* checkpoint =
+                 std::get_if<TablesCheckpointRecord>(&record)) {
+    configuration::OnCheckpoint(context, *checkpoint);
   } else if (const auto* claim = std::get_if<ClaimRecord>(&record)) {
     ownership::OnClaim(context, *claim);
   } else if (const auto* release = std::get_if<ReleaseRecord>(&record)) {
@@ -120,7 +123,8 @@
 }
 
 void ApplyBatch(Context& context, const StreamName& name, LogStream& stream,
-                const LogBatch& batch) {
+                const StoredBatch& stored) {
+  const LogBatch& batch = stored.batch;
   // An append that was sent again because its answer was lost may stand
   // twice; batches of one writer are numbered, so only the first counts.
   AppendId& applied = stream.applied[batch.writer];
@@ -135,7 +139,7 @@
   }
   for (const LogRecord& record : batch.records) {
     if (ownership::IsInForce(context, name, batch.writer, record)) {
-      Apply(context, record);
+      Apply(context, stored.offset, record);
     }
   }
 }
@@ -182,8 +186,7 @@
 }  // namespace
 
 void Start(Context& context) {
-  Follow(context, configuration::TablesStream(),
-         context.state.settings.log_read_interval);
+  Follow(context, TablesStream(), context.state.settings.log_read_interval);
 }
 
 void OnReadTimer(Context& context) {
@@ -240,7 +243,7 @@
 void OnRead(Context& context, const LogRead& event) {
   NoteAnswer(context, event.ok);
   const auto found = context.state.log.streams.find(event.stream);
-  if (found == context.state.log.streams.end() || !found->second.reading) {
+  if (found == context.state.log.streams.end()) {
     return;
   }
   LogStream& stream = found->second;
@@ -251,13 +254,20 @@
     return;
   }
   RestartIfExpired(context, event.stream, stream, event.first_kept);
+  const bool holds_tables = event.stream == TablesStream();
+  if (holds_tables) {
+    configuration::OnReadBegins(context, stream.next, event.first_kept);
+  }
   for (const StoredBatch& stored : event.batches) {
     if (stored.offset >= stream.next) {
-      ApplyBatch(context, event.stream, stream, stored.batch);
+      ApplyBatch(context, event.stream, stream, stored);
     }
   }
   stream.next = std::max(stream.next, event.next);
   stream.at_end = event.at_end;
+  if (holds_tables) {
+    configuration::OnReadEnds(context, stream.next, event.at_end);
+  }
   if (event.at_end) {
     stream.fresh_at = stream.read_at;
     ownership::OnStreamFresh(context, event.stream, stream.read_at);
--- a/packages/node/src/control_loop.h
+++ b/packages/node/src/control_loop.h
@@ -20,9 +20,12 @@
 class ControlLoop {
  public:
   /// Carries out one effect without blocking.
-  using Interpreter = std::function<void(Effect)>;
+  using Interpreter = std::function<void(const Effect&)>;
+  /// Told how long each event took, its effects included.
+  using OnHandled = std::function<void(Duration)>;
 
-  ControlLoop(State& control_state, Interpreter effect_hook);
+  ControlLoop(State& control_state, Interpreter effect_hook,
+              OnHandled handled_hook);
 
   /// Takes an event from any thread.
   void Post(EventBody body);
@@ -32,6 +35,9 @@
   /// False once the loop has ended.
   bool PostWhenRoom(EventBody body);
 
+  /// Events that wait for the control thread.
+  std::size_t QueuedEvents();
+
   /// Runs until an ExitProcess effect.
   void Run();
 
@@ -43,6 +49,7 @@
 
   State& state;
   Interpreter interpret;
+  OnHandled on_handled;
   std::map<TimerKind, TimePoint> timers;
   bool running = true;
   std::mutex mutex;
