--- a/packages/core/include/basilspread/core/effect.h
+++ b/packages/core/include/basilspread/core/effect.h
@@ -14,6 +14,7 @@
 #include "basilspread/core/report.h"
 #include "basilspread/core/time.h"
 #include "basilspread/core/timer.h"
+#include "basilspread/core/worker.h"
 
 namespace basilspread {
 
@@ -98,16 +99,21 @@
   StateReport report;
 };
 
+/// Answers a JobArrived.
+struct AnswerJobCaller {
+  JobAnswer answer;
+};
+
 /// Refuses new connections of callers; those with a request get their answer.
 struct RefuseCallers {};
 
 /// Ends the process: everything is drained.
 struct ExitProcess {};
 
-using Effect =
-    std::variant<AnswerCaller, SendToMinion, SendToPeer, AppendLog, ReadLog,
-                 ReadHosts, SetTimer, WriteLine, AnswerDump, RefuseCallers,
-                 ExitProcess, ConnectPeer, ReopenLink, DisconnectPeer>;
+using Effect = std::variant<AnswerCaller, SendToMinion, SendToPeer, AppendLog,
+                            ReadLog, ReadHosts, SetTimer, WriteLine, AnswerDump,
+                            RefuseCallers, ExitProcess, ConnectPeer, ReopenLink,
+                            DisconnectPeer, CallWorker, AnswerJobCaller>;
 
 using Effects = std::vector<Effect>;
 
--- a/packages/core/include/basilspread/core/event.h
+++ b/packages/core/include/basilspread/core/event.h
@@ -14,6 +14,7 @@
 #include "basilspread/core/record.h"
 #include "basilspread/core/time.h"
 #include "basilspread/core/timer.h"
+#include "basilspread/core/worker.h"
 
 namespace basilspread {
 
@@ -108,6 +109,16 @@
   TimerKind kind;
 };
 
+/// A caller's job call was read whole.
+struct JobArrived {
+  CallId call;
+  JobOperation operation = JobOperation::kStatus;
+  /// Set with kSubmit; of the other operations only its id.
+  JobSpec spec;
+  /// How long the caller waits for the answer.
+  Duration timeout{};
+};
+
 /// An operator or the platform asked the process to stop gracefully.
 struct StopRequested {};
 
@@ -116,10 +127,11 @@
   CallId call;
 };
 
-using EventBody = std::variant<Started, RequestArrived, CallerGone,
-                               MinionAnswered, PeerReceived, PeerLinkChanged,
-                               LogAppended, LogRead, HostsListed, TimerFired,
-                               StopRequested, DumpRequested, PeerMismatched>;
+using EventBody =
+    std::variant<Started, RequestArrived, CallerGone, MinionAnswered,
+                 PeerReceived, PeerLinkChanged, LogAppended, LogRead,
+                 HostsListed, TimerFired, StopRequested, DumpRequested,
+                 JobArrived, WorkerAnswered, PeerMismatched>;
 
 /// Everything that can change the state of a process.
 struct Event {
--- a/packages/core/include/basilspread/core/record.h
+++ b/packages/core/include/basilspread/core/record.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "basilspread/core/ids.h"
+#include "basilspread/core/job_record.h"
 #include "basilspread/core/tables.h"
 
 namespace basilspread {
@@ -61,8 +62,9 @@
 };
 
 using LogRecord =
-    std::variant<TablesRecord, ClaimRecord, ReleaseRecord, CheckpointRecord,
-                 MemberRecord, TablesCheckpointRecord>;
+    std::variant<TablesRecord, ClaimRecord, ReleaseRecord,
+                 TablesCheckpointRecord, CheckpointRecord, MemberRecord,
+                 JobRecord, IntentRecord, OutcomeRecord, CancelRecord>;
 
 /// What one append holds: the records of one writer, in order.
 struct LogBatch {
--- a/packages/core/src/internal/log.cc
+++ b/packages/core/src/internal/log.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "internal/configuration.h"
+#include "internal/jobs.h"
 #include "internal/ownership.h"
 #include "internal/peers.h"
 
@@ -119,6 +120,14 @@
     ownership::OnCheckpoint(context, *checkpoint);
   } else if (const auto* member = std::get_if<MemberRecord>(&record)) {
     peers::OnMemberRecord(context, *member);
+  } else if (const auto* job = std::get_if<JobRecord>(&record)) {
+    jobs::OnRecord(context, *job);
+  } else if (const auto* intent = std::get_if<IntentRecord>(&record)) {
+    jobs::OnRecord(context, *intent);
+  } else if (const auto* outcome = std::get_if<OutcomeRecord>(&record)) {
+    jobs::OnRecord(context, *outcome);
+  } else if (const auto* cancel = std::get_if<CancelRecord>(&record)) {
+    jobs::OnRecord(context, *cancel);
   }
 }
 
@@ -275,6 +284,7 @@
   if (!event.at_end || stream.read_again) {
     Read(context, event.stream, stream);
   }
+  jobs::OnRecordsApplied(context);
   Schedule(context, stream);
   ArmRead(context);
 }
--- a/packages/core/src/internal/membership.cc
+++ b/packages/core/src/internal/membership.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "internal/jobs.h"
 #include "internal/log.h"
 #include "internal/ownership.h"
 #include "internal/peers.h"
@@ -25,6 +26,11 @@
 /// be read, would have claimed by now if it could.
 constexpr int kGoneFactor = 3;
 
+void LosePeer(Context& context, const NodeName& node) {
+  requests::OnPeerLost(context, node);
+  jobs::OnPeerLost(context, node);
+}
+
 Heartbeat MakeHeartbeat(const Context& context) {
   Heartbeat heartbeat;
   heartbeat.tables = context.state.configuration.tables.version;
@@ -48,6 +54,7 @@
     }
     heartbeat.shards.push_back(report);
   }
+  heartbeat.usage = jobs::Usage(context);
   return heartbeat;
 }
 
@@ -136,7 +143,7 @@
 void NoteNewRun(Context& context, Peer& peer, std::uint64_t incarnation) {
   if (peer.incarnation != 0) {
     peer.replaced.insert(peer.incarnation);
-    requests::OnPeerLost(context, peer.node);
+    LosePeer(context, peer.node);
   }
   peer.incarnation = incarnation;
   peer.confirmed.reset();
@@ -161,7 +168,7 @@
     peer.live = false;
     context.Log(LogLevel::kWarning, kPart,
                 fmt::format("Peer went silent. peer={}", peer.node.value));
-    requests::OnPeerLost(context, peer.node);
+    LosePeer(context, peer.node);
   }
   const bool is_long_silent =
       SilenceOf(context, peer) >= settings.takeover_timeout * kGoneFactor;
--- a/packages/core/src/internal/ownership.cc
+++ b/packages/core/src/internal/ownership.cc
@@ -169,6 +169,7 @@
     }
   }
   requests::OnHostsChanged(context);
+  jobs::OnHostsChanged(context);
 }
 
 void OnStreamRestart(Context& context, const StreamName& stream,
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -6,6 +6,7 @@
 #include "internal/context.h"
 #include "internal/handover.h"
 #include "internal/hosts.h"
+#include "internal/jobs.h"
 #include "internal/log.h"
 #include "internal/membership.h"
 #include "internal/peers.h"
@@ -29,6 +30,7 @@
     internal::membership::Start(this->context);
     internal::peers::Start(this->context);
     internal::takeover::Start(this->context);
+    internal::jobs::Start(this->context);
   }
 
   void operator()(const RequestArrived& event) const {
@@ -86,7 +88,7 @@
       case TimerKind::kRequests:
         return internal::requests::OnTimer(this->context);
       case TimerKind::kJobs:
-        return;
+        return internal::jobs::OnTimer(this->context);
       case TimerKind::kStop:
         return internal::handover::OnStopTimer(this->context);
     }
@@ -96,6 +98,14 @@
     internal::handover::OnStopRequested(this->context);
   }
 
+  void operator()(const JobArrived& event) const {
+    internal::jobs::OnArrived(this->context, event);
+  }
+
+  void operator()(const WorkerAnswered& event) const {
+    internal::jobs::OnWorkerAnswered(this->context, event);
+  }
+
   void operator()(const DumpRequested& event) const {
     this->context.Emit(
         AnswerDump{event.call, internal::report::Describe(this->context)});
@@ -115,6 +125,10 @@
     void operator()(const ForwardAnswer& message) const {
       internal::requests::OnForwardAnswered(this->context, message);
     }
+    template <typename JobMessage>
+    void operator()(const JobMessage& message) const {
+      internal::jobs::OnMessage(this->context, this->from, message);
+    }
   };
 };
 
--- a/packages/node/src/interpreter.h
+++ b/packages/node/src/interpreter.h
@@ -52,6 +52,8 @@
   void operator()(const ReadHosts& effect);
   void operator()(const WriteLine& effect);
   void operator()(const RefuseCallers& effect);
+  void operator()(const AnswerJobCaller& /*effect*/) {}
+  void operator()(const CallWorker& /*effect*/) {}
   /// The control loop takes these two itself.
   void operator()(const SetTimer& /*effect*/) {}
   void operator()(const ExitProcess& /*effect*/) {}
--- a/packages/wire/src/heartbeat_codec.cc
+++ b/packages/wire/src/heartbeat_codec.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "common.h"
+#include "job_codec.h"
 
 namespace basilspread::wire {
 namespace {
@@ -66,12 +67,13 @@
     heard.push_back(
         fb::CreateHeardReport(builder, process, report.age.count()));
   }
+  const auto usage = job_codec::PackUsage(builder, message.usage);
   const auto packed_shards = PackIfAny(builder, shards);
   const auto packed_unheard = PackIfAny(builder, unheard);
   const auto packed_heard = PackIfAny(builder, heard);
   const auto address = PackIfAny(builder, message.address);
   return fb::CreateHeartbeat(
-      builder, message.tables.value, message.stopping, packed_shards,
+      builder, message.tables.value, message.stopping, packed_shards, usage,
       message.number, message.confirmed_incarnation, message.confirmed_number,
       packed_unheard, packed_heard, address);
 }
@@ -85,6 +87,7 @@
       message.shards.push_back(UnpackReport(*report));
     }
   }
+  message.usage = job_codec::UnpackUsage(packed.usage());
   message.number = packed.number();
   message.confirmed_incarnation = packed.confirmed_incarnation();
   message.confirmed_number = packed.confirmed_number();
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -5,16 +5,14 @@
 
 #include "common.h"
 #include "heartbeat_codec.h"
+#include "job_codec.h"
 
 namespace basilspread::wire {
 namespace {
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
-struct PackedBody {
-  fb::PeerBody type;
-  flatbuffers::Offset<void> offset;
-};
+using job_codec::Pack;
 
 flatbuffers::Offset<fb::Payload> Pack(Builder& builder,
                                       const PayloadPtr& payload) {
@@ -118,10 +116,9 @@
       return PeerMessage(Unpack(*frame.body_as_ForwardRequest()));
     case fb::PeerBody::ForwardAnswer:
       return PeerMessage(Unpack(*frame.body_as_ForwardAnswer()));
-    case fb::PeerBody::NONE:
-      break;
+    default:
+      return job_codec::UnpackMessage(frame);
   }
-  return Error{ErrorKind::kBadRequest, "the frame has no message"};
 }
 
 }  // namespace
