Test ownership with several reducers; mend what the tests found

The tests wire several states by an in-memory log and network under virtual time and require after each event that at most one process may act on a shard.

Seen failing first, and mended: a successor that heard of the release before its next timer never followed the stream, so a graceful handover took the second that the others wait; a process cut off from all peers but not from the log deposed the others again and again (no shard was served for good), and does so no more for a minute after the log has shown that they live; an owner that one peer did not hear was deposed at the edge of the takeover timeout, since the peer asked for gossip only after it held it for dead.

--- a/packages/core/include/basilspread/core/membership.h
+++ b/packages/core/include/basilspread/core/membership.h
@@ -55,6 +55,8 @@
   /// Since when this process has listened without a gap in its own clock.
   TimePoint listening_since;
   std::optional<TimePoint> last_event;
+  /// When a process that this one does not hear was last seen in the log.
+  std::optional<TimePoint> cut_off_at;
   /// When this process last announced itself on the stream of members.
   std::optional<TimePoint> announced;
 };
--- a/packages/core/src/internal/membership.cc
+++ b/packages/core/src/internal/membership.cc
@@ -58,16 +58,23 @@
   return heartbeat;
 }
 
+/// Whether no more than one heartbeat of the peer is missing.
+bool IsHeardLately(const Context& context, const Peer& peer) {
+  return IsLive(context, peer) &&
+         context.now - *peer.last_heard <
+             context.state.settings.heartbeat_interval * 2;
+}
+
 /// Adds whom this process does not hear, and when it last heard those whom
 /// its peers do not hear.
 void AddGossip(const Context& context, Heartbeat& heartbeat) {
   const auto& peers = context.state.membership.peers;
   std::set<NodeName> wanted;
   for (const auto& [node, peer] : peers) {
+    if (!peer.gone && !IsHeardLately(context, peer)) {
+      heartbeat.unheard.push_back(node);
+    }
     if (!IsLive(context, peer)) {
-      if (!peer.gone) {
-        heartbeat.unheard.push_back(node);
-      }
       continue;
     }
     wanted.insert(peer.last_heartbeat.unheard.begin(),
@@ -265,6 +272,19 @@
   takeover::OnReports(context, from.node);
 }
 
+void OnSeenInLog(Context& context, const ProcessId& process) {
+  if (IsLive(context, process)) {
+    return;
+  }
+  MembershipState& membership = context.state.membership;
+  membership.cut_off_at = context.now;
+  const auto peer = membership.peers.find(process.node);
+  if (peer != membership.peers.end()) {
+    peer->second.gone = false;
+    peer->second.learnt = context.now;
+  }
+}
+
 bool IsLive(const Context& context, const Peer& peer) {
   return peer.live &&
          context.now - std::max(*peer.last_heard,
--- a/packages/core/src/internal/membership.h
+++ b/packages/core/src/internal/membership.h
@@ -17,6 +17,9 @@
 void OnHeartbeat(Context& context, const ProcessId& from,
                  const Heartbeat& heartbeat);
 
+/// A new record of the process was read: it lives, heard or not.
+void OnSeenInLog(Context& context, const ProcessId& process);
+
 /// Sends a heartbeat to every connected peer now.
 void SendHeartbeats(Context& context);
 
--- a/packages/core/src/internal/ownership.cc
+++ b/packages/core/src/internal/ownership.cc
@@ -11,6 +11,7 @@
 #include "internal/log.h"
 #include "internal/membership.h"
 #include "internal/requests.h"
+#include "internal/takeover.h"
 
 namespace basilspread::internal::ownership {
 namespace {
@@ -200,6 +201,7 @@
   SetOwner(context, *ownership, record.epoch, record.claimant);
   if (!is_own && IsCaughtUp(context, record.shard)) {
     ownership->served_at = context.now;
+    membership::OnSeenInLog(context, record.claimant);
   }
 }
 
@@ -234,7 +236,11 @@
 void OnStreamFresh(Context& context, const StreamName& stream,
                    TimePoint read_at) {
   ShardOwnership* ownership = FindByStream(context, stream);
-  if (ownership == nullptr || ownership->owner != context.state.settings.self) {
+  if (ownership == nullptr) {
+    return;
+  }
+  if (ownership->owner != context.state.settings.self) {
+    takeover::OnStreamFresh(context, *ownership);
     return;
   }
   ownership->valid_until =
--- a/packages/core/src/internal/takeover.cc
+++ b/packages/core/src/internal/takeover.cc
@@ -21,6 +21,8 @@
 constexpr Duration kFollowTime = std::chrono::seconds(5);
 /// A process that hears nobody waits longer: it may be the one that is cut.
 constexpr int kLoneFactor = 2;
+/// It waits this long once the log has shown that others live.
+constexpr Duration kCutOffDelay = std::chrono::minutes(1);
 
 std::uint64_t RankWeight(const NodeName& node, const ShardId& shard) {
   return StableHash(node.value + "|" + shard.value);
@@ -79,12 +81,11 @@
 
 bool HearsNobody(const Context& context) {
   const auto& peers = context.state.membership.peers;
-  const auto is_live = [&context](const auto& entry) {
-    return membership::IsLive(context, entry.second);
-  };
-  const auto may_live = [](const auto& entry) { return !entry.second.gone; };
-  return std::any_of(peers.begin(), peers.end(), may_live) &&
-         std::none_of(peers.begin(), peers.end(), is_live);
+  return !peers.empty() &&
+         std::none_of(peers.begin(), peers.end(),
+                      [&context](const auto& entry) {
+                        return membership::IsLive(context, entry.second);
+                      });
 }
 
 /// How long the shard must have been unserved before this process claims it.
@@ -101,8 +102,12 @@
   if (IsReplaced(context, *ownership.owner)) {
     return settings.heartbeat_interval * 2 + turn;
   }
-  const int factor = HearsNobody(context) ? kLoneFactor : 1;
-  return settings.takeover_timeout * factor + turn;
+  if (!HearsNobody(context)) {
+    return settings.takeover_timeout + turn;
+  }
+  const auto& cut_off = context.state.membership.cut_off_at;
+  const bool is_cut_off = cut_off && context.now - *cut_off < kCutOffDelay;
+  return is_cut_off ? kCutOffDelay : settings.takeover_timeout * kLoneFactor;
 }
 
 /// Above every epoch that was ever claimed in the stream: each took a record,
@@ -137,6 +142,12 @@
   }
 }
 
+void FollowClosely(Context& context, ShardOwnership& ownership) {
+  ownership.followed_at = context.now;
+  log::Follow(context, ownership::StreamOf(ownership.shard),
+              kCandidateReadInterval);
+}
+
 /// Follows the stream while the shard may have to be claimed.
 void ConsiderTakeover(Context& context, ShardOwnership& ownership) {
   const Settings& settings = context.state.settings;
@@ -148,8 +159,7 @@
     const Duration turn =
         settings.claim_delay * OwnRank(context, ownership.shard);
     if (is_named || silence >= settings.heartbeat_interval * 2 + turn) {
-      ownership.followed_at = context.now;
-      log::Follow(context, name, kCandidateReadInterval);
+      FollowClosely(context, ownership);
     }
     return;
   }
@@ -212,12 +222,22 @@
     if (found == context.state.ownership.shards.end()) {
       continue;
     }
-    if (found->second.owned_by_self && report.epoch > found->second.epoch) {
+    ShardOwnership& ownership = found->second;
+    if (ownership.owned_by_self && report.epoch > ownership.epoch) {
       log::ReadNow(context, ownership::StreamOf(report.shard));
+    } else if (!ownership.owned_by_self &&
+               report.successor == context.state.settings.self.node) {
+      FollowClosely(context, ownership);
     }
   }
 }
 
+void OnStreamFresh(Context& context, ShardOwnership& ownership) {
+  const auto stream =
+      context.state.log.streams.find(ownership::StreamOf(ownership.shard));
+  ConsiderClaim(context, ownership, stream->second);
+}
+
 NodeName SuccessorFor(const Context& context, const ShardId& shard) {
   NodeName best;
   for (const auto& [node, peer] : context.state.membership.peers) {
--- a/packages/core/src/internal/takeover.h
+++ b/packages/core/src/internal/takeover.h
@@ -13,6 +13,9 @@
 /// Takes up what a peer's latest heartbeat tells of its shards.
 void OnReports(Context& context, const NodeName& peer);
 
+/// The stream of a shard that another owns was read to its end.
+void OnStreamFresh(Context& context, ShardOwnership& ownership);
+
 /// The process that is to claim the shard when this one releases it: the
 /// live one that ranks first. Empty when there is none.
 /// Algorithm: rendezvous hashing (Thaler and Ravishankar, 1998).
--- /dev/null
+++ b/packages/core/tests/support/fake_cluster.h
@@ -0,0 +1,124 @@
+#ifndef BASILSPREAD_CORE_TESTS_SUPPORT_FAKE_CLUSTER_H_
+#define BASILSPREAD_CORE_TESTS_SUPPORT_FAKE_CLUSTER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "basilspread/core/effect.h"
+#include "basilspread/core/event.h"
+#include "basilspread/core/state.h"
+
+namespace basilspread {
+
+/// A stream of the fake log.
+struct FakeStream {
+  std::uint64_t first = 0;
+  std::vector<LogBatch> batches;
+
+  std::uint64_t End() const { return this->first + this->batches.size(); }
+};
+
+/// One process of the fake cluster.
+struct FakeProcess {
+  std::optional<State> state;
+  std::map<TimerKind, TimePoint> timers;
+  /// Events that came while it was paused.
+  std::vector<EventBody> held;
+  bool paused = false;
+  bool exited = false;
+  std::uint64_t runs = 0;
+};
+
+/// Several reducers under virtual time with an in-memory log and network.
+/// After every event it requires that at most one process may act on a shard.
+class FakeCluster {
+ public:
+  static constexpr Duration kDelay = std::chrono::milliseconds(2);
+
+  FakeCluster(std::size_t size, std::uint32_t shards);
+
+  void Start(std::size_t index);
+  void StartAll();
+  void Kill(std::size_t index);
+  /// Lets nothing happen in the process, while its peers go on.
+  void Pause(std::size_t index);
+  void Resume(std::size_t index);
+  void RequestStop(std::size_t index);
+  void Run(Duration duration);
+  /// Runs until the condition holds; false when it does not in time.
+  template <typename Condition>
+  bool RunUntil(Condition condition, Duration timeout) {
+    const TimePoint end = this->now + timeout;
+    while (!condition() && this->now < end) {
+      this->Run(std::chrono::milliseconds(10));
+    }
+    return condition();
+  }
+
+  /// Loses what one process sends to another.
+  void Cut(std::size_t from, std::size_t to);
+  /// Loses it until the sender reopens the link.
+  void Silence(std::size_t from, std::size_t to);
+  /// Appends a batch as another process would.
+  void AppendRaw(const StreamName& stream, const ProcessId& writer,
+                 LogRecord record);
+  /// Drops the oldest records of a stream.
+  void Expire(const StreamName& stream, std::uint64_t first);
+
+  State& StateOf(std::size_t index) { return *this->processes[index].state; }
+  bool MayAct(std::size_t index, const ShardId& shard);
+  /// The process that may act on the shard now.
+  std::optional<std::size_t> ActorOf(const ShardId& shard);
+  /// Whether every shard has a process that may act on it.
+  bool AllServed();
+  /// The shards that a process may act on.
+  std::vector<ShardId> ServedBy(std::size_t index);
+  std::vector<ShardId> Shards() const;
+  /// Claims that stand in the log.
+  std::size_t CountClaims() const;
+
+  TimePoint now;
+  std::vector<FakeProcess> processes;
+  std::map<StreamName, FakeStream> streams;
+  /// Processes that cannot reach the log.
+  std::set<std::size_t> without_log;
+  /// Appends take effect, but their answers are lost.
+  bool lose_answers = false;
+  Settings settings;
+  std::size_t appends = 0;
+  std::size_t reopened = 0;
+  std::vector<Heartbeat> heartbeats;
+
+ private:
+  struct Delivery {
+    std::size_t process;
+    EventBody body;
+  };
+
+  static NodeName NameOf(std::size_t index);
+  std::size_t IndexOf(const NodeName& node) const;
+  void Post(std::size_t index, Duration delay, EventBody body);
+  void Deliver(std::size_t index, EventBody body);
+  void CheckActors();
+  void Carry(std::size_t index, Effect& effect);
+  void Send(std::size_t index, const SendToPeer& send);
+  void Append(std::size_t index, const AppendLog& append);
+  void Read(std::size_t index, const ReadLog& read);
+  bool TakeTimer(TimePoint end);
+  bool IsRunning(std::size_t index) const;
+
+  std::uint32_t shard_count;
+  std::multimap<TimePoint, Delivery> deliveries;
+  std::set<std::pair<std::size_t, std::size_t>> cuts;
+  std::set<std::pair<std::size_t, std::size_t>> silent;
+};
+
+}  // namespace basilspread
+
+#endif  // BASILSPREAD_CORE_TESTS_SUPPORT_FAKE_CLUSTER_H_
