--- a/packages/core/include/basilspread/core/event.h
+++ b/packages/core/include/basilspread/core/event.h
@@ -41,8 +41,10 @@
 /// How an exchange with a minion ended.
 enum class MinionResult {
   kAnswered,
-  /// No byte of the request was written.
+  /// This process wrote no byte: no thread was free, or it was too late.
   kNotSent,
+  /// The minion took no connection; no byte was written.
+  kRefused,
   /// Bytes may have left and no whole answer came.
   kLost,
 };
@@ -75,6 +77,12 @@
   std::uint32_t version = 0;
 };
 
+/// A message to a peer surely did not leave this process.
+struct PeerMessageNotSent {
+  NodeName peer;
+  PeerMessage message;
+};
+
 /// How an append ended as far as its writer can tell.
 enum class AppendResult { kStored, kRefused, kUnknown };
 
@@ -131,8 +139,8 @@
 
 using EventBody =
     std::variant<Started, RequestArrived, CallerGone, MinionAnswered,
-                 PeerReceived, PeerLinkChanged, LogAppended, LogRead,
-                 HostsListed, TimerFired, StopRequested, DumpRequested,
+                 PeerReceived, PeerLinkChanged, PeerMessageNotSent, LogAppended,
+                 LogRead, HostsListed, TimerFired, StopRequested, DumpRequested,
                  JobArrived, WorkerAnswered, PeerMismatched>;
 
 /// Everything that can change the state of a process.
--- a/packages/core/include/basilspread/core/log_state.h
+++ b/packages/core/include/basilspread/core/log_state.h
@@ -35,6 +35,8 @@
   std::vector<LogRecord> pending;
   /// The batch that was sent and not yet read back.
   std::optional<LogBatch> in_flight;
+  /// When that batch was first sent.
+  TimePoint in_flight_since;
   /// An append of that batch ended without a sure answer.
   bool in_flight_unknown = false;
   /// When `pending` is to be sent, or `in_flight` to be sent again.
--- a/packages/core/include/basilspread/core/worker.h
+++ b/packages/core/include/basilspread/core/worker.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPREAD_CORE_WORKER_H_
 #define BASILSPREAD_CORE_WORKER_H_
 
+#include <cstddef>
 #include <string>
 #include <variant>
 #include <vector>
@@ -11,6 +12,9 @@
 
 namespace basilspread {
 
+/// Calls to workers that one process has under way at most.
+inline constexpr std::size_t kMaxWorkerCalls = 48;
+
 /// Starts an attempt, unless the worker has it or has stopped it.
 struct StartTask {
   TaskStart start;
--- a/packages/core/src/internal/log.cc
+++ b/packages/core/src/internal/log.cc
@@ -9,6 +9,7 @@
 #include "internal/jobs.h"
 #include "internal/ownership.h"
 #include "internal/peers.h"
+#include "internal/requests.h"
 
 namespace basilspread::internal::log {
 namespace {
@@ -23,6 +24,8 @@
 /// A batch that was not read back for this long is appended again.
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(500);
 constexpr Duration kMaxRetryDelay = std::chrono::seconds(4);
+/// A stream takes no records when a batch was not read back for this long.
+constexpr Duration kStuckBound = std::chrono::seconds(1);
 /// An answer of the log is fresh for this long.
 constexpr Duration kAvailableBound = std::chrono::seconds(2);
 
@@ -101,6 +104,7 @@
                        std::make_move_iterator(end));
   stream.pending.erase(stream.pending.begin(), end);
   stream.in_flight = std::move(batch);
+  stream.in_flight_since = context.now;
   stream.in_flight_unknown = false;
   stream.retry_delay = kFirstRetryDelay;
   Send(context, name, stream);
@@ -120,6 +124,10 @@
     ownership::OnCheckpoint(context, *checkpoint);
   } else if (const auto* member = std::get_if<MemberRecord>(&record)) {
     peers::OnMemberRecord(context, *member);
+  } else if (const auto* key = std::get_if<KeyIntentRecord>(&record)) {
+    requests::OnKeyIntent(context, *key);
+  } else if (const auto* end = std::get_if<KeyOutcomeRecord>(&record)) {
+    requests::OnKeyOutcome(context, *end);
   } else if (const auto* job = std::get_if<JobRecord>(&record)) {
     jobs::OnRecord(context, *job);
   } else if (const auto* intent = std::get_if<IntentRecord>(&record)) {
@@ -284,7 +292,6 @@
   if (!event.at_end || stream.read_again) {
     Read(context, event.stream, stream);
   }
-  jobs::OnRecordsApplied(context);
   Schedule(context, stream);
   ArmRead(context);
 }
@@ -335,4 +342,13 @@
          context.now - *log.last_answered <= kAvailableBound;
 }
 
+bool IsWritable(const Context& context, const StreamName& stream) {
+  const auto found = context.state.log.streams.find(stream);
+  if (found == context.state.log.streams.end() || !IsAvailable(context)) {
+    return false;
+  }
+  return !found->second.in_flight ||
+         context.now - found->second.in_flight_since < kStuckBound;
+}
+
 }  // namespace basilspread::internal::log
--- a/packages/core/src/internal/log.h
+++ b/packages/core/src/internal/log.h
@@ -31,6 +31,10 @@
 /// Whether the log has answered lately, and has not failed since.
 bool IsAvailable(const Context& context);
 
+/// Whether records of a followed stream are likely to be stored soon: the log
+/// is available and no batch of the stream has waited long.
+bool IsWritable(const Context& context, const StreamName& stream);
+
 }  // namespace basilspread::internal::log
 
 #endif  // BASILSPREAD_CORE_INTERNAL_LOG_H_
--- a/packages/core/src/internal/membership.cc
+++ b/packages/core/src/internal/membership.cc
@@ -47,10 +47,8 @@
     }
     const auto minions = context.state.requests.shards.find(shard);
     if (minions != context.state.requests.shards.end()) {
-      report.queued = minions->second.queued;
-      for (const auto& [name, minion] : minions->second.minions) {
-        report.free_slots += minion.slots - minion.busy;
-      }
+      report.queued = QueuedRequests(minions->second);
+      report.free_slots = FreeSlots(minions->second);
     }
     heartbeat.shards.push_back(report);
   }
@@ -259,6 +257,7 @@
     // An older one that came by a connection since replaced.
     return;
   }
+  context.state.membership.cut_off_at.reset();
   peer.live = true;
   peer.learnt = context.now;
   peer.last_heard = context.now;
--- a/packages/core/src/internal/ownership.cc
+++ b/packages/core/src/internal/ownership.cc
@@ -40,10 +40,6 @@
   return Find(context, ShardId{stream.value.substr(kStreamPrefix.size())});
 }
 
-ShardId ShardAt(const PoolName& pool, std::uint64_t index) {
-  return ShardId{fmt::format("{}#{}", pool.value, index)};
-}
-
 void AddShard(Context& context, const Pool& pool, const ShardId& shard) {
   ShardOwnership ownership;
   ownership.shard = shard;
@@ -289,6 +285,10 @@
   return std::visit(InForce{context, stream, writer}, record);
 }
 
+ShardId ShardAt(const PoolName& pool, std::uint64_t index) {
+  return ShardId{fmt::format("{}#{}", pool.value, index)};
+}
+
 ShardId ShardOf(const Pool& pool, const Host& host) {
   const std::uint64_t index = StableHash(host.rack) % pool.shards;
   return ShardAt(pool.name, index);
@@ -324,6 +324,23 @@
   return MayActUntil(context, shard).has_value();
 }
 
+std::optional<ProcessId> OwnerOf(const Context& context, const ShardId& shard) {
+  const ShardOwnership* ownership = Find(context, shard);
+  if (ownership == nullptr) {
+    return std::nullopt;
+  }
+  const bool is_served =
+      ownership->server && ownership->served_epoch >= ownership->epoch;
+  return is_served ? ownership->server : ownership->owner;
+}
+
+Epoch OwnersEpoch(const Context& context, const ShardId& shard) {
+  const ShardOwnership* ownership = Find(context, shard);
+  return ownership == nullptr
+             ? Epoch{}
+             : std::max(ownership->epoch, ownership->served_epoch);
+}
+
 Epoch EpochOf(const Context& context, const ShardId& shard) {
   const ShardOwnership* ownership = Find(context, shard);
   return ownership == nullptr ? Epoch{} : ownership->epoch;
--- a/packages/core/src/internal/ownership.h
+++ b/packages/core/src/internal/ownership.h
@@ -43,6 +43,9 @@
 /// list's order does not matter, so that every process decides alike.
 ShardId ShardOf(const Pool& pool, const Host& host);
 
+/// The shard of the pool with this index.
+ShardId ShardAt(const PoolName& pool, std::uint64_t index);
+
 /// The stream that holds the claims and records of a shard.
 StreamName StreamOf(const ShardId& shard);
 
@@ -61,6 +64,13 @@
 /// Whether this process owns the shard and may act on its hosts now.
 bool MayAct(const Context& context, const ShardId& shard);
 
+/// The owner as far as this process knows: by the heartbeats of the one that
+/// serves the shard, or by the shard's stream if that tells of a later epoch.
+std::optional<ProcessId> OwnerOf(const Context& context, const ShardId& shard);
+
+/// The epoch of that owner; 0 when none is known.
+Epoch OwnersEpoch(const Context& context, const ShardId& shard);
+
 /// The epoch in force as far as the stream was read; 0 before any claim.
 Epoch EpochOf(const Context& context, const ShardId& shard);
 
--- a/packages/core/src/internal/takeover.cc
+++ b/packages/core/src/internal/takeover.cc
@@ -88,6 +88,19 @@
                       });
 }
 
+/// How long a shard that has no owner stays unclaimed. Short where every peer
+/// is heard, since one that has the shard would have said so.
+Duration ListenTime(const Context& context) {
+  const Settings& settings = context.state.settings;
+  const auto& peers = context.state.membership.peers;
+  const bool hears_all =
+      std::all_of(peers.begin(), peers.end(), [&context](const auto& entry) {
+        return membership::IsLive(context, entry.second);
+      });
+  return hears_all ? settings.heartbeat_interval / 2
+                   : settings.heartbeat_interval * 2;
+}
+
 /// How long the shard must have been unserved before this process claims it.
 Duration ClaimDelay(const Context& context, const ShardOwnership& ownership) {
   const Settings& settings = context.state.settings;
@@ -97,7 +110,7 @@
     if (ownership.successor == settings.self.node) {
       return Duration::zero();
     }
-    return settings.heartbeat_interval * 2 + turn;
+    return ListenTime(context) + turn;
   }
   if (IsReplaced(context, *ownership.owner)) {
     return settings.heartbeat_interval * 2 + turn;
@@ -158,7 +171,7 @@
   if (stream == context.state.log.streams.end()) {
     const Duration turn =
         settings.claim_delay * OwnRank(context, ownership.shard);
-    if (is_named || silence >= settings.heartbeat_interval * 2 + turn) {
+    if (is_named || silence >= ListenTime(context) + turn) {
       FollowClosely(context, ownership);
     }
     return;
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -39,6 +39,7 @@
 
   void operator()(const CallerGone& event) const {
     internal::requests::OnCallerGone(this->context, event);
+    internal::jobs::OnCallerGone(this->context, event);
   }
 
   void operator()(const MinionAnswered& event) const {
@@ -57,6 +58,10 @@
     internal::peers::OnMismatch(this->context, event);
   }
 
+  void operator()(const PeerMessageNotSent& event) const {
+    internal::requests::OnPeerMessageNotSent(this->context, event);
+  }
+
   void operator()(const LogAppended& event) const {
     internal::log::OnAppended(this->context, event);
   }
@@ -123,7 +128,7 @@
       internal::requests::OnForwarded(this->context, this->from, message);
     }
     void operator()(const ForwardAnswer& message) const {
-      internal::requests::OnForwardAnswered(this->context, message);
+      internal::requests::OnForwardAnswered(this->context, this->from, message);
     }
     template <typename JobMessage>
     void operator()(const JobMessage& message) const {
@@ -139,6 +144,7 @@
   Context context{state, event.time, effects};
   internal::membership::OnEvent(context);
   std::visit(Dispatcher{context}, event.body);
+  internal::jobs::Settle(context);
   return effects;
 }
 
--- a/packages/node/src/front_end.cc
+++ b/packages/node/src/front_end.cc
@@ -4,6 +4,7 @@
 
 #include "basilspread/config/reader.h"
 #include "http_message.h"
+#include "job_api.h"
 
 namespace basilspread::node {
 namespace {
@@ -103,6 +104,10 @@
                            [this](CallId call) { this->OnGone(call); }}) {}
 
 void FrontEnd::OnRequest(CallId call, const PayloadPtr& request) {
+  if (IsJobTarget(request->target)) {
+    this->OnJobRequest(call, *request);
+    return;
+  }
   Result<RequestArrived> arrived = ReadRequest(call, *request);
   if (!arrived) {
     this->loop.Answer(call, [error = arrived.error()] {
@@ -123,6 +128,23 @@
   this->post(CallerGone{call});
 }
 
+void FrontEnd::OnJobRequest(CallId call, const Payload& request) {
+  Result<JobArrived> arrived = ReadJobRequest(call, request);
+  if (arrived) {
+    this->post(std::move(arrived).value());
+    return;
+  }
+  this->loop.Answer(call, [error = arrived.error()] {
+    return MakeErrorResponse(error.kind, error.detail);
+  });
+}
+
+void FrontEnd::Answer(const AnswerJobCaller& effect) {
+  this->loop.Answer(effect.answer.call, [answer = effect.answer] {
+    return MakeJobResponse(answer);
+  });
+}
+
 void FrontEnd::Answer(const AnswerCaller& answer) {
   if (const auto request = this->TakeOpen(answer.call)) {
     this->metrics.AddAnswer(
--- a/packages/node/src/front_end.h
+++ b/packages/node/src/front_end.h
@@ -30,6 +30,7 @@
   /// Gives the answers that are due, for at most `bound`, and ends.
   void Stop(Duration bound) { this->loop.Stop(bound); }
   void Answer(const AnswerCaller& answer);
+  void Answer(const AnswerJobCaller& effect);
 
   std::size_t ConnectionCount() const { return this->loop.ConnectionCount(); }
 
@@ -41,6 +42,7 @@
   };
 
   void OnRequest(CallId call, const PayloadPtr& request);
+  void OnJobRequest(CallId call, const Payload& request);
   void OnGone(CallId call);
   std::optional<OpenRequest> TakeOpen(CallId call);
 
--- a/packages/node/src/peer_links.h
+++ b/packages/node/src/peer_links.h
@@ -32,7 +32,7 @@
   void Start();
   /// Sends what is queued, then closes. Waits for the threads to end.
   void Stop();
-  /// Queues a message; it is dropped when the link is down.
+  /// Queues a message; posts PeerMessageNotSent when the link is down.
   void Send(const SendToPeer& send);
   /// Opens a link, or moves it to another address.
   void Connect(const ConnectPeer& connect);
