--- a/packages/config/src/node_settings.cc
+++ b/packages/config/src/node_settings.cc
@@ -94,6 +94,7 @@
                        this->settings.admin);
     this->ReadEndpoint(reader, AddressUse::kListen, "peer",
                        this->settings.peer);
+    this->settings.core.peer_address = this->settings.peer.ToString();
   }
 
   void ReadPlatform(SectionReader& reader) {
--- a/packages/core/include/basilspread/core/event.h
+++ b/packages/core/include/basilspread/core/event.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPREAD_CORE_EVENT_H_
 #define BASILSPREAD_CORE_EVENT_H_
 
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -70,6 +71,12 @@
   bool connected = false;
 };
 
+/// A process sent a frame of another protocol version.
+struct PeerMismatched {
+  NodeName node;
+  std::uint32_t version = 0;
+};
+
 /// A message to a peer surely did not leave this process.
 struct PeerMessageNotSent {
   NodeName peer;
@@ -134,7 +141,7 @@
     std::variant<Started, RequestArrived, CallerGone, MinionAnswered,
                  PeerReceived, PeerLinkChanged, PeerMessageNotSent, LogAppended,
                  LogRead, HostsListed, TimerFired, StopRequested, DumpRequested,
-                 JobArrived, WorkerAnswered>;
+                 JobArrived, WorkerAnswered, PeerMismatched>;
 
 /// Everything that can change the state of a process.
 struct Event {
--- a/packages/core/include/basilspread/core/record.h
+++ b/packages/core/include/basilspread/core/record.h
@@ -48,6 +48,22 @@
   NodeName successor;
 };
 
+/// Repeats the claim in force, before its record expires.
+struct CheckpointRecord {
+  ShardId shard;
+  Epoch epoch;
+  ProcessId owner;
+};
+
+/// Tells later processes where this one is.
+struct MemberRecord {
+  ProcessId process;
+  /// Where its peers connect to.
+  std::string address;
+  /// Written before a graceful exit.
+  bool leaving = false;
+};
+
 /// Precedes the run of a non-idempotent request under an idempotency key.
 struct KeyIntentRecord {
   ShardId shard;
@@ -74,8 +90,9 @@
 
 using LogRecord =
     std::variant<TablesRecord, ClaimRecord, ReleaseRecord,
-                 TablesCheckpointRecord, JobRecord, IntentRecord, OutcomeRecord,
-                 CancelRecord, KeyIntentRecord, KeyOutcomeRecord>;
+                 TablesCheckpointRecord, CheckpointRecord, MemberRecord,
+                 JobRecord, IntentRecord, OutcomeRecord, CancelRecord,
+                 KeyIntentRecord, KeyOutcomeRecord>;
 
 /// What one append holds: the records of one writer, in order.
 struct LogBatch {
--- a/packages/core/src/internal/job_calls.cc
+++ b/packages/core/src/internal/job_calls.cc
@@ -19,8 +19,6 @@
 constexpr Duration kMaxWait = std::chrono::seconds(30);
 /// Time in which an owner's answer may come after the caller's own limit.
 constexpr Duration kAnswerGrace = std::chrono::seconds(1);
-/// A stream that was not read for so long means that the log is out.
-constexpr Duration kLogStale = std::chrono::seconds(2);
 
 void Answer(Context& context, CallId call, ErrorKind kind,
             const std::string& detail, std::vector<JobStatus> jobs) {
@@ -99,19 +97,13 @@
   return targets;
 }
 
-bool IsLogOut(const Context& context, const ShardId& shard) {
-  const auto& streams = context.state.log.streams;
-  const auto stream = streams.find(ownership::StreamOf(shard));
-  return stream == streams.end() || !stream->second.last_read ||
-         context.now - *stream->second.last_read >= kLogStale;
-}
-
 std::optional<Error> WhyNotWritable(const Context& context,
                                     const ShardId& shard) {
   if (context.state.stopping) {
     return Error{ErrorKind::kStopping, "the owner is stopping"};
   }
-  if (!ownership::MayAct(context, shard) || IsLogOut(context, shard)) {
+  if (!ownership::MayAct(context, shard) ||
+      !log::IsWritable(context, ownership::StreamOf(shard))) {
     return Error{ErrorKind::kLogUnavailable, "not accepted"};
   }
   return std::nullopt;
--- a/packages/core/src/internal/job_lookup.cc
+++ b/packages/core/src/internal/job_lookup.cc
@@ -76,12 +76,11 @@
 
 std::optional<ProcessId> LiveOwnerOf(const Context& context,
                                      const ShardId& shard) {
-  const auto found = context.state.ownership.shards.find(shard);
-  if (found == context.state.ownership.shards.end() || !found->second.owner ||
-      !membership::IsLive(context, *found->second.owner)) {
+  const std::optional<ProcessId> owner = ownership::OwnerOf(context, shard);
+  if (!owner || !membership::IsLive(context, *owner)) {
     return std::nullopt;
   }
-  return found->second.owner;
+  return owner;
 }
 
 bool IsInForce(const Context& context, const ShardId& shard, Epoch epoch) {
--- a/packages/core/src/internal/report.cc
+++ b/packages/core/src/internal/report.cc
@@ -4,6 +4,7 @@
 
 #include "internal/configuration.h"
 #include "internal/membership.h"
+#include "internal/ownership.h"
 #include "internal/report_jobs.h"
 
 namespace basilspread::internal::report {
@@ -21,13 +22,23 @@
   return section;
 }
 
+std::string StateOf(const Context& context, const Peer& peer) {
+  if (peer.other_version) {
+    return std::string(AnswerFor(ErrorKind::kProtocolMismatch).name);
+  }
+  if (!membership::IsLive(context, peer)) {
+    return "silent";
+  }
+  return peer.last_heartbeat.stopping ? "stopping" : "live";
+}
+
 ReportSection DescribeMembers(const Context& context) {
   ReportSection section{"members", {}};
   for (const auto& [node, peer] : context.state.membership.peers) {
     section.rows.push_back(
         {{"node", node.value},
          {"incarnation", fmt::format("{}", peer.incarnation)},
-         {"live", membership::IsLive(context, peer) ? "yes" : "no"},
+         {"state", StateOf(context, peer)},
          {"tables", fmt::format("{}", peer.last_heartbeat.tables.value)}});
   }
   return section;
@@ -35,11 +46,14 @@
 
 ReportSection DescribeShards(const Context& context) {
   ReportSection section{"shards", {}};
-  for (const auto& [shard, ownership] : context.state.ownership.shards) {
+  for (const auto& [shard, state] : context.state.ownership.shards) {
+    const auto owner = ownership::OwnerOf(context, shard);
     section.rows.push_back(
         {{"shard", shard.value},
-         {"epoch", fmt::format("{}", ownership.epoch.value)},
-         {"owner", ownership.owner ? ownership.owner->node.value : "-"}});
+         {"epoch",
+          fmt::format("{}", ownership::OwnersEpoch(context, shard).value)},
+         {"owner", owner ? owner->node.value : "-"},
+         {"may_act", ownership::MayAct(context, shard) ? "yes" : "no"}});
   }
   return section;
 }
--- a/packages/core/src/internal/requests.cc
+++ b/packages/core/src/internal/requests.cc
@@ -143,7 +143,7 @@
   if (IsRepeated(context, key, message)) {
     return;
   }
-  if (!ownership::OwnsShard(context, message.shard)) {
+  if (!ownership::TakesWork(context, message.shard)) {
     Answer(context, key, message.attempt,
            {ErrorKind::kNotOwner, message.shard.value, nullptr});
   } else if (route == nullptr) {
@@ -248,6 +248,13 @@
   LoseOwner(context, peer);
 }
 
+bool IsShardIdle(const Context& context, const ShardId& shard) {
+  const auto& requests = context.state.requests.requests;
+  return std::none_of(
+      requests.begin(), requests.end(),
+      [&shard](const auto& entry) { return entry.second->shard == shard; });
+}
+
 bool IsIdle(const Context& context) {
   return context.state.requests.requests.empty() &&
          context.state.requests.remote.empty() && !HasKeyWaiters(context);
--- a/packages/core/src/internal/requests_keys.cc
+++ b/packages/core/src/internal/requests_keys.cc
@@ -17,8 +17,6 @@
 constexpr std::size_t kMaxKeys = 20000;
 /// Larger answers are not kept in the log.
 constexpr std::size_t kMaxLoggedAnswerBytes = 4096;
-/// A log that was not read for this long counts as down.
-constexpr Duration kLogSilence = std::chrono::milliseconds(1500);
 /// How long a request waits for its intent to be read back.
 constexpr Duration kMaxIntentWait = std::chrono::seconds(2);
 /// Time in which a run's own end at its deadline goes first.
@@ -32,13 +30,6 @@
                     request.body);
 }
 
-bool IsLogUp(const Context& context, const ShardId& shard) {
-  const auto& streams = context.state.log.streams;
-  const auto stream = streams.find(ownership::StreamOf(shard));
-  return stream != streams.end() && stream->second.last_read &&
-         context.now - *stream->second.last_read < kLogSilence;
-}
-
 void AnswerWaiter(Context& context, const KeyWaiter& waiter, Outcome outcome) {
   Answer(context, waiter.request, waiter.forward_attempt,
          Truthful(std::move(outcome), waiter.may_have_run));
@@ -116,7 +107,8 @@
                  {ErrorKind::kQueueFull, "the key table is full", nullptr});
     return;
   }
-  if (!route.idempotent && !IsLogUp(context, name.shard)) {
+  if (!route.idempotent &&
+      !log::IsWritable(context, ownership::StreamOf(name.shard))) {
     AnswerWaiter(context, waiter, {ErrorKind::kLogUnavailable, "", nullptr});
     return;
   }
--- a/packages/node/src/control_loop.h
+++ b/packages/node/src/control_loop.h
@@ -30,6 +30,11 @@
   /// Takes an event from any thread.
   void Post(EventBody body);
 
+  /// Takes an event of a peer. Waits while too many are queued, so that a
+  /// flood stays in the sender's socket; never called on the loop's thread.
+  /// False once the loop has ended.
+  bool PostWhenRoom(EventBody body);
+
   /// Events that wait for the control thread.
   std::size_t QueuedEvents();
 
@@ -49,6 +54,8 @@
   bool running = true;
   std::mutex mutex;
   std::condition_variable has_events;
+  std::condition_variable has_room;
+  bool ended = false;
   std::deque<EventBody> events;
 };
 
--- a/packages/node/src/interpreter.cc
+++ b/packages/node/src/interpreter.cc
@@ -58,6 +58,18 @@
   this->services.peers.Send(effect);
 }
 
+void Interpreter::operator()(const ConnectPeer& effect) {
+  this->services.peers.Connect(effect);
+}
+
+void Interpreter::operator()(const ReopenLink& effect) {
+  this->services.peers.Reopen(effect);
+}
+
+void Interpreter::operator()(const DisconnectPeer& effect) {
+  this->services.peers.Disconnect(effect);
+}
+
 void Interpreter::operator()(const SendToMinion& effect) {
   MinionAnswered refused;
   refused.request = effect.request;
--- a/packages/node/src/interpreter.h
+++ b/packages/node/src/interpreter.h
@@ -46,6 +46,9 @@
   void operator()(const AnswerCaller& effect);
   void operator()(const AnswerDump& effect);
   void operator()(const SendToPeer& effect);
+  void operator()(const ConnectPeer& effect);
+  void operator()(const ReopenLink& effect);
+  void operator()(const DisconnectPeer& effect);
   void operator()(const SendToMinion& effect);
   void operator()(const AppendLog& effect);
   void operator()(const ReadLog& effect);
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -44,7 +44,10 @@
             Admin::Hooks{this->MakePost(),
                          [this] { return this->DescribeNode(); },
                          [this] { return this->metrics.Describe(); }}),
-      peers(this->settings, this->MakePost()),
+      peers(this->settings, this->MakePost(),
+            [this](EventBody body) {
+              return this->loop.PostWhenRoom(std::move(body));
+            }),
       platform_calls("platform", kPlatformThreads),
       minion_calls("minions", static_cast<int>(this->settings.minion_threads)),
       worker_calls("workers", static_cast<int>(kMaxWorkerCalls)),
--- a/packages/platform/src/http.cc
+++ b/packages/platform/src/http.cc
@@ -12,6 +12,13 @@
 
 constexpr int kFirstErrorStatus = 300;
 constexpr int kFirstServerErrorStatus = 500;
+
+/// Whether a service that answered so may have carried the call out: one that
+/// refuses says so with a 4xx or 503.
+bool MayHaveRun(int status) {
+  return status >= kFirstServerErrorStatus &&
+         status != Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+}
 constexpr const char* kKnownVersionHeader = "If-None-Match";
 constexpr const char* kVersionHeader = "ETag";
 
@@ -45,9 +52,7 @@
     answer.status = response.getStatus();
     answer.version = response.get(kVersionHeader, "");
     if (answer.status >= kFirstErrorStatus && answer.status != kNotModified) {
-      // A service that failed may have acted before it did.
-      return MakeError(answer.status >= kFirstServerErrorStatus,
-                       response.getReason());
+      return MakeError(MayHaveRun(answer.status), response.getReason());
     }
     return answer;
   } catch (const Poco::Exception& exception) {
