--- a/tests/standin/minion.cc
+++ b/tests/standin/minion.cc
@@ -5,6 +5,8 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "standin.h"
 
@@ -14,8 +16,13 @@
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
+constexpr int kDribbledBytes = 1000;
+constexpr std::chrono::milliseconds kDribbleInterval(50);
+
 /// Runs requests, each for the time its X-Work header states in
-/// milliseconds, and keeps count of what a scheduler must never do.
+/// milliseconds, and keeps count of what a scheduler must never do. A call of
+/// /mode/fail makes it fail at once, /mode/dribble makes its answers trickle,
+/// /mode/ok ends either.
 class Minion {
  public:
   Minion(std::string minion_name, int slot_count)
@@ -26,7 +33,22 @@
       Reply(response, 200, this->Stats());
       return;
     }
+    if (request.getURI().starts_with(kModePrefix)) {
+      this->SetMode(request.getURI().substr(kModePrefix.size()));
+      Reply(response, 200, "");
+      return;
+    }
     const std::string body = ReadBody(request);
+    const std::string mode = this->Mode();
+    if (mode == "fail") {
+      this->Work(std::chrono::milliseconds(0));
+      Reply(response, 503, "");
+      return;
+    }
+    if (mode == "dribble") {
+      this->Dribble(response);
+      return;
+    }
     const int work = std::stoi(request.get("X-Work", "0"));
     this->Work(std::chrono::milliseconds(work));
     response.set("X-Minion", this->name);
@@ -53,9 +75,31 @@
     --this->running;
   }
 
+  std::string Mode() {
+    const std::lock_guard lock(this->mutex);
+    return this->mode;
+  }
+
+  void SetMode(std::string new_mode) {
+    const std::lock_guard lock(this->mutex);
+    this->mode = std::move(new_mode);
+  }
+
+  void Dribble(HTTPServerResponse& response) {
+    response.setContentLength(kDribbledBytes);
+    std::ostream& out = response.send();
+    for (int i = 0; i < kDribbledBytes && out.good(); ++i) {
+      out << 'x' << std::flush;
+      this->Work(kDribbleInterval);
+    }
+  }
+
+  static constexpr std::string_view kModePrefix = "/mode/";
+
   const std::string name;
   const int slots;
   std::mutex mutex;
+  std::string mode = "ok";
   std::condition_variable never;
   int ran = 0;
   int running = 0;
