--- a/bench/credit_model.h
+++ b/bench/requests/credit_model.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <vector>
 
-#include "workload.h"
+#include "requests/workload.h"
 
 namespace bench {
 
--- a/bench/policy_scenarios.cc
+++ b/bench/requests/policy_scenarios.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <functional>
 
-#include "scenarios.h"
-#include "workload.h"
+#include "requests/scenarios.h"
+#include "requests/workload.h"
 
 namespace bench {
 namespace {
--- a/bench/result_table.cc
+++ b/bench/requests/result_table.cc
@@ -1,4 +1,4 @@
-#include "result_table.h"
+#include "requests/result_table.h"
 
 #include <fmt/format.h>
 
--- a/packages/core/src/internal/ownership.cc
+++ b/packages/core/src/internal/ownership.cc
@@ -112,6 +112,7 @@
     }
   }
   requests::OnHostsChanged(context);
+  jobs::OnHostsChanged(context);
 }
 
 void OnClaim(Context& context, const ClaimRecord& record) {
@@ -162,15 +163,15 @@
   }
 }
 
+ShardId ShardAt(const PoolName& pool, std::uint64_t index) {
+  return ShardId{fmt::format("{}#{}", pool.value, index)};
+}
+
 ShardId ShardOf(const Pool& pool, const Host& host) {
   const std::uint64_t index = StableHash(host.rack) % pool.shards;
   return ShardAt(pool.name, index);
 }
 
-ShardId ShardAt(const PoolName& pool, std::uint64_t index) {
-  return ShardId{fmt::format("{}#{}", pool.value, index)};
-}
-
 StreamName StreamOf(const ShardId& shard) {
   return StreamName{"shard-" + shard.value};
 }
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -38,6 +38,7 @@
 
   void operator()(const CallerGone& event) const {
     internal::requests::OnCallerGone(this->context, event);
+    internal::jobs::OnCallerGone(this->context, event);
   }
 
   void operator()(const MinionAnswered& event) const {
@@ -149,6 +150,7 @@
   Effects effects;
   Context context{state, event.time, effects};
   std::visit(Dispatcher{context}, event.body);
+  internal::jobs::Settle(context);
   return effects;
 }
 
--- a/packages/node/src/interpreter.h
+++ b/packages/node/src/interpreter.h
@@ -10,6 +10,7 @@
 #include "basilspread/platform/host_list_client.h"
 #include "basilspread/platform/log_client.h"
 #include "basilspread/platform/minion_client.h"
+#include "basilspread/platform/worker_client.h"
 #include "executor.h"
 #include "front_end.h"
 #include "metrics.h"
@@ -22,11 +23,13 @@
   const platform::LogClient& log;
   platform::HostListClient& host_list;
   const platform::MinionClient& minions;
+  const platform::WorkerClient& workers;
   FrontEnd& front_end;
   Admin& admin;
   PeerLinks& peers;
   Executor& platform_calls;
   Executor& minion_calls;
+  Executor& worker_calls;
   Metrics& metrics;
 };
 
@@ -49,8 +52,8 @@
   void operator()(const ReadHosts& effect);
   void operator()(const WriteLine& effect);
   void operator()(const RefuseCallers& effect);
-  void operator()(const AnswerJobCaller& /*effect*/) {}
-  void operator()(const CallWorker& /*effect*/) {}
+  void operator()(const AnswerJobCaller& effect);
+  void operator()(const CallWorker& effect);
   /// The control loop takes these two itself.
   void operator()(const SetTimer& /*effect*/) {}
   void operator()(const ExitProcess& /*effect*/) {}
--- a/tests/standin/minion.cc
+++ b/tests/standin/minion.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -38,7 +39,12 @@
       Reply(response, 200, "");
       return;
     }
+    if (request.getURI() == "/runs") {
+      Reply(response, 200, this->Runs());
+      return;
+    }
     const std::string body = ReadBody(request);
+    this->Count(request.get("X-Request-Id", ""));
     const std::string mode = this->Mode();
     if (mode == "fail") {
       this->Work(std::chrono::milliseconds(0));
@@ -63,6 +69,23 @@
         this->running, this->peak, this->overcommits);
   }
 
+  void Count(const std::string& id) {
+    const std::lock_guard lock(this->mutex);
+    if (!id.empty()) {
+      ++this->runs[id];
+    }
+  }
+
+  /// How often each X-Request-Id ran, one "ID COUNT" a line.
+  std::string Runs() {
+    const std::lock_guard lock(this->mutex);
+    std::string text;
+    for (const auto& [id, count] : this->runs) {
+      text += fmt::format("{} {}\n", id, count);
+    }
+    return text;
+  }
+
   void Work(std::chrono::milliseconds duration) {
     std::unique_lock lock(this->mutex);
     ++this->ran;
@@ -105,6 +128,7 @@
   int running = 0;
   int peak = 0;
   int overcommits = 0;
+  std::map<std::string, int> runs;
 };
 
 }  // namespace
