--- a/bench/requests/policy_scenarios.cc
+++ b/bench/requests/policy_scenarios.cc
@@ -122,7 +122,7 @@
   add("short p99 before", Percentile(Responses(served, before), 0.99), "ms");
   add("short p99 from 2 s after", Percentile(Responses(served, after), 0.99),
       "ms");
-  add("long in time, whole run", 100 * ShareInTime(served, IsLong), "%");
+  add("long in time over the run", 100 * ShareInTime(served, IsLong), "%");
 }
 
 }  // namespace
