--- a/bench/credit_model.cc
+++ b/bench/requests/credit_model.cc
@@ -1,4 +1,4 @@
-#include "credit_model.h"
+#include "requests/credit_model.h"
 
 #include <algorithm>
 #include <cmath>
--- a/bench/refusal_cost.cc
+++ b/bench/requests/refusal_cost.cc
@@ -1,6 +1,6 @@
 #include <ctime>
 
-#include "scenarios.h"
+#include "requests/scenarios.h"
 #include "virtual_cluster.h"
 
 namespace bench {
--- a/packages/platform/src/deadline_socket.cc
+++ b/packages/platform/src/deadline_socket.cc
@@ -16,15 +16,16 @@
   int sent = 0;
   while (sent < length) {
     this->setSendTimeout(this->TimeLeft());
-    sent +=
-        Poco::Net::SocketImpl::sendBytes(bytes + sent, length - sent, flags);
+    // The parent would loop by itself, under one timeout for each part.
+    // NOLINTNEXTLINE(bugprone-parent-virtual-call)
+    sent += SocketImpl::sendBytes(bytes + sent, length - sent, flags);
   }
   return sent;
 }
 
 int DeadlineSocketImpl::receiveBytes(void* buffer, int length, int flags) {
   this->setReceiveTimeout(this->TimeLeft());
-  return Poco::Net::SocketImpl::receiveBytes(buffer, length, flags);
+  return StreamSocketImpl::receiveBytes(buffer, length, flags);
 }
 
 Poco::Timespan DeadlineSocketImpl::TimeLeft() const {
--- a/packages/platform/src/minion_connection.h
+++ b/packages/platform/src/minion_connection.h
@@ -47,6 +47,7 @@
 
    protected:
     int write(const char* buffer, std::streamsize length) override {
+      // NOLINTNEXTLINE(bugprone-parent-virtual-call)
       return HTTPSession::write(buffer, length);
     }
     bool mustReconnect() const override { return false; }
