--- a/packages/core/src/internal/draining.cc
+++ b/packages/core/src/internal/draining.cc
@@ -72,6 +72,17 @@
   return !drained.empty();
 }
 
+/// Jobs have no bound of time, and only the owners of the shards know them: a
+/// process that claims one later must find the pool. So worker pools stay.
+bool IsInUse(const Tables& tables, const PoolName& pool) {
+  if (tables.pools.at(pool).kind == PoolKind::kWorkers) {
+    return true;
+  }
+  return std::any_of(
+      tables.routes.begin(), tables.routes.end(),
+      [&pool](const auto& row) { return row.second.pool == pool; });
+}
+
 }  // namespace
 
 void KeepRemoved(Context& context, const Tables& old, Tables& next) {
@@ -87,11 +98,7 @@
            [](const RouteName&) { return false; });
   const bool dropped_pools =
       Drop(context, configuration.drained_pools, tables.pools,
-           [&tables](const PoolName& pool) {
-             return std::any_of(
-                 tables.routes.begin(), tables.routes.end(),
-                 [&pool](const auto& row) { return row.second.pool == pool; });
-           });
+           [&tables](const PoolName& pool) { return IsInUse(tables, pool); });
   return dropped_routes || dropped_pools;
 }
 
--- a/packages/core/src/internal/job_calls.cc
+++ b/packages/core/src/internal/job_calls.cc
@@ -117,6 +117,17 @@
   return std::nullopt;
 }
 
+/// A job that the home knows is answered even when its route was removed.
+std::optional<Error> WhyRouteTakesNone(const Context& context,
+                                       const RouteName& name) {
+  const auto& routes = context.state.configuration.tables.routes;
+  const auto route = routes.find(name);
+  if (route != routes.end() && !route->second.draining) {
+    return std::nullopt;
+  }
+  return Error{ErrorKind::kUnknownRoute, name.value};
+}
+
 void Submit(Context& context, const JobWaiter& waiter, const JobCall& call,
             JobShard& shard) {
   Job* known = FindJob(shard, call.spec.id);
@@ -131,6 +142,9 @@
     return;
   }
   std::optional<Error> refusal = WhyNotWritable(context, call.shard);
+  if (!refusal) {
+    refusal = WhyRouteTakesNone(context, call.spec.route);
+  }
   if (!refusal) {
     refusal = WhyNeverFits(context, shard, call.spec);
   }
--- a/packages/core/tests/configuration_test.cc
+++ b/packages/core/tests/configuration_test.cc
@@ -18,6 +18,8 @@
   Pool pool;
   pool.name.value = record.pool_table;
   pool.shards = record.author == "resharder" ? 2 : 1;
+  pool.kind =
+      record.pool_table == "workers" ? PoolKind::kWorkers : PoolKind::kMinions;
   tables.pools.emplace(pool.name, pool);
   Route route;
   route.name.value = record.route_table;
@@ -193,6 +195,13 @@
   reader.Fire(TimerKind::kConfiguration, std::chrono::minutes(1));
   REQUIRE_FALSE(tables.routes.contains(RouteName{"old"}));
   REQUIRE_FALSE(tables.pools.contains(PoolName{"old pool"}));
+
+  SECTION("but a pool of workers stays, for its jobs have no bound of time") {
+    reader.Read(Offset{0}, {Edit(2, "new", "workers")});
+    reader.Read(Offset{0}, {Edit(3, "new", "new pool")});
+    reader.Fire(TimerKind::kConfiguration, std::chrono::hours(24));
+    REQUIRE(tables.pools.at(PoolName{"workers"}).draining);
+  }
 }
 
 }  // namespace
--- a/packages/ctl/src/commands.cc
+++ b/packages/ctl/src/commands.cc
@@ -12,6 +12,12 @@
       {"status", "status", "show what the cluster does and what waits", 0,
        Status},
       {"dump", "dump PROCESS", "print the state of one entry process", 1, Dump},
+      {"submit", "submit FILE", "submit the job that a JSON file describes", 1,
+       Submit},
+      {"jobs", "jobs", "list the jobs", 0, Jobs},
+      {"job", "job ID", "show one job", 1, Job},
+      {"wait", "wait ID", "wait until a job has ended", 1, Wait},
+      {"cancel", "cancel ID", "cancel a job", 1, Cancel},
   };
   return kCommands;
 }
--- a/packages/ctl/src/commands.h
+++ b/packages/ctl/src/commands.h
@@ -29,6 +29,11 @@
 ExitStatus History(const Arguments& arguments);
 ExitStatus Status(const Arguments& arguments);
 ExitStatus Dump(const Arguments& arguments);
+ExitStatus Submit(const Arguments& arguments);
+ExitStatus Jobs(const Arguments& arguments);
+ExitStatus Job(const Arguments& arguments);
+ExitStatus Wait(const Arguments& arguments);
+ExitStatus Cancel(const Arguments& arguments);
 
 }  // namespace basilspread::ctl
 
--- a/packages/ctl/src/draft_check.cc
+++ b/packages/ctl/src/draft_check.cc
@@ -1,15 +1,31 @@
 #include "draft_check.h"
 
+#include <fmt/format.h>
+
 #include "basilspread/config/table_warnings.h"
 #include "basilspread/config/tables.h"
 #include "basilspread/core/configuration.h"
 #include "basilspread/platform/host_list_client.h"
+#include "entry_dump.h"
 
 namespace basilspread::ctl {
 namespace {
 
 constexpr Duration kHostListTimeout = std::chrono::seconds(3);
 
+std::size_t CountJobs(const std::vector<EntryDump>& dumps,
+                      const PoolName& pool) {
+  std::size_t count = 0;
+  for (const EntryDump& dump : dumps) {
+    for (const ReportRow& row : dump.Rows("jobs")) {
+      if (ValueOf(row, "home").starts_with(pool.value + "#")) {
+        ++count;
+      }
+    }
+  }
+  return count;
+}
+
 }  // namespace
 
 std::vector<std::string> WarningsOf(const Draft& draft,
@@ -44,4 +60,28 @@
   return boost::outcome_v2::success();
 }
 
+Result<void> CheckDrained(const Draft& draft, const TablesLog& log,
+                          const Arguments& arguments) {
+  const Result<Tables> accepted = config::ParseTables(log.record());
+  const Result<std::vector<EntryDump>> dumps = ReadDumps(arguments);
+  if (!accepted || !dumps) {
+    return boost::outcome_v2::success();
+  }
+  for (const auto& [name, pool] : accepted.value().pools) {
+    const bool is_removed = !draft.tables.pools.contains(name);
+    if (pool.kind != PoolKind::kWorkers || !is_removed) {
+      continue;
+    }
+    const std::size_t jobs = CountJobs(dumps.value(), name);
+    if (jobs > 0) {
+      return Error{
+          ErrorKind::kInvalidTables,
+          fmt::format("[pool {}] still has {} jobs; remove its routes, wait "
+                      "until the jobs have ended, then remove the pool",
+                      name.value, jobs)};
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
 }  // namespace basilspread::ctl
--- a/packages/ctl/src/draft_check.h
+++ b/packages/ctl/src/draft_check.h
@@ -13,6 +13,11 @@
 std::vector<std::string> WarningsOf(const Draft& draft,
                                     const Arguments& arguments);
 
+/// Whether the worker pools that the draft removes have no job left, as far as
+/// the entry processes of the arguments tell. Errors: kInvalidTables.
+Result<void> CheckDrained(const Draft& draft, const TablesLog& log,
+                          const Arguments& arguments);
+
 /// Whether the draft may follow the accepted tables.
 /// Errors: kInvalidTables.
 Result<void> CheckFollows(const Draft& draft, const TablesLog& log);
--- a/packages/ctl/src/publish.cc
+++ b/packages/ctl/src/publish.cc
@@ -170,6 +170,11 @@
   if (!follows) {
     return Fail(follows.error());
   }
+  const Result<void> drained =
+      CheckDrained(draft.value(), log.value(), arguments);
+  if (!drained) {
+    return Fail(drained.error());
+  }
   const Result<TablesDecision> decision = AppendAndSettle(
       log.value(), MakeBatch(draft.value().record), arguments.timeout);
   if (!decision) {
