--- a/packages/core/src/internal/report.cc
+++ b/packages/core/src/internal/report.cc
@@ -5,6 +5,7 @@
 #include "internal/configuration.h"
 #include "internal/membership.h"
 #include "internal/report_jobs.h"
+#include "internal/report_tables.h"
 
 namespace basilspread::internal::report {
 namespace {
@@ -62,9 +63,10 @@
 
 StateReport Describe(const Context& context) {
   return {DescribeProcess(context), configuration::Describe(context),
-          DescribeMembers(context), DescribeShards(context),
-          DescribeMinions(context), DescribeWorkers(context),
-          DescribeJobs(context)};
+          DescribeRoutes(context),  DescribePools(context),
+          DescribeQuotas(context),  DescribeMembers(context),
+          DescribeShards(context),  DescribeMinions(context),
+          DescribeWorkers(context), DescribeJobs(context)};
 }
 
 }  // namespace basilspread::internal::report
--- a/tests/process/basilctl_jobs_test.cc
+++ b/tests/process/basilctl_jobs_test.cc
@@ -59,6 +59,19 @@
     REQUIRE(refused.status == 2);
     REQUIRE(refused.err.find("still has 1 jobs") != std::string::npos);
   }
+  SECTION("a removed route takes no new job, and answers for the known one") {
+    const auto removed =
+        ctl({"publish", "--base", "1", "--author", "isla", "--wait", "--routes",
+             Write(cluster, "none.ini", ""), "--pools",
+             Write(cluster, "pools.ini", kPools)});
+    INFO(removed.out << removed.err);
+    REQUIRE(removed.status == 0);
+    REQUIRE(ctl({"submit", slow}).status == 0);
+    const auto refused = ctl(
+        {"submit", Write(cluster, "late.json", test::JobBody("late", 1, ""))});
+    REQUIRE(refused.status == 2);
+    REQUIRE(refused.err.find("unknown-route") != std::string::npos);
+  }
   SECTION("a job is cancelled, and waiting for it tells so") {
     REQUIRE(ctl({"cancel", "slow"}).status == 0);
     REQUIRE(ctl({"wait", "slow", "--timeout", "30s"}).status == 1);
