Drain a pool by a mark in its table

A worker pool that was removed with jobs in it was known only to the processes that ran at that time: one that started later could not take its shards over, so that accepted jobs depended on old processes. A pool now has the key draining; its routes take no new work, and the mark is versioned with the tables. publish refuses to remove a worker pool that has jobs, and also when a process does not tell. Ruled out: removed pools in every checkpoint, which would never end.

The rule that a draining route takes no new job, and that a removed pool of workers stays known, were taken out in turn and the tests seen to fail.

--- a/packages/config/src/pools_table.cc
+++ b/packages/config/src/pools_table.cc
@@ -26,6 +26,7 @@
   reader.Read("short_reserve_percent", 0, kMaxPercent,
               pool.short_reserve_percent);
   reader.Read("placement", kPlacements, pool.placement);
+  reader.Read("draining", pool.draining);
   tables.pools.emplace(pool.name, pool);
 }
 
--- a/packages/config/src/routes_table.cc
+++ b/packages/config/src/routes_table.cc
@@ -61,9 +61,12 @@
     }
     CheckName(section, name, faults);
     SectionReader reader(section, faults);
-    const Route route = ReadRoute(name, reader);
+    Route route = ReadRoute(name, reader);
     reader.Finish();
-    if (!route.pool.value.empty() && !tables.pools.contains(route.pool)) {
+    const auto pool = tables.pools.find(route.pool);
+    if (pool != tables.pools.end()) {
+      route.draining = pool->second.draining;
+    } else if (!route.pool.value.empty()) {
       reader.Fault("pool", "no pool is named \"" + route.pool.value + "\"");
     }
     tables.routes.emplace(route.name, route);
--- a/packages/config/tests/tables_test.cc
+++ b/packages/config/tests/tables_test.cc
@@ -20,6 +20,12 @@
     REQUIRE(route.idempotent);
     REQUIRE(tables.pools.at(PoolName{"layout"}).shards == 2);
   }
+  SECTION("the routes of a draining pool drain with it") {
+    record.pool_table += "draining = yes\n";
+    const Tables tables = ParseTables(record).value();
+    REQUIRE(tables.pools.at(PoolName{"layout"}).draining);
+    REQUIRE(tables.routes.at(RouteName{"preview"}).draining);
+  }
   SECTION("quotas of teams stand in the pool table") {
     record.pool_table +=
         "[team plans]\ncpu_millicores = 8000\nmemory_mebibytes = 1024\n"
--- a/packages/core/include/basilspread/core/tables.h
+++ b/packages/core/include/basilspread/core/tables.h
@@ -41,7 +41,8 @@
   std::string order = "shortest-first";
   /// Name of the hook that refuses what can't make its deadline.
   std::string admission = "deadline-aware";
-  /// Removed from the table; takes no new requests, finishes the accepted.
+  /// Removed from the table, or its pool drains; takes no new requests,
+  /// finishes the accepted.
   bool draining = false;
 };
 
@@ -57,7 +58,8 @@
   std::uint32_t short_reserve_percent = 20;
   /// Name of the hook that picks the worker.
   std::string placement = "best-fit";
-  /// Removed from the table; kept until the work in it is finished.
+  /// Removed from the table and kept until the work in it is finished, or
+  /// marked by the operators.
   bool draining = false;
 };
 
--- a/packages/ctl/src/draft_check.cc
+++ b/packages/ctl/src/draft_check.cc
@@ -26,6 +26,22 @@
   return count;
 }
 
+std::vector<PoolName> RemovedWorkerPools(const Draft& draft,
+                                         const TablesLog& log) {
+  std::vector<PoolName> removed;
+  const Result<Tables> accepted = config::ParseTables(log.record());
+  if (!accepted) {
+    return removed;
+  }
+  for (const auto& [name, pool] : accepted.value().pools) {
+    const bool is_kept = draft.tables.pools.contains(name);
+    if (pool.kind == PoolKind::kWorkers && !is_kept) {
+      removed.push_back(name);
+    }
+  }
+  return removed;
+}
+
 }  // namespace
 
 std::vector<std::string> WarningsOf(const Draft& draft,
@@ -62,23 +78,25 @@
 
 Result<void> CheckDrained(const Draft& draft, const TablesLog& log,
                           const Arguments& arguments) {
-  const Result<Tables> accepted = config::ParseTables(log.record());
-  const Result<std::vector<EntryDump>> dumps = ReadDumps(arguments);
-  if (!accepted || !dumps) {
+  const std::vector<PoolName> removed = RemovedWorkerPools(draft, log);
+  if (removed.empty()) {
     return boost::outcome_v2::success();
   }
-  for (const auto& [name, pool] : accepted.value().pools) {
-    const bool is_removed = !draft.tables.pools.contains(name);
-    if (pool.kind != PoolKind::kWorkers || !is_removed) {
-      continue;
+  BOOST_OUTCOME_TRY(dumps, ReadDumps(arguments));
+  for (const EntryDump& dump : dumps) {
+    if (!dump.ok) {
+      return Error{ErrorKind::kOwnerUnreachable,
+                   "cannot see whether a removed pool has jobs: " + dump.fault};
     }
-    const std::size_t jobs = CountJobs(dumps.value(), name);
+  }
+  for (const PoolName& pool : removed) {
+    const std::size_t jobs = CountJobs(dumps, pool);
     if (jobs > 0) {
       return Error{
           ErrorKind::kInvalidTables,
-          fmt::format("[pool {}] still has {} jobs; remove its routes, wait "
-                      "until the jobs have ended, then remove the pool",
-                      name.value, jobs)};
+          fmt::format("[pool {}] still has {} jobs; publish it with draining "
+                      "= yes, wait until they have ended, then remove it",
+                      pool.value, jobs)};
     }
   }
   return boost::outcome_v2::success();
--- a/packages/ctl/src/draft_check.h
+++ b/packages/ctl/src/draft_check.h
@@ -13,8 +13,9 @@
 std::vector<std::string> WarningsOf(const Draft& draft,
                                     const Arguments& arguments);
 
-/// Whether the worker pools that the draft removes have no job left, as far as
-/// the entry processes of the arguments tell. Errors: kInvalidTables.
+/// Whether the worker pools that the draft removes have no job left, as the
+/// entry processes tell. Errors: kInvalidTables when one has, kBadRequest
+/// without operators' addresses, kOwnerUnreachable when a process is silent.
 Result<void> CheckDrained(const Draft& draft, const TablesLog& log,
                           const Arguments& arguments);
 
--- a/tests/process/basilctl_jobs_test.cc
+++ b/tests/process/basilctl_jobs_test.cc
@@ -59,6 +59,17 @@
     REQUIRE(refused.status == 2);
     REQUIRE(refused.err.find("still has 1 jobs") != std::string::npos);
   }
+  SECTION("a draining pool takes no new job and finishes the known") {
+    REQUIRE(ctl({"publish", "--base", "1", "--author", "isla", "--wait",
+                 "--routes", Write(cluster, "routes2.ini", kRoutes), "--pools",
+                 Write(cluster, "pools2.ini",
+                       std::string(kPools) + "draining = yes\n")})
+                .status == 0);
+    REQUIRE(ctl({"submit", Write(cluster, "late.json",
+                                 test::JobBody("late", 1, "work 1"))})
+                .status == 2);
+    REQUIRE(ctl({"job", "slow"}).out.find("running") != std::string::npos);
+  }
   SECTION("a removed route takes no new job, and answers for the known one") {
     const auto removed =
         ctl({"publish", "--base", "1", "--author", "isla", "--wait", "--routes",
