--- a/packages/core/tests/random/fake_minion.cc
+++ b/packages/core/tests/random/fake_minion.cc
@@ -26,16 +26,16 @@
   }
 }
 
-void FakeMinion::Run(CallId call, Duration work, const PayloadPtr& request,
+void FakeMinion::Run(Duration work, const PayloadPtr& request,
                      const std::function<void(PayloadPtr)>& reply) {
   this->CheckLeaving();
-  this->ledger.OnRequestRun(call, this->name);
+  this->ledger.OnRequestRun(request->body, this->name);
   ++this->running;
   if (this->running > this->slots) {
     throw Violation(
         fmt::format("A minion runs more than its slots. host={} "
-                    "running={} call={}",
-                    this->name.value, this->running, call.value));
+                    "running={} body={}",
+                    this->name.value, this->running, request->body));
   }
   const bool fails = this->failing > 0;
   const Duration duration = fails ? Duration{} : work;
--- a/packages/core/tests/random/fake_minion.h
+++ b/packages/core/tests/random/fake_minion.h
@@ -24,7 +24,7 @@
         slots(slot_count) {}
 
   /// Runs a request of its own time; the answer may never come.
-  void Run(CallId call, Duration work, const PayloadPtr& request,
+  void Run(Duration work, const PayloadPtr& request,
            const std::function<void(PayloadPtr)>& reply);
 
   int refusing = 0;
--- a/packages/core/tests/random/ledger.cc
+++ b/packages/core/tests/random/ledger.cc
@@ -62,9 +62,9 @@
                              answer.call.value));
     }
   }
-  // Under an idempotency key the run may belong to an earlier call, which
-  // the runs of this call do not count.
-  if (IsNotRun(call.answer) && call.runs > 0) {
+  const bool has_run =
+      call.key.empty() ? call.runs > 0 : this->runs_by_key[call.key] > 0;
+  if (IsNotRun(call.answer) && has_run) {
     this->Fail(
         fmt::format("A request that ran is answered not-run. call={} "
                     "kind={}",
@@ -72,7 +72,15 @@
   }
 }
 
-void Ledger::OnRequestRun(CallId id, const HostName& host) {
+void Ledger::OnRequestRun(const std::string& body, const HostName& host) {
+  if (body.starts_with(kKeyPrefix)) {
+    if (++this->runs_by_key[body] > 1) {
+      this->Fail(fmt::format("An idempotency key runs twice. key={} host={}",
+                             body, host.value));
+    }
+    return;
+  }
+  const CallId id{std::stoull(body)};
   Call& call = this->calls.at(id);
   ++call.runs;
   if (IsNotRun(call.answer)) {
@@ -87,11 +95,6 @@
                     "host={}",
                     id.value, host.value));
   }
-  if (!call.idempotent && !call.key.empty() &&
-      ++this->runs_by_key[call.key] > 1) {
-    this->Fail(fmt::format("An idempotency key runs twice. call={} key={}",
-                           id.value, call.key));
-  }
 }
 
 JobId Ledger::JobOf(const TaskId& task) {
--- a/packages/core/tests/random/ledger.h
+++ b/packages/core/tests/random/ledger.h
@@ -23,6 +23,9 @@
 using basilspread::TaskAttempt;
 using basilspread::TaskId;
 
+/// What an idempotency key of the test begins with.
+inline constexpr const char* kKeyPrefix = "key-";
+
 /// What callers asked for and what really happened. Throws Violation as soon
 /// as a promise is broken.
 class Ledger {
@@ -34,7 +37,8 @@
   /// The caller's process died: nobody hears the answer.
   void OnCallerLost(CallId call);
   void OnAnswered(const AnswerCaller& answer);
-  void OnRequestRun(CallId call, const HostName& host);
+  /// A minion starts a request; its body is its key or its call's number.
+  void OnRequestRun(const std::string& body, const HostName& host);
 
   void OnSubmitted(CallId call, const JobId& job, std::uint32_t tasks,
                    Duration answer_due);
@@ -82,6 +86,7 @@
 
   const Schedule& schedule;
   std::map<CallId, Call> calls;
+  /// Runs of non-idempotent requests by idempotency key.
   std::map<std::string, std::uint32_t> runs_by_key;
   std::map<JobId, Job> jobs;
   std::map<CallId, JobId> job_calls;
--- a/packages/core/tests/random/random_test.cc
+++ b/packages/core/tests/random/random_test.cc
@@ -93,10 +93,14 @@
   constexpr int kSize = 24;
   FailOnBrokenInvariants();
   std::map<std::string, std::vector<std::string>> broken;
+  RunSummary total;
   for (std::uint64_t seed = 0; seed < kRuns; ++seed) {
     const Scenario scenario = GenScenario()(rc::Random(seed), kSize).value();
     try {
-      TestCluster(scenario, with_jobs).Run();
+      const RunSummary summary = TestCluster(scenario, with_jobs).Run();
+      total.answered += summary.answered;
+      total.answered_well += summary.answered_well;
+      total.accepted_jobs += summary.accepted_jobs;
     } catch (const Violation& violation) {
       const std::string what = violation.what();
       broken[what.substr(0, what.find('.'))].push_back(
@@ -107,6 +111,8 @@
     WARN(sentence << ": " << cases.size() << " of " << kRuns << ", first "
                   << cases.front());
   }
+  WARN("answers " << total.answered << ", of a run " << total.answered_well
+                  << ", accepted jobs " << total.accepted_jobs);
   CHECK(broken.empty());
 }
 
--- a/packages/core/tests/random/test_cluster.cc
+++ b/packages/core/tests/random/test_cluster.cc
@@ -23,8 +23,6 @@
 using basilspread::TeamName;
 
 constexpr int kProcesses = 4;
-/// Off until the request path settles idempotency keys.
-constexpr bool kRepeatKeys = false;
 constexpr Duration kCallInterval = std::chrono::milliseconds(60);
 constexpr Duration kSubmitInterval = std::chrono::milliseconds(1500);
 /// After the faults, before everything must be as if there had been none.
@@ -143,8 +141,9 @@
   request.route = RouteName{use.route};
   request.team = TeamName{"team"};
   // Some callers repeat a request under its key through another process.
-  if (kRepeatKeys && !use.idempotent && this->random.Below(2) == 0) {
-    request.idempotency_key = fmt::format("key-{}", request.call.value / 16);
+  if (!use.idempotent && this->random.Below(2) == 0) {
+    request.idempotency_key =
+        fmt::format("{}{}", kKeyPrefix, request.call.value / 16);
   }
   auto* payload = new Payload;
   payload->target = use.route;
--- a/packages/core/tests/random/test_cluster_effects.cc
+++ b/packages/core/tests/random/test_cluster_effects.cc
@@ -135,7 +135,7 @@
   this->schedule.After(patience,
                        [settle] { settle(MinionResult::kLost, nullptr); });
   this->schedule.After(kLatency, [&minion, send, settle] {
-    minion.Run(send.request.call, WorkOf(send.payload), send.payload,
+    minion.Run(WorkOf(send.payload), send.payload,
                [settle](const PayloadPtr& payload) {
                  settle(MinionResult::kAnswered, payload);
                });
