--- a/tests/standin/log.cc
+++ b/tests/standin/log.cc
@@ -4,6 +4,8 @@
 #include <Poco/URI.h>
 
 #include <algorithm>
+#include <chrono>
+#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <sstream>
@@ -27,6 +29,8 @@
   return out.str();
 }
 
+constexpr std::chrono::milliseconds kSlowAnswer(700);
+
 /// An append-only log in memory.
 class Log {
  public:
@@ -37,7 +41,7 @@
       Reply(response, 200, "");
       return;
     }
-    const std::string mode = this->Mode();
+    const std::string mode = this->AwaitMode();
     if (mode == "down") {
       Reply(response, 503, "down");
       return;
@@ -58,14 +62,46 @@
     std::vector<std::string> records;
   };
 
-  std::string Mode() {
-    const std::lock_guard lock(this->mutex);
+  /// The mode in force once the request may go on.
+  std::string AwaitMode() {
+    std::unique_lock lock(this->mutex);
+    if (this->mode == "slow") {
+      this->changed.wait_for(lock, kSlowAnswer,
+                             [this] { return this->mode != "slow"; });
+    }
+    if (this->mode == "freeze") {
+      this->changed.wait(lock, [this] { return this->mode != "freeze"; });
+      // Whoever sent this has given it up long ago.
+      return "down";
+    }
     return this->mode;
   }
 
-  void Control(const std::string& new_mode) {
+  /// up, down, slow, lose-answers, freeze, or: expire STREAM COUNT.
+  void Control(const std::string& words) {
+    std::istringstream in(words);
+    std::string word;
+    std::string stream;
+    std::size_t count = 0;
+    in >> word >> stream >> count;
     const std::lock_guard lock(this->mutex);
-    this->mode = new_mode;
+    if (word == "expire") {
+      this->Expire(this->streams["streams/" + stream], count);
+      return;
+    }
+    this->mode = word;
+    this->changed.notify_all();
+  }
+
+  static void Expire(Stream& stream, std::size_t kept) {
+    if (stream.records.size() <= kept) {
+      return;
+    }
+    const std::size_t dropped = stream.records.size() - kept;
+    stream.records.erase(
+        stream.records.begin(),
+        stream.records.begin() + static_cast<std::ptrdiff_t>(dropped));
+    stream.first += dropped;
   }
 
   std::string Append(const std::string& name, const std::string& record) {
@@ -105,6 +141,7 @@
   }
 
   std::mutex mutex;
+  std::condition_variable changed;
   std::string mode = "up";
   std::map<std::string, Stream> streams;
 };
--- a/tests/standin/main.cc
+++ b/tests/standin/main.cc
@@ -1,5 +1,6 @@
 // Stand-ins for the platform: standin log|hosts PORT, standin minion PORT NAME
-// SLOTS, standin worker PORT MILLICORES MEBIBYTES ACCELERATORS
+// SLOTS, standin worker PORT MILLICORES MEBIBYTES ACCELERATORS, standin link
+// CONTROL_PORT PORT TARGET_PORT
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -52,6 +53,10 @@
   if (role == "hosts") {
     return MakeHostList();
   }
+  if (role == "link" && argc == 5) {
+    return MakeLink(static_cast<std::uint16_t>(std::stoi(argv[3])),
+                    static_cast<std::uint16_t>(std::stoi(argv[4])));
+  }
   if (role == "minion" && argc == 5) {
     return MakeMinion(argv[3], std::stoi(argv[4]));
   }
@@ -105,7 +110,8 @@
     const standin::Handler handler =
         argc >= 3 ? standin::MakeHandler(argc, argv) : nullptr;
     if (!handler) {
-      fmt::print(stderr, "usage: standin log|hosts|minion|worker PORT [...]\n");
+      fmt::print(stderr,
+                 "usage: standin log|hosts|minion|worker|link PORT [...]\n");
       return 2;
     }
     standin::Serve(static_cast<std::uint16_t>(std::stoi(argv[2])), handler);
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -31,6 +31,8 @@
 /// Handlers of the platform's services, of a minion and of a worker.
 Handler MakeLog();
 Handler MakeHostList();
+/// Relays connections of `port` to `target`; POST controls it.
+Handler MakeLink(std::uint16_t port, std::uint16_t target);
 Handler MakeMinion(const std::string& name, int slots);
 Handler MakeWorker(const WorkerCapacity& capacity);
 
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -71,13 +71,36 @@
   // Short leases keep the tests that wait for a lapse short.
   file << "[limits]\ntask_lease = 3s\nlapse_margin = 1s\n";
   file << "[peers]\n";
-  for (const EntryProcess& other : this->entries) {
-    if (other.name != entry.name) {
-      file << fmt::format("{} = 127.0.0.1:{}\n", other.name, other.peer);
+  for (std::size_t i = 0; i < this->entries.size(); ++i) {
+    const EntryProcess& other = this->entries.at(i);
+    if (other.name == entry.name) {
+      continue;
     }
+    const auto link = this->peer_links.find({index, i});
+    file << fmt::format(
+        "{} = 127.0.0.1:{}\n", other.name,
+        link == this->peer_links.end() ? other.peer : link->second.port);
   }
 }
 
+void LinkProcess::Control(const std::string& words) const {
+  Call(this->control, "POST", "/control", words);
+}
+
+LinkProcess& Cluster::LinkPeers(std::size_t from, std::size_t to) {
+  LinkProcess& link = this->peer_links[{from, to}];
+  link.control = FreePort();
+  link.port = FreePort();
+  link.process = std::make_unique<Process>(std::vector<std::string>{
+      STANDIN_BINARY, "link", std::to_string(link.control),
+      std::to_string(link.port), std::to_string(this->entries.at(to).peer)});
+  return link;
+}
+
+void Cluster::ControlLog(const std::string& words) const {
+  Call(this->log_port, "POST", "/control", words);
+}
+
 void Cluster::StartEntry(std::size_t index) {
   EntryProcess& entry = this->entries.at(index);
   this->WriteSettings(entry);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -2,8 +2,10 @@
 #define BASILSPREAD_TESTS_SUPPORT_CLUSTER_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "support/process.h"
@@ -38,6 +40,16 @@
   std::unique_ptr<Process> process;
 };
 
+/// A relay in front of a port; faults are asked for on its control port.
+struct LinkProcess {
+  std::uint16_t control = 0;
+  std::uint16_t port = 0;
+  std::unique_ptr<Process> process;
+
+  /// One of the words that the stand-in knows, for example "silence".
+  void Control(const std::string& words) const;
+};
+
 /// Stand-ins and entry processes on free loopback ports.
 class Cluster {
  public:
@@ -48,6 +60,11 @@
   /// Describes entry processes in turn over three zones, without starting.
   void AddEntries(int count);
   void StartEntry(std::size_t index);
+  /// Has one entry process reach another through a relay; call it before the
+  /// first one starts.
+  LinkProcess& LinkPeers(std::size_t from, std::size_t to);
+  /// Asks the log's stand-in for a fault, for example "down".
+  void ControlLog(const std::string& words) const;
   void AddMinions(int count, int slots, int per_rack);
   /// Workers of the group "workers", with 1 GiB and no accelerator a core.
   void AddWorkers(int count, int cores, int per_rack);
@@ -64,6 +81,7 @@
   std::vector<EntryProcess> entries;
   std::vector<MinionProcess> minions;
   std::vector<WorkerProcess> workers;
+  std::map<std::pair<std::size_t, std::size_t>, LinkProcess> peer_links;
   std::uint16_t log_port = 0;
   std::uint16_t hosts_port = 0;
   std::string folder;
