--- a/packages/core/tests/virtual_cluster.h
+++ b/packages/core/tests/virtual_cluster.h
@@ -104,6 +104,8 @@
   std::function<bool(std::size_t from, const basilspread::SendToPeer&)>
       on_message;
   std::function<void(CallId, const VirtualCall&)> on_answer;
+  /// Told of every effect.
+  std::function<void(std::size_t node, const basilspread::Effect&)> on_effect;
   /// Hosts that are listed beside the minions.
   std::map<basilspread::HostName, basilspread::Host> worker_hosts;
   /// Told of each call to a worker; its answer comes by Post.
