Test a process that starts after every record of the tables expired

The new process test first failed: AllServe looked for the version anywhere in a dump, and found it in the rows of the peers, so that a process without tables counted as serving. It now looks at what the process itself has in force, which is stricter for every test that uses it.

--- a/tests/process/configuration_test.cc
+++ b/tests/process/configuration_test.cc
@@ -151,6 +151,21 @@
     REQUIRE(
         test::Eventually([&fixture] { return fixture.cluster.AllServe(2); }));
   }
+  SECTION("a process that starts after every record expired is helped") {
+    REQUIRE(fixture.Publish("ewan", "6s", 1).status == 0);
+    fixture.SetLog("expire tables 0");
+    const std::string kept =
+        test::Call(fixture.cluster.log_port, "GET", "/streams/tables").body;
+    INFO(kept);
+    REQUIRE(kept.find("\"first\":0") == std::string::npos);
+    fixture.cluster.entries[0].process->Kill();
+    fixture.cluster.StartEntry(0);
+    REQUIRE(
+        test::Eventually([&fixture] { return fixture.cluster.AllServe(2); }));
+    const auto published = fixture.Publish("mairi", "7s", 2);
+    INFO(published.out << published.err << fixture.Ctl({"history"}).out);
+    REQUIRE(published.status == 0);
+  }
 }
 
 }  // namespace
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -202,7 +202,7 @@
       continue;
     }
     const Response dump = Call(entry.admin, "GET", "/dump.json");
-    const std::string expected = fmt::format("\"tables\": \"{}\"", version);
+    const std::string expected = fmt::format("\"in_force\": \"{}\"", version);
     if (dump.body.find(expected) == std::string::npos) {
       return false;
     }
