--- a/packages/core/tests/random/fake_worker.h
+++ b/packages/core/tests/random/fake_worker.h
@@ -35,6 +35,7 @@
   int losing_answers = 0;
   int failing = 0;
   int slow = 0;
+  int unreachable = 0;
   std::multiset<basilspread::NodeName> cut;
 
  private:
--- a/packages/core/tests/random/scenario.cc
+++ b/packages/core/tests/random/scenario.cc
@@ -24,6 +24,7 @@
     "minion-fails",
     "host-leaves",
     "worker-cut",
+    "worker-unreachable",
     "worker-loses-answers",
     "worker-slow",
     "worker-fails",
--- a/packages/core/tests/random/scenario.h
+++ b/packages/core/tests/random/scenario.h
@@ -29,6 +29,7 @@
   kMinionFails,
   kHostLeaves,
   kWorkerCut,
+  kWorkerUnreachable,
   kWorkerLosesAnswers,
   kWorkerSlow,
   kWorkerFails,
--- a/packages/core/tests/random/test_cluster.cc
+++ b/packages/core/tests/random/test_cluster.cc
@@ -23,6 +23,8 @@
 using basilspread::TeamName;
 
 constexpr int kProcesses = 4;
+/// Short, so that leases lapse while faults last.
+constexpr Duration kTaskLease = std::chrono::seconds(5);
 constexpr Duration kCallInterval = std::chrono::milliseconds(60);
 constexpr Duration kSubmitInterval = std::chrono::milliseconds(1500);
 /// After the faults, before everything must be as if there had been none.
@@ -83,6 +85,7 @@
     Settings settings;
     settings.self.node = NodeAt(i);
     settings.seed = this->random.Next();
+    settings.task_lease = kTaskLease;
     for (int other = 0; other < kProcesses; ++other) {
       if (other != i) {
         settings.peers.push_back(NodeAt(other));
@@ -178,7 +181,7 @@
   spec.id = basilspread::JobId{fmt::format("job-{}", submit.call.value)};
   spec.route = RouteName{kJobRoute};
   spec.team = TeamName{"team"};
-  spec.run = std::to_string(200 + this->random.Below(3000));
+  spec.run = std::to_string(200 + this->random.Below(9000));
   spec.gang = this->random.Below(4) == 0;
   // Workers that fail what they start must not end a job for good here.
   spec.max_attempts = 1000;
--- a/packages/core/tests/random/test_cluster_effects.cc
+++ b/packages/core/tests/random/test_cluster_effects.cc
@@ -147,6 +147,7 @@
   process.AfterWhenRunning(kLatency, [this, &process, call] {
     const auto worker = this->workers.find(call.worker);
     const bool is_cut = worker == this->workers.end() ||
+                        worker->second->unreachable > 0 ||
                         worker->second->cut.contains(process.Node());
     if (process.Clock() >= call.not_after || is_cut) {
       WorkerAnswered answer;
--- a/packages/core/tests/random/test_cluster_faults.cc
+++ b/packages/core/tests/random/test_cluster_faults.cc
@@ -167,6 +167,8 @@
   switch (fault.kind) {
     case FaultKind::kWorkerLosesAnswers:
       return this->Hold(worker.losing_answers, fault.lasts);
+    case FaultKind::kWorkerUnreachable:
+      return this->Hold(worker.unreachable, fault.lasts);
     case FaultKind::kWorkerSlow:
       return this->Hold(worker.slow, fault.lasts);
     case FaultKind::kWorkerFails:
