--- a/packages/core/src/internal/job_calls.cc
+++ b/packages/core/src/internal/job_calls.cc
@@ -102,8 +102,7 @@
   if (context.state.stopping) {
     return Error{ErrorKind::kStopping, "the owner is stopping"};
   }
-  if (!ownership::MayAct(context, shard) ||
-      !log::IsWritable(context, ownership::StreamOf(shard))) {
+  if (!ownership::MayAct(context, shard) || !log::IsAvailable(context)) {
     return Error{ErrorKind::kLogUnavailable, "not accepted"};
   }
   return std::nullopt;
