--- a/packages/node/src/peer_links.cc
+++ b/packages/node/src/peer_links.cc
@@ -1,6 +1,5 @@
 #include "peer_links.h"
 
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <fmt/format.h>
 
