--- a/packages/wire/src/heartbeat_codec.cc
+++ b/packages/wire/src/heartbeat_codec.cc
@@ -33,8 +33,9 @@
                                                 const ShardReport& report) {
   const auto shard = builder.CreateString(report.shard.value);
   const auto successor = PackIfAny(builder, report.successor.value);
-  return fb::CreateShardReport(builder, shard, report.epoch.value,
-                               report.free_slots, report.queued, successor);
+  return fb::CreateShardReport(
+      builder, shard, report.epoch.value, report.free_slots, report.queued,
+      report.free_open_slots, report.queued_long, successor);
 }
 
 ShardReport UnpackReport(const fb::ShardReport& packed) {
@@ -43,6 +44,8 @@
   report.epoch = Epoch{packed.epoch()};
   report.free_slots = packed.free_slots();
   report.queued = packed.queued();
+  report.free_open_slots = packed.free_open_slots();
+  report.queued_long = packed.queued_long();
   if (packed.successor() != nullptr) {
     report.successor = NodeName{packed.successor()->str()};
   }
--- a/packages/wire/tests/heartbeat_test.cc
+++ b/packages/wire/tests/heartbeat_test.cc
@@ -21,6 +21,7 @@
     report.shard = ShardId{"layout#" + std::to_string(i)};
     report.epoch = Epoch{100};
     report.free_slots = 60;
+    report.free_open_slots = 48;
     heartbeat.shards.push_back(report);
   }
   return heartbeat;
@@ -48,6 +49,7 @@
   REQUIRE(taken.shards.at(0).successor == NodeName{"dundee-1"});
   REQUIRE(taken.shards.at(1).successor.value.empty());
   REQUIRE(taken.shards.at(1).epoch == Epoch{100});
+  REQUIRE(taken.shards.at(1).free_open_slots == 48);
   REQUIRE(taken.unheard == sent.unheard);
   REQUIRE(taken.heard.at(0).process == sent.heard[0].process);
   REQUIRE(taken.heard.at(0).age == std::chrono::milliseconds(250));
