--- a/packages/core/tests/log_test.cc
+++ b/packages/core/tests/log_test.cc
@@ -49,8 +49,8 @@
 TEST_CASE("Busy streams stay within the appends that the log takes", "[log]") {
   FakeCluster cluster = MakeServingCluster(24);
   const std::size_t before = cluster.appends;
-  constexpr int kSeconds = 5;
-  for (int i = 0; i < kSeconds * 100; ++i) {
+  constexpr std::size_t kSeconds = 5;
+  for (std::size_t i = 0; i < kSeconds * 100; ++i) {
     for (std::size_t process = 0; process < 3; ++process) {
       AppendToAll(cluster, process);
     }
