--- a/bench/entry_overhead.cc
+++ b/bench/requests/entry_overhead.cc
@@ -8,7 +8,7 @@
 #include <string>
 #include <thread>
 
-#include "scenarios.h"
+#include "requests/scenarios.h"
 #include "support/cluster.h"
 #include "support/http.h"
 
--- a/bench/moving_demand.cc
+++ b/bench/requests/moving_demand.cc
@@ -1,6 +1,6 @@
-#include "credit_model.h"
-#include "scenarios.h"
-#include "workload.h"
+#include "requests/credit_model.h"
+#include "requests/scenarios.h"
+#include "requests/workload.h"
 
 namespace bench {
 namespace {
--- a/bench/request_bench.cc
+++ b/bench/requests/request_bench.cc
@@ -5,7 +5,7 @@
 #include <cxxopts.hpp>
 #include <iostream>
 
-#include "scenarios.h"
+#include "requests/scenarios.h"
 
 namespace {
 
--- a/bench/scenarios.h
+++ b/bench/requests/scenarios.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 
-#include "result_table.h"
+#include "requests/result_table.h"
 
 namespace bench {
 
--- a/bench/workload.cc
+++ b/bench/requests/workload.cc
@@ -1,4 +1,4 @@
-#include "workload.h"
+#include "requests/workload.h"
 
 #include <random>
 #include <utility>
--- a/packages/core/src/internal/report.cc
+++ b/packages/core/src/internal/report.cc
@@ -6,6 +6,7 @@
 #include "internal/membership.h"
 #include "internal/ownership.h"
 #include "internal/report_jobs.h"
+#include "internal/report_tables.h"
 
 namespace basilspread::internal::report {
 namespace {
@@ -76,9 +77,10 @@
 
 StateReport Describe(const Context& context) {
   return {DescribeProcess(context), configuration::Describe(context),
-          DescribeMembers(context), DescribeShards(context),
-          DescribeMinions(context), DescribeWorkers(context),
-          DescribeJobs(context)};
+          DescribeRoutes(context),  DescribePools(context),
+          DescribeQuotas(context),  DescribeMembers(context),
+          DescribeShards(context),  DescribeMinions(context),
+          DescribeWorkers(context), DescribeJobs(context)};
 }
 
 }  // namespace basilspread::internal::report
--- a/packages/core/tests/random/test_cluster.cc
+++ b/packages/core/tests/random/test_cluster.cc
@@ -23,8 +23,8 @@
 using basilspread::TeamName;
 
 constexpr int kProcesses = 4;
-/// Off until the request path settles idempotency keys.
-constexpr bool kRepeatKeys = false;
+/// Short, so that leases lapse while faults last.
+constexpr Duration kTaskLease = std::chrono::seconds(5);
 constexpr Duration kCallInterval = std::chrono::milliseconds(60);
 constexpr Duration kSubmitInterval = std::chrono::milliseconds(1500);
 /// After the faults, before everything must be as if there had been none.
@@ -37,9 +37,9 @@
 
 }  // namespace
 
-TestCluster::TestCluster(const Scenario& run_scenario, bool submit_jobs)
+TestCluster::TestCluster(const Scenario& run_scenario, Load run_load)
     : scenario(run_scenario),
-      with_jobs(submit_jobs),
+      load(run_load),
       random(run_scenario.seed),
       ledger(this->schedule),
       log(this->schedule, run_scenario.seed + 1),
@@ -85,6 +85,7 @@
     Settings settings;
     settings.self.node = NodeAt(i);
     settings.seed = this->random.Next();
+    settings.task_lease = kTaskLease;
     for (int other = 0; other < kProcesses; ++other) {
       if (other != i) {
         settings.peers.push_back(NodeAt(other));
@@ -108,8 +109,10 @@
   for (const Fault& fault : this->scenario.faults) {
     this->schedule.After(fault.at, [this, fault] { this->Begin(fault); });
   }
-  this->CallAgain();
-  if (this->with_jobs) {
+  if (this->load.requests) {
+    this->CallAgain();
+  }
+  if (this->load.jobs) {
     this->SubmitAgain();
   }
   this->schedule.RunUntil(kFaultsEnd + kSettleTime / 2);
@@ -143,8 +146,9 @@
   request.route = RouteName{use.route};
   request.team = TeamName{"team"};
   // Some callers repeat a request under its key through another process.
-  if (kRepeatKeys && !use.idempotent && this->random.Below(2) == 0) {
-    request.idempotency_key = fmt::format("key-{}", request.call.value / 16);
+  if (!use.idempotent && this->random.Below(2) == 0) {
+    request.idempotency_key =
+        fmt::format("{}{}", kKeyPrefix, request.call.value / 16);
   }
   auto* payload = new Payload;
   payload->target = use.route;
@@ -177,7 +181,7 @@
   spec.id = basilspread::JobId{fmt::format("job-{}", submit.call.value)};
   spec.route = RouteName{kJobRoute};
   spec.team = TeamName{"team"};
-  spec.run = std::to_string(200 + this->random.Below(3000));
+  spec.run = std::to_string(200 + this->random.Below(9000));
   spec.gang = this->random.Below(4) == 0;
   // Workers that fail what they start must not end a job for good here.
   spec.max_attempts = 1000;
--- a/packages/core/tests/random/test_cluster_effects.cc
+++ b/packages/core/tests/random/test_cluster_effects.cc
@@ -135,7 +135,7 @@
   this->schedule.After(patience,
                        [settle] { settle(MinionResult::kLost, nullptr); });
   this->schedule.After(kLatency, [&minion, send, settle] {
-    minion.Run(send.request.call, WorkOf(send.payload), send.payload,
+    minion.Run(WorkOf(send.payload), send.payload,
                [settle](const PayloadPtr& payload) {
                  settle(MinionResult::kAnswered, payload);
                });
@@ -147,6 +147,7 @@
   process.AfterWhenRunning(kLatency, [this, &process, call] {
     const auto worker = this->workers.find(call.worker);
     const bool is_cut = worker == this->workers.end() ||
+                        worker->second->unreachable > 0 ||
                         worker->second->cut.contains(process.Node());
     if (process.Clock() >= call.not_after || is_cut) {
       WorkerAnswered answer;
--- a/packages/core/tests/requests_minions_test.cc
+++ b/packages/core/tests/requests_minions_test.cc
@@ -7,7 +7,6 @@
 
 using basilspread::ErrorKind;
 using basilspread::HostName;
-using basilspread::MinionResult;
 using basilspread::RouteName;
 
 TEST_CASE("A leaving minion gets no new request and finishes its old ones",
--- a/packages/ctl/src/draft_check.cc
+++ b/packages/ctl/src/draft_check.cc
@@ -1,15 +1,47 @@
 #include "draft_check.h"
 
+#include <fmt/format.h>
+
 #include "basilspread/config/table_warnings.h"
 #include "basilspread/config/tables.h"
 #include "basilspread/core/configuration.h"
 #include "basilspread/platform/host_list_client.h"
+#include "entry_dump.h"
 
 namespace basilspread::ctl {
 namespace {
 
 constexpr Duration kHostListTimeout = std::chrono::seconds(3);
 
+std::size_t CountJobs(const std::vector<EntryDump>& dumps,
+                      const PoolName& pool) {
+  std::size_t count = 0;
+  for (const EntryDump& dump : dumps) {
+    for (const ReportRow& row : dump.Rows("jobs")) {
+      if (ValueOf(row, "home").starts_with(pool.value + "#")) {
+        ++count;
+      }
+    }
+  }
+  return count;
+}
+
+std::vector<PoolName> RemovedWorkerPools(const Draft& draft,
+                                         const TablesLog& log) {
+  std::vector<PoolName> removed;
+  const Result<Tables> accepted = config::ParseTables(log.record());
+  if (!accepted) {
+    return removed;
+  }
+  for (const auto& [name, pool] : accepted.value().pools) {
+    const bool is_kept = draft.tables.pools.contains(name);
+    if (pool.kind == PoolKind::kWorkers && !is_kept) {
+      removed.push_back(name);
+    }
+  }
+  return removed;
+}
+
 }  // namespace
 
 std::vector<std::string> WarningsOf(const Draft& draft,
@@ -44,4 +76,30 @@
   return boost::outcome_v2::success();
 }
 
+Result<void> CheckDrained(const Draft& draft, const TablesLog& log,
+                          const Arguments& arguments) {
+  const std::vector<PoolName> removed = RemovedWorkerPools(draft, log);
+  if (removed.empty()) {
+    return boost::outcome_v2::success();
+  }
+  BOOST_OUTCOME_TRY(dumps, ReadDumps(arguments));
+  for (const EntryDump& dump : dumps) {
+    if (!dump.ok) {
+      return Error{ErrorKind::kOwnerUnreachable,
+                   "cannot see whether a removed pool has jobs: " + dump.fault};
+    }
+  }
+  for (const PoolName& pool : removed) {
+    const std::size_t jobs = CountJobs(dumps, pool);
+    if (jobs > 0) {
+      return Error{
+          ErrorKind::kInvalidTables,
+          fmt::format("[pool {}] still has {} jobs; publish it with draining "
+                      "= yes, wait until they have ended, then remove it",
+                      pool.value, jobs)};
+    }
+  }
+  return boost::outcome_v2::success();
+}
+
 }  // namespace basilspread::ctl
