--- a/packages/core/include/basilspread/core/ownership.h
+++ b/packages/core/include/basilspread/core/ownership.h
@@ -28,6 +28,9 @@
   std::optional<ProcessId> owner;
   /// Whom the release in force names; empty without one.
   NodeName successor;
+  /// Of a clean takeover: how long, from its reading, slots stay in use by
+  /// requests of an owner before the one that released the shard.
+  Duration unsettled{};
   /// How the owner came to it.
   TakeoverKind kind = TakeoverKind::kClean;
   /// Unset while the stream's oldest kept record may follow a claim that has
--- a/packages/core/include/basilspread/core/record.h
+++ b/packages/core/include/basilspread/core/record.h
@@ -11,6 +11,7 @@
 #include "basilspread/core/job_record.h"
 #include "basilspread/core/payload.h"
 #include "basilspread/core/tables.h"
+#include "basilspread/core/time.h"
 
 namespace basilspread {
 
@@ -46,6 +47,8 @@
   Epoch epoch;
   ProcessId owner;
   NodeName successor;
+  /// How long slots stay in use by requests of an earlier owner.
+  Duration unsettled{};
 };
 
 /// Repeats the claim in force, before its record expires.
--- a/packages/core/src/internal/handover.cc
+++ b/packages/core/src/internal/handover.cc
@@ -28,6 +28,7 @@
   record.epoch = ownership.epoch;
   record.owner = context.state.settings.self;
   record.successor = takeover::SuccessorFor(context, ownership.shard);
+  record.unsettled = requests::UnsettledTime(context, ownership.shard);
   log::Append(context, ownership::StreamOf(ownership.shard), record);
 }
 
--- a/packages/core/src/internal/ownership.cc
+++ b/packages/core/src/internal/ownership.cc
@@ -212,6 +212,7 @@
   if (is_in_force || is_first) {
     SetOwner(context, *ownership, record.epoch, std::nullopt);
     ownership->successor = record.successor;
+    ownership->unsettled = record.unsettled;
   }
 }
 
--- a/packages/core/src/internal/requests.cc
+++ b/packages/core/src/internal/requests.cc
@@ -96,12 +96,16 @@
 
 void OnArrived(Context& context, const RequestArrived& event) {
   const RequestKey key{context.state.settings.self, event.call};
+  // Only the owner of a key knows whether a request under it has run.
+  const bool has_key = !event.idempotency_key.empty();
   if (context.state.stopping) {
-    Answer(context, key, 0, {ErrorKind::kStopping, "", nullptr});
+    Answer(context, key, 0,
+           Truthful({ErrorKind::kStopping, "", nullptr}, has_key));
     return;
   }
   if (!configuration::IsReady(context)) {
-    Answer(context, key, 0, {ErrorKind::kNotReady, "", nullptr});
+    Answer(context, key, 0,
+           Truthful({ErrorKind::kNotReady, "", nullptr}, has_key));
     return;
   }
   const Route* route = FindRoute(context, event.route);
@@ -207,12 +211,17 @@
 void OnShardGained(Context& context, const ShardId& shard, TakeoverKind kind) {
   MinionShard& minions = context.state.requests.shards[shard];
   const PoolName& pool = context.state.ownership.shards.at(shard).pool;
-  if (kind == TakeoverKind::kUnclean) {
-    minions.open_held_until =
-        context.now + LongestRun(context, pool, SlotKind::kOpen);
-    minions.reserved_held_until =
-        context.now + LongestRun(context, pool, SlotKind::kReserved);
-  }
+  // Who releases a shard has no request of its own there, but may have held
+  // slots for those of an owner that died before.
+  const bool is_unclean = kind == TakeoverKind::kUnclean;
+  const Duration most =
+      is_unclean ? Duration::max()
+                 : context.state.ownership.shards.at(shard).unsettled;
+  const auto held_until = [&context, &pool, most](SlotKind slot) {
+    return context.now + std::min(most, LongestRun(context, pool, slot));
+  };
+  minions.open_held_until = held_until(SlotKind::kOpen);
+  minions.reserved_held_until = held_until(SlotKind::kReserved);
   // Those that are left over from an earlier ownership were not seen by the
   // owner between; they are held like the others.
   for (auto& [name, minion] : minions.minions) {
@@ -248,6 +257,20 @@
   LoseOwner(context, peer);
 }
 
+Duration UnsettledTime(const Context& context, const ShardId& shard) {
+  const auto found = context.state.requests.shards.find(shard);
+  if (found == context.state.requests.shards.end()) {
+    return Duration::zero();
+  }
+  const MinionShard& minions = found->second;
+  TimePoint settled =
+      std::max(minions.open_held_until, minions.reserved_held_until);
+  if (!minions.held.empty()) {
+    settled = std::max(settled, minions.held.rbegin()->first);
+  }
+  return std::max(settled - context.now, Duration::zero());
+}
+
 bool IsShardIdle(const Context& context, const ShardId& shard) {
   const auto& requests = context.state.requests.requests;
   return std::none_of(
--- a/packages/core/src/internal/requests.h
+++ b/packages/core/src/internal/requests.h
@@ -34,6 +34,9 @@
 
 /// Whether no request waits or runs in the shard.
 bool IsShardIdle(const Context& context, const ShardId& shard);
+
+/// How long requests of earlier owners may still run on the shard's minions.
+Duration UnsettledTime(const Context& context, const ShardId& shard);
 /// Whether nothing of any caller is in flight here.
 bool IsIdle(const Context& context);
 
--- a/packages/core/src/internal/requests_forwarding.cc
+++ b/packages/core/src/internal/requests_forwarding.cc
@@ -29,13 +29,26 @@
   return route != nullptr && route->service_class == ServiceClass::kLong;
 }
 
-void Settle(Context& context, const RemoteRequestPtr& call, Outcome outcome) {
-  call->ExpiryHook::unlink();
-  context.state.requests.remote.erase(call->call);
+void Forget(Context& context, RemoteRequest& call) {
+  call.ExpiryHook::unlink();
+  context.state.requests.remote.erase(call.call);
+}
+
+/// Ends a call with the verdict of the owner that handled it.
+void SettleByOwner(Context& context, const RemoteRequestPtr& call,
+                   Outcome outcome) {
+  Forget(context, *call);
   Answer(context, RequestKey{context.state.settings.self, call->call}, 0,
          Truthful(std::move(outcome), call->may_have_run));
 }
 
+/// Ends a call that no owner has settled. Only the owner of a key knows
+/// whether a request under it has run.
+void Settle(Context& context, const RemoteRequestPtr& call, Outcome outcome) {
+  call->may_have_run = call->may_have_run || !call->idempotency_key.empty();
+  SettleByOwner(context, call, std::move(outcome));
+}
+
 void Track(Context& context, const RemoteRequestPtr& call) {
   if (!call->ExpiryHook::is_linked()) {
     context.state.requests.remote.emplace(call->call, call);
@@ -76,8 +89,7 @@
 
 void HandleHere(Context& context, const Route& route,
                 const RemoteRequestPtr& call, const ShardId& shard) {
-  call->ExpiryHook::unlink();
-  context.state.requests.remote.erase(call->call);
+  Forget(context, *call);
   const RequestKey key{context.state.settings.self, call->call};
   if (!call->idempotency_key.empty()) {
     SubmitUnderKey(
@@ -190,7 +202,7 @@
     TryAgain(context, call, std::move(outcome));
     return;
   }
-  Settle(context, call, std::move(outcome));
+  SettleByOwner(context, call, std::move(outcome));
 }
 
 void RetryUnsent(Context& context, const NodeName& peer,
--- a/packages/core/tests/random/test_cluster_effects.cc
+++ b/packages/core/tests/random/test_cluster_effects.cc
@@ -82,6 +82,9 @@
                              [this, from = process.Self(), send = *peer] {
                                this->network.Send(from, send);
                              });
+  } else if (const auto* reopen =
+                 std::get_if<basilspread::ReopenLink>(&effect)) {
+    this->network.Reopen(process.Node(), reopen->peer);
   } else if (const auto* append = std::get_if<AppendLog>(&effect)) {
     process.AfterWhenRunning(kLatency, [this, &process, append = *append] {
       this->log.Append(process.Node(), append, process.Poster());
--- a/packages/core/tests/requests_minions_test.cc
+++ b/packages/core/tests/requests_minions_test.cc
@@ -155,5 +155,33 @@
   REQUIRE(is_served);
 }
 
+TEST_CASE("Slots held after a takeover stay held through a clean handover",
+          "[requests][minions][takeover]") {
+  VirtualCluster cluster(3, 9);
+  cluster.tables.routes.at(RouteName{"slow"}).deadline = 20s;
+  cluster.AddMinion("m1", 2, "r1");
+  cluster.Start();
+  const std::size_t first = *cluster.OwnerOf("pool#0");
+  cluster.Call(first, "slow", "15000000");
+  cluster.Call(first, "quick", "1500000");
+  cluster.RunFor(100ms);
+  cluster.Kill(first);
+  const auto has_moved_from = [&cluster](std::size_t node) {
+    const auto owner = cluster.OwnerOf("pool#0");
+    return owner && *owner != node;
+  };
+  REQUIRE(cluster.RunUntil([&] { return has_moved_from(first); }, 10s));
+  const std::size_t second = *cluster.OwnerOf("pool#0");
+  const std::size_t third = 3 - first - second;
+  cluster.Post(second, basilspread::StopRequested{});
+  REQUIRE(cluster.RunUntil([&] { return has_moved_from(second); }, 10s));
+  for (int i = 0; i < 100; ++i) {
+    cluster.Call(third, "slow", "500000");
+    cluster.Call(third, "quick", "200000");
+    cluster.RunFor(50ms);
+  }
+  REQUIRE(cluster.overcommits == 0);
+}
+
 }  // namespace
 }  // namespace test
--- a/packages/wire/src/record_codec.cc
+++ b/packages/wire/src/record_codec.cc
@@ -51,7 +51,7 @@
   const auto successor = builder.CreateString(record.successor.value);
   return {fb::RecordBody::ReleaseRecord,
           fb::CreateReleaseRecord(builder, shard, record.epoch.value, owner,
-                                  successor)
+                                  successor, record.unsettled.count())
               .Union()};
 }
 
@@ -121,7 +121,8 @@
 LogRecord UnpackRecord(const fb::ReleaseRecord& packed) {
   return ReleaseRecord{ShardId{packed.shard()->str()}, Epoch{packed.epoch()},
                        Unpack(*packed.owner()),
-                       NodeName{packed.successor()->str()}};
+                       NodeName{packed.successor()->str()},
+                       Duration(packed.unsettled_ns())};
 }
 
 LogRecord UnpackRecord(const fb::CheckpointRecord& packed) {
--- a/tests/process/jobs_test.cc
+++ b/tests/process/jobs_test.cc
@@ -26,7 +26,8 @@
 struct JobCluster {
   Cluster cluster;
 
-  JobCluster() {
+  explicit JobCluster(bool short_leases = false) {
+    this->cluster.short_leases = short_leases;
     this->cluster.AddWorkers(6, 4, 2);
     this->cluster.PublishHosts();
     this->cluster.AddEntries(3);
@@ -115,7 +116,7 @@
 
 TEST_CASE("A worker frozen past its lease does not run a task beside the next",
           "[process][jobs][fault]") {
-  JobCluster jobs;
+  JobCluster jobs(true);
   jobs.Submit(0, JobBody("plan", 1, "work 4000"));
   REQUIRE(Eventually([&] { return jobs.AllAre(0, {"plan"}, "running"); }));
   const test::TaskRun run = ReadTotals(jobs.cluster).runs.at(0);
@@ -162,7 +163,7 @@
 
 TEST_CASE("In an outage of the log new jobs are refused and running ones end",
           "[process][jobs][fault]") {
-  JobCluster jobs;
+  JobCluster jobs(true);
   jobs.Submit(0, JobBody("running", 1, "work 8000"));
   REQUIRE(Eventually([&] { return jobs.AllAre(0, {"running"}, "running"); }));
   REQUIRE(Call(jobs.cluster.log_port, "POST", "/control", "down").status ==
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -68,8 +68,9 @@
       entry.http, entry.admin, entry.peer);
   file << fmt::format("[platform]\nlog = 127.0.0.1:{}\nhosts = 127.0.0.1:{}\n",
                       this->log_port, this->hosts_port);
-  // Short leases keep the tests that wait for a lapse short.
-  file << "[limits]\ntask_lease = 3s\nlapse_margin = 1s\n";
+  if (this->short_leases) {
+    file << "[limits]\ntask_lease = 3s\nlapse_margin = 1s\n";
+  }
   file << "[peers]\n";
   for (std::size_t i = 0; i < this->entries.size(); ++i) {
     const EntryProcess& other = this->entries.at(i);
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -78,6 +78,9 @@
   /// Whether every started entry process serves the version.
   bool AllServe(std::uint64_t version) const;
 
+  /// For tests that wait for a lease to lapse. Such a lease is shorter than
+  /// the takeover of a dead owner, so its tasks do not outlive their owner.
+  bool short_leases = false;
   std::vector<EntryProcess> entries;
   std::vector<MinionProcess> minions;
   std::vector<WorkerProcess> workers;
