--- a/packages/core/src/internal/job_lookup.cc
+++ b/packages/core/src/internal/job_lookup.cc
@@ -76,7 +76,7 @@
 
 std::optional<ProcessId> LiveOwnerOf(const Context& context,
                                      const ShardId& shard) {
-  const std::optional<ProcessId> owner = ownership::OwnerOf(context, shard);
+  std::optional<ProcessId> owner = ownership::OwnerOf(context, shard);
   if (!owner || !membership::IsLive(context, *owner)) {
     return std::nullopt;
   }
--- a/tests/main_job/callers.cc
+++ b/tests/main_job/callers.cc
@@ -49,8 +49,8 @@
  private:
   /// True when no further try is due.
   bool TryOnce() {
-    const std::size_t turn = static_cast<std::size_t>(
-        this->plan.caller + this->number + this->tries);
+    const int sum = this->plan.caller + this->number + this->tries;
+    const auto turn = static_cast<std::size_t>(sum);
     ++this->tries;
     const test::Response response =
         test::Call(this->entries[turn % this->entries.size()], "POST",
