--- a/packages/core/src/internal/report.cc
+++ b/packages/core/src/internal/report.cc
@@ -2,6 +2,10 @@
 
 #include <fmt/format.h>
 
+#include <array>
+#include <string>
+#include <string_view>
+
 #include "internal/configuration.h"
 #include "internal/membership.h"
 #include "internal/ownership.h"
@@ -63,11 +67,29 @@
   ReportSection section{"minions", {}};
   for (const auto& [shard, minions] : context.state.requests.shards) {
     for (const auto& [name, minion] : minions.minions) {
-      section.rows.push_back({{"minion", name.value},
-                              {"shard", shard.value},
-                              {"slots", fmt::format("{}", TotalSlots(minion))},
-                              {"busy", fmt::format("{}", UsedSlots(minion))},
-                              {"leaving", minion.leaving ? "yes" : "no"}});
+      section.rows.push_back(
+          {{"minion", name.value},
+           {"shard", shard.value},
+           {"slots", fmt::format("{}", TotalSlots(minion))},
+           {"busy", fmt::format("{}", UsedSlots(minion))},
+           {"held", fmt::format("{}", minion.open.held + minion.reserved.held)},
+           {"leaving", minion.leaving ? "yes" : "no"}});
+    }
+  }
+  return section;
+}
+
+/// One row a shard and service class with the requests that wait there.
+ReportSection DescribeQueues(const Context& context) {
+  constexpr std::array<std::string_view, kServiceClasses> kNames = {
+      "urgent", "short", "long"};
+  ReportSection section{"queues", {}};
+  for (const auto& [shard, minions] : context.state.requests.shards) {
+    for (std::size_t i = 0; i < kServiceClasses; ++i) {
+      section.rows.push_back(
+          {{"shard", shard.value},
+           {"class", std::string(kNames.at(i))},
+           {"waiting", fmt::format("{}", minions.queues.at(i).count)}});
     }
   }
   return section;
@@ -79,8 +101,9 @@
   return {DescribeProcess(context), configuration::Describe(context),
           DescribeRoutes(context),  DescribePools(context),
           DescribeQuotas(context),  DescribeMembers(context),
-          DescribeShards(context),  DescribeMinions(context),
-          DescribeWorkers(context), DescribeJobs(context)};
+          DescribeShards(context),  DescribeQueues(context),
+          DescribeMinions(context), DescribeWorkers(context),
+          DescribeJobs(context)};
 }
 
 }  // namespace basilspread::internal::report
