--- a/bench/capacity/host_list.cc
+++ b/bench/capacity/host_list.cc
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "basilspread/core/reducer.h"
-#include "basilspread/platform/host_list_client.h"
+#include "basilspread/clients/host_list_client.h"
 #include "capacity/measures.h"
 #include "capacity/usage.h"
 #include "support/cluster.h"
@@ -47,7 +47,7 @@
   const TimePoint now{std::chrono::hours(1)};
   for (int i = 0; i < kRepeats; ++i) {
     // A client that has read nothing reads the whole list.
-    platform::HostListClient client("127.0.0.1", cluster.hosts_port,
+    clients::HostListClient client("127.0.0.1", cluster.hosts_port,
                                     std::chrono::seconds(5));
     auto start = CpuTime();
     HostsListed listed = client.List();
--- a/packages/platform/include/basilspread/platform/host_list_client.h
+++ b/packages/clients/include/basilspread/clients/host_list_client.h
@@ -1,5 +1,5 @@
-#ifndef BASILSPREAD_PLATFORM_HOST_LIST_CLIENT_H_
-#define BASILSPREAD_PLATFORM_HOST_LIST_CLIENT_H_
+#ifndef BASILSPREAD_CLIENTS_HOST_LIST_CLIENT_H_
+#define BASILSPREAD_CLIENTS_HOST_LIST_CLIENT_H_
 
 #include <cstdint>
 #include <mutex>
@@ -8,7 +8,7 @@
 #include "basilspread/core/event.h"
 #include "basilspread/core/time.h"
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 
 /// The platform's host list over HTTP, see docs/PLATFORM.md. A list that has
 /// not changed since the last read is not transferred again.
@@ -28,6 +28,6 @@
   std::string version;
 };
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
 
-#endif  // BASILSPREAD_PLATFORM_HOST_LIST_CLIENT_H_
+#endif  // BASILSPREAD_CLIENTS_HOST_LIST_CLIENT_H_
--- a/packages/platform/include/basilspread/platform/log_client.h
+++ b/packages/clients/include/basilspread/clients/log_client.h
@@ -1,5 +1,5 @@
-#ifndef BASILSPREAD_PLATFORM_LOG_CLIENT_H_
-#define BASILSPREAD_PLATFORM_LOG_CLIENT_H_
+#ifndef BASILSPREAD_CLIENTS_LOG_CLIENT_H_
+#define BASILSPREAD_CLIENTS_LOG_CLIENT_H_
 
 #include <cstdint>
 #include <string>
@@ -8,7 +8,7 @@
 #include "basilspread/core/record.h"
 #include "basilspread/core/time.h"
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 
 /// The platform's log service over HTTP, see docs/PLATFORM.md. The calls
 /// block for at most the timeout; they may be made from several threads.
@@ -25,6 +25,6 @@
   Duration call_timeout;
 };
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
 
-#endif  // BASILSPREAD_PLATFORM_LOG_CLIENT_H_
+#endif  // BASILSPREAD_CLIENTS_LOG_CLIENT_H_
--- a/packages/platform/include/basilspread/platform/minion_client.h
+++ b/packages/clients/include/basilspread/clients/minion_client.h
@@ -1,5 +1,5 @@
-#ifndef BASILSPREAD_PLATFORM_MINION_CLIENT_H_
-#define BASILSPREAD_PLATFORM_MINION_CLIENT_H_
+#ifndef BASILSPREAD_CLIENTS_MINION_CLIENT_H_
+#define BASILSPREAD_CLIENTS_MINION_CLIENT_H_
 
 #include <functional>
 #include <memory>
@@ -8,7 +8,7 @@
 #include "basilspread/core/event.h"
 #include "basilspread/core/time.h"
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 
 class MinionConnection;
 class MinionConnections;
@@ -36,6 +36,6 @@
   std::unique_ptr<MinionConnections> connections;
 };
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
 
-#endif  // BASILSPREAD_PLATFORM_MINION_CLIENT_H_
+#endif  // BASILSPREAD_CLIENTS_MINION_CLIENT_H_
--- a/packages/platform/include/basilspread/platform/worker_client.h
+++ b/packages/clients/include/basilspread/clients/worker_client.h
@@ -1,5 +1,5 @@
-#ifndef BASILSPREAD_PLATFORM_WORKER_CLIENT_H_
-#define BASILSPREAD_PLATFORM_WORKER_CLIENT_H_
+#ifndef BASILSPREAD_CLIENTS_WORKER_CLIENT_H_
+#define BASILSPREAD_CLIENTS_WORKER_CLIENT_H_
 
 #include <functional>
 #include <string>
@@ -7,7 +7,7 @@
 #include "basilspread/core/time.h"
 #include "basilspread/core/worker.h"
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 
 /// The workers' protocol over HTTP, see docs/PLATFORM.md. May be called from
 /// several threads.
@@ -26,6 +26,6 @@
   Now now;
 };
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
 
-#endif  // BASILSPREAD_PLATFORM_WORKER_CLIENT_H_
+#endif  // BASILSPREAD_CLIENTS_WORKER_CLIENT_H_
--- a/packages/platform/src/deadline_socket.cc
+++ b/packages/clients/src/deadline_socket.cc
@@ -6,7 +6,7 @@
 
 #include "http.h"
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 
 DeadlineSocketImpl::DeadlineSocketImpl(Now clock_hook)
     : now(std::move(clock_hook)) {}
@@ -37,4 +37,4 @@
   return ToTimespan(left);
 }
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
--- a/packages/platform/src/deadline_socket.h
+++ b/packages/clients/src/deadline_socket.h
@@ -1,5 +1,5 @@
-#ifndef BASILSPREAD_PLATFORM_SRC_DEADLINE_SOCKET_H_
-#define BASILSPREAD_PLATFORM_SRC_DEADLINE_SOCKET_H_
+#ifndef BASILSPREAD_CLIENTS_SRC_DEADLINE_SOCKET_H_
+#define BASILSPREAD_CLIENTS_SRC_DEADLINE_SOCKET_H_
 
 #include <Poco/Net/StreamSocketImpl.h>
 
@@ -7,7 +7,7 @@
 
 #include "basilspread/core/time.h"
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 
 /// A socket whose reads and writes all end at one point in time, however
 /// slowly bytes come: a timeout for each call alone would never end.
@@ -30,6 +30,6 @@
   TimePoint deadline;
 };
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
 
-#endif  // BASILSPREAD_PLATFORM_SRC_DEADLINE_SOCKET_H_
+#endif  // BASILSPREAD_CLIENTS_SRC_DEADLINE_SOCKET_H_
--- a/packages/platform/src/host_list_client.cc
+++ b/packages/clients/src/host_list_client.cc
@@ -1,4 +1,4 @@
-#include "basilspread/platform/host_list_client.h"
+#include "basilspread/clients/host_list_client.h"
 
 #include <Poco/JSON/Parser.h>
 
@@ -7,7 +7,7 @@
 
 #include "http.h"
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 namespace {
 
 using Poco::JSON::Array;
@@ -82,4 +82,4 @@
   return listed;
 }
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
--- a/packages/platform/src/http.cc
+++ b/packages/clients/src/http.cc
@@ -7,7 +7,7 @@
 
 #include <utility>
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 namespace {
 
 constexpr int kFirstErrorStatus = 300;
@@ -65,4 +65,4 @@
   return std::move(answer.body);
 }
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
--- a/packages/platform/src/http.h
+++ b/packages/clients/src/http.h
@@ -1,5 +1,5 @@
-#ifndef BASILSPREAD_PLATFORM_SRC_HTTP_H_
-#define BASILSPREAD_PLATFORM_SRC_HTTP_H_
+#ifndef BASILSPREAD_CLIENTS_SRC_HTTP_H_
+#define BASILSPREAD_CLIENTS_SRC_HTTP_H_
 
 #include <Poco/Timespan.h>
 
@@ -9,7 +9,7 @@
 #include "basilspread/core/result.h"
 #include "basilspread/core/time.h"
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 
 inline Poco::Timespan ToTimespan(Duration duration) {
   const auto micros =
@@ -47,6 +47,6 @@
 /// The body of a 2xx answer. Errors: those of Send.
 Result<std::string> Exchange(const HttpCall& call);
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
 
-#endif  // BASILSPREAD_PLATFORM_SRC_HTTP_H_
+#endif  // BASILSPREAD_CLIENTS_SRC_HTTP_H_
--- a/packages/platform/src/log_client.cc
+++ b/packages/clients/src/log_client.cc
@@ -1,4 +1,4 @@
-#include "basilspread/platform/log_client.h"
+#include "basilspread/clients/log_client.h"
 
 #include <Poco/Base64Decoder.h>
 #include <Poco/JSON/Parser.h>
@@ -12,7 +12,7 @@
 #include "basilspread/wire/record_codec.h"
 #include "http.h"
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 namespace {
 
 using Poco::JSON::Array;
@@ -108,4 +108,4 @@
   return read;
 }
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
--- a/packages/platform/src/minion_client.cc
+++ b/packages/clients/src/minion_client.cc
@@ -1,4 +1,4 @@
-#include "basilspread/platform/minion_client.h"
+#include "basilspread/clients/minion_client.h"
 
 #include <Poco/Exception.h>
 
@@ -8,7 +8,7 @@
 #include "minion_connection.h"
 #include "minion_connections.h"
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 namespace {
 
 constexpr Duration kConnectTimeout = std::chrono::seconds(1);
@@ -86,4 +86,4 @@
   return answered;
 }
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
--- a/packages/platform/src/minion_connection.cc
+++ b/packages/clients/src/minion_connection.cc
@@ -11,7 +11,7 @@
 
 #include "http.h"
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 namespace {
 
 using Poco::Net::HTTPMessage;
@@ -79,4 +79,4 @@
   return answer;
 }
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
--- a/packages/platform/src/minion_connection.h
+++ b/packages/clients/src/minion_connection.h
@@ -1,5 +1,5 @@
-#ifndef BASILSPREAD_PLATFORM_SRC_MINION_CONNECTION_H_
-#define BASILSPREAD_PLATFORM_SRC_MINION_CONNECTION_H_
+#ifndef BASILSPREAD_CLIENTS_SRC_MINION_CONNECTION_H_
+#define BASILSPREAD_CLIENTS_SRC_MINION_CONNECTION_H_
 
 #include <Poco/Net/HTTPClientSession.h>
 
@@ -10,7 +10,7 @@
 #include "basilspread/core/time.h"
 #include "deadline_socket.h"
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 
 /// One connection to a minion, for one exchange after the other.
 class MinionConnection {
@@ -61,6 +61,6 @@
   bool reusable = false;
 };
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
 
-#endif  // BASILSPREAD_PLATFORM_SRC_MINION_CONNECTION_H_
+#endif  // BASILSPREAD_CLIENTS_SRC_MINION_CONNECTION_H_
--- a/packages/platform/src/minion_connections.cc
+++ b/packages/clients/src/minion_connections.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 namespace {
 
 /// An idle connection may have been lost on the way without a sign; after
@@ -45,4 +45,4 @@
   }
 }
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
--- a/packages/platform/src/minion_connections.h
+++ b/packages/clients/src/minion_connections.h
@@ -1,5 +1,5 @@
-#ifndef BASILSPREAD_PLATFORM_SRC_MINION_CONNECTIONS_H_
-#define BASILSPREAD_PLATFORM_SRC_MINION_CONNECTIONS_H_
+#ifndef BASILSPREAD_CLIENTS_SRC_MINION_CONNECTIONS_H_
+#define BASILSPREAD_CLIENTS_SRC_MINION_CONNECTIONS_H_
 
 #include <deque>
 #include <memory>
@@ -9,7 +9,7 @@
 #include "basilspread/core/time.h"
 #include "minion_connection.h"
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 
 /// Idle connections that idempotent requests may use again while fresh.
 class MinionConnections {
@@ -33,6 +33,6 @@
   std::deque<Idle> idle;
 };
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
 
-#endif  // BASILSPREAD_PLATFORM_SRC_MINION_CONNECTIONS_H_
+#endif  // BASILSPREAD_CLIENTS_SRC_MINION_CONNECTIONS_H_
--- a/packages/platform/src/worker_client.cc
+++ b/packages/clients/src/worker_client.cc
@@ -1,4 +1,4 @@
-#include "basilspread/platform/worker_client.h"
+#include "basilspread/clients/worker_client.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
@@ -16,7 +16,7 @@
 
 #include "http.h"
 
-namespace basilspread::platform {
+namespace basilspread::clients {
 namespace {
 
 using Poco::JSON::Array;
@@ -173,4 +173,4 @@
   return answered;
 }
 
-}  // namespace basilspread::platform
+}  // namespace basilspread::clients
--- a/packages/config/include/basilspread/config/node_settings.h
+++ b/packages/config/include/basilspread/config/node_settings.h
@@ -38,6 +38,11 @@
   std::vector<PeerEndpoint> peers;
   Endpoint platform_log;
   Endpoint platform_hosts;
+  /// With a store: where it is, who gives advice (no host: nobody), and where
+  /// the readiness of this process is asked for.
+  Endpoint store;
+  Endpoint advisor;
+  Endpoint ready;
   std::string log_level = "info";
   /// Connections of callers that are open at once.
   std::uint32_t max_connections = 1024;
--- a/packages/config/src/node_settings.cc
+++ b/packages/config/src/node_settings.cc
@@ -22,7 +22,9 @@
     for (const IniSection& section : this->file.sections) {
       this->ReadSection(section);
     }
-    for (const std::string_view name : {"node", "listen", "platform"}) {
+    const bool has_store = this->seen.contains("store");
+    for (const std::string_view name :
+         {"node", "listen", has_store ? "store" : "platform"}) {
       if (!this->seen.contains(name)) {
         this->faults.Add(0, name, "", "section is missing");
       }
@@ -41,6 +43,8 @@
       this->ReadListen(reader);
     } else if (section.name == "platform") {
       this->ReadPlatform(reader);
+    } else if (section.name == "store") {
+      this->ReadStore(reader);
     } else if (section.name == "peers") {
       this->ReadPeers(section, reader);
     } else if (section.name == "limits") {
@@ -87,6 +91,22 @@
     }
   }
 
+  /// An address that may be absent or empty.
+  void ReadOptionalEndpoint(SectionReader& reader, std::string_view key,
+                            Endpoint& target) {
+    std::string text;
+    reader.Read(key, text);
+    if (text.empty()) {
+      return;
+    }
+    const Result<Endpoint> parsed = ParseEndpoint(text);
+    if (!parsed) {
+      reader.Fault(key, parsed.error().detail);
+      return;
+    }
+    target = parsed.value();
+  }
+
   void ReadListen(SectionReader& reader) {
     this->ReadEndpoint(reader, AddressUse::kListen, "http",
                        this->settings.http);
@@ -104,6 +124,17 @@
                        this->settings.platform_hosts);
   }
 
+  void ReadStore(SectionReader& reader) {
+    StoreSettings& store = this->settings.core.store;
+    store.enabled = true;
+    this->ReadEndpoint(reader, AddressUse::kPlatform, "address",
+                       this->settings.store);
+    this->ReadEndpoint(reader, AddressUse::kListen, "ready",
+                       this->settings.ready);
+    this->ReadOptionalEndpoint(reader, "advisor", this->settings.advisor);
+    ReadStoreTiming(reader, store);
+  }
+
   void ReadPeers(const IniSection& section, SectionReader& reader) {
     for (const IniEntry& entry : section.entries) {
       PeerEndpoint peer;
--- a/packages/config/src/timing_settings.cc
+++ b/packages/config/src/timing_settings.cc
@@ -57,4 +57,24 @@
   }
 }
 
+void ReadStoreTiming(SectionReader& reader, StoreSettings& settings) {
+  reader.Read("member_time_to_live", milliseconds(100), minutes(5),
+              settings.member_time_to_live);
+  reader.Read("join_interval", milliseconds(10), minutes(1),
+              settings.join_interval);
+  reader.Read("max_lease", milliseconds(100), hours(1), settings.max_lease);
+  reader.Read("gang_timeout", milliseconds(100), hours(1),
+              settings.gang_timeout);
+  reader.Read("status_retention", seconds(1), hours(24),
+              settings.status_retention);
+  reader.Read("stop_grace", seconds(1), hours(1), settings.stop_grace);
+  reader.Read("drain_time", milliseconds(0), hours(1), settings.drain_time);
+  if (settings.member_time_to_live < 2 * settings.join_interval) {
+    reader.Fault("member_time_to_live",
+                 fmt::format("{} is below {}, twice join_interval",
+                             FormatDuration(settings.member_time_to_live),
+                             FormatDuration(2 * settings.join_interval)));
+  }
+}
+
 }  // namespace basilspread::config
--- a/packages/config/src/timing_settings.h
+++ b/packages/config/src/timing_settings.h
@@ -9,6 +9,9 @@
 /// Reads the [timing] section and checks its keys against each other.
 void ReadTiming(SectionReader& reader, Settings& settings);
 
+/// Reads the times of the [store] section and checks them against each other.
+void ReadStoreTiming(SectionReader& reader, StoreSettings& settings);
+
 }  // namespace basilspread::config
 
 #endif  // BASILSPREAD_CONFIG_SRC_TIMING_SETTINGS_H_
--- a/packages/core/include/basilspread/core/effect.h
+++ b/packages/core/include/basilspread/core/effect.h
@@ -12,6 +12,8 @@
 #include "basilspread/core/peer_message.h"
 #include "basilspread/core/record.h"
 #include "basilspread/core/report.h"
+#include "basilspread/core/store_call.h"
+#include "basilspread/core/submission_message.h"
 #include "basilspread/core/time.h"
 #include "basilspread/core/timer.h"
 #include "basilspread/core/worker.h"
@@ -104,6 +106,16 @@
   JobAnswer answer;
 };
 
+/// Answers a SubmissionCallArrived.
+struct AnswerSubmissionCaller {
+  SubmissionAnswer answer;
+};
+
+/// States whether this process wants new callers.
+struct SetReadiness {
+  bool is_ready = false;
+};
+
 /// Refuses new connections of callers; those with a request get their answer.
 struct RefuseCallers {};
 
@@ -113,7 +125,11 @@
 using Effect = std::variant<AnswerCaller, SendToMinion, SendToPeer, AppendLog,
                             ReadLog, ReadHosts, SetTimer, WriteLine, AnswerDump,
                             RefuseCallers, ExitProcess, ConnectPeer, ReopenLink,
-                            DisconnectPeer, CallWorker, AnswerJobCaller>;
+                            DisconnectPeer, CallWorker, AnswerJobCaller,
+                            AnswerSubmissionCaller, SetReadiness, JoinGroup,
+                            LeaveGroup, ReadLeader, AppendWork, ListWork,
+                            ReadTables, FollowTables, ListFleet, FollowFleet,
+                            LookAtWorker, StartRun, StopRun, AskAdvice>;
 
 using Effects = std::vector<Effect>;
 
--- a/packages/core/include/basilspread/core/error.h
+++ b/packages/core/include/basilspread/core/error.h
@@ -32,6 +32,10 @@
   kInvalidSettings,
   kInvalidTables,
   kProtocolMismatch,
+  kUnknownSubmission,
+  kNoLeader,
+  kOverloaded,
+  kNotSupported,
   kInternal,
 };
 
--- a/packages/core/include/basilspread/core/event.h
+++ b/packages/core/include/basilspread/core/event.h
@@ -12,6 +12,8 @@
 #include "basilspread/core/payload.h"
 #include "basilspread/core/peer_message.h"
 #include "basilspread/core/record.h"
+#include "basilspread/core/store_call.h"
+#include "basilspread/core/submission.h"
 #include "basilspread/core/time.h"
 #include "basilspread/core/timer.h"
 #include "basilspread/core/worker.h"
@@ -129,6 +131,24 @@
   Duration timeout{};
 };
 
+/// A caller's call about a submission or a queue was read whole.
+struct SubmissionCallArrived {
+  CallId call;
+  SubmissionOperation operation = SubmissionOperation::kStatus;
+  /// The host that the caller addressed, without a port.
+  std::string authority;
+  std::string path;
+  /// How long the caller waits for the answer.
+  Duration time_left{};
+  /// Set with kSubmit; without id and route.
+  boost::intrusive_ptr<SubmissionSpec> spec;
+};
+
+/// The process was suspended: its monotonic clock stood still meanwhile.
+struct Resumed {
+  Duration suspended{};
+};
+
 /// An operator or the platform asked the process to stop gracefully.
 struct StopRequested {};
 
@@ -141,7 +161,10 @@
     std::variant<Started, RequestArrived, CallerGone, MinionAnswered,
                  PeerReceived, PeerLinkChanged, PeerMessageNotSent, LogAppended,
                  LogRead, HostsListed, TimerFired, StopRequested, DumpRequested,
-                 JobArrived, WorkerAnswered, PeerMismatched>;
+                 JobArrived, WorkerAnswered, PeerMismatched,
+                 SubmissionCallArrived, Resumed, GroupJoined, LeaderRead,
+                 WorkAppended, WorkListed, TablesRead, FleetRead, WorkerLooked,
+                 RunOrdered, AdviceGiven>;
 
 /// Everything that can change the state of a process.
 struct Event {
--- /dev/null
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -0,0 +1,57 @@
+#ifndef BASILSPREAD_CORE_FLEET_H_
+#define BASILSPREAD_CORE_FLEET_H_
+
+#include <map>
+#include <optional>
+#include <set>
+
+#include "basilspread/core/fleet_call.h"
+#include "basilspread/core/ids.h"
+#include "basilspread/core/resources.h"
+#include "basilspread/core/time.h"
+
+namespace basilspread {
+
+/// A worker as its only placer, the leader, knows it.
+struct FleetWorker {
+  WorkerEntry entry;
+  /// The store no longer lists it.
+  bool unlisted = false;
+  /// Looked at under the present fence, so that all its runs are known.
+  bool is_known = false;
+  /// Number of the fence within the leader's epoch.
+  std::uint32_t fence_step = 0;
+  /// Looks that are not answered yet.
+  std::uint32_t looks = 0;
+  /// Unset: nothing there needs a look.
+  std::optional<TimePoint> next_look;
+  /// Its clock, as last told, and when that was.
+  WorkerTime clock{};
+  std::optional<TimePoint> clock_read_at;
+  /// No lease there ends later than this; unset: none was given.
+  std::optional<TimePoint> leased_until;
+  /// Runs that occupy room, with what each reserves.
+  std::map<RunName, Resources> runs;
+  Resources reserved;
+  /// Highest end that was seen, and the highest that is stored.
+  std::uint64_t seen_end = 0;
+  std::uint64_t stored_end = 0;
+  std::uint64_t told_end = 0;
+  /// Starts and runs that failed one after another.
+  std::uint32_t failures = 0;
+  TimePoint avoided_until;
+};
+
+struct FleetState {
+  std::map<HostName, FleetWorker> workers;
+  bool is_listed = false;
+  Offset next;
+  /// Names seen in the listing that is being read.
+  std::set<HostName> listing;
+  /// When what the previous leader started, and no look can tell, has ended.
+  std::optional<TimePoint> unknown_until;
+};
+
+}  // namespace basilspread
+
+#endif  // BASILSPREAD_CORE_FLEET_H_
--- a/packages/core/include/basilspread/core/ids.h
+++ b/packages/core/include/basilspread/core/ids.h
@@ -42,6 +42,9 @@
 using JobId = Id<struct JobTag, std::string>;
 /// A task of a job, written "job/index".
 using TaskId = Id<struct TaskTag, std::string>;
+/// A unit of work of several steps, named by its caller.
+using SubmissionId = Id<struct SubmissionTag, std::string>;
+using RackName = Id<struct RackTag, std::string>;
 using StreamName = Id<struct StreamTag, std::string>;
 
 /// One run of an entry process, from start to exit.
--- /dev/null
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -0,0 +1,95 @@
+#ifndef BASILSPREAD_CORE_LEADERSHIP_H_
+#define BASILSPREAD_CORE_LEADERSHIP_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "basilspread/core/ids.h"
+#include "basilspread/core/store_call.h"
+#include "basilspread/core/time.h"
+
+namespace basilspread {
+
+/// How far a process is on its way to lead.
+enum class LeaderPhase {
+  kFollowing,
+  /// Raises the work log's epoch, so that an earlier leader's appends fail.
+  kFencing,
+  /// Reads the work log.
+  kLoading,
+  /// Raises the fence of every worker and reads what runs there.
+  kLooking,
+  kLeading,
+};
+
+/// Stable name for logs, for example "following".
+const char* NameOf(LeaderPhase phase);
+
+/// A member of the group, with where its peers connect to.
+struct GroupMember {
+  ProcessId process;
+  std::string address;
+
+  friend bool operator==(const GroupMember&, const GroupMember&) = default;
+};
+
+/// The text by which a process joins the group.
+std::string ToString(const GroupMember& member);
+/// Unset for a text that ToString does not write.
+std::optional<GroupMember> ParseGroupMember(const std::string& text);
+
+struct LeadershipState {
+  LeaderPhase phase = LeaderPhase::kFollowing;
+  /// Last generation of the group that was received.
+  std::uint64_t generation = 0;
+  bool joining = false;
+  /// Whether the last answered join says that this process leads.
+  bool holds = false;
+  /// When that join was sent; unset while nothing proves the leadership.
+  std::optional<TimePoint> confirmed_at;
+  /// Generation at which this process came to lead.
+  Epoch epoch;
+  TimePoint phase_began;
+
+  /// Who leads, as far as is known.
+  std::optional<GroupMember> leader;
+  /// The generation that `leader` was read at.
+  std::uint64_t leader_generation = 0;
+  bool reading_leader = false;
+};
+
+/// The leader's writer of the work log: one append at a time.
+struct WorkLogState {
+  /// Epoch that the sequence numbers belong to.
+  Epoch epoch;
+  std::uint64_t sequence = 0;
+  /// The append that is not settled yet; repeated until it is.
+  std::optional<AppendWork> in_flight;
+  bool is_waiting = false;
+  /// An earlier try of it may have been carried out.
+  bool may_be_stored = false;
+  /// Repeats wait until then.
+  TimePoint not_before;
+  Duration retry_delay{};
+  TimePoint last_sent;
+
+  /// What the next append carries.
+  std::vector<WorkRecord> accepted;
+  std::set<SubmissionId> changed;
+  std::vector<WorkRecord> dropped;
+  /// What the append in flight settles.
+  std::vector<SubmissionId> settling_accepted;
+  std::set<SubmissionId> settling_changed;
+  std::map<HostName, std::uint64_t> settling_ends;
+
+  /// Since when the store has refused or not answered; unset: it answers.
+  std::optional<TimePoint> failing_since;
+};
+
+}  // namespace basilspread
+
+#endif  // BASILSPREAD_CORE_LEADERSHIP_H_
--- a/packages/core/include/basilspread/core/peer_message.h
+++ b/packages/core/include/basilspread/core/peer_message.h
@@ -10,6 +10,7 @@
 #include "basilspread/core/ids.h"
 #include "basilspread/core/job_message.h"
 #include "basilspread/core/payload.h"
+#include "basilspread/core/submission_message.h"
 #include "basilspread/core/time.h"
 
 namespace basilspread {
@@ -96,7 +97,8 @@
 using PeerMessage =
     std::variant<Heartbeat, ForwardRequest, ForwardAnswer, JobCall, JobAnswer,
                  ReserveTasks, ReserveAnswer, ConfirmTasks, ReleaseHold,
-                 StopTasks, TaskReports, TaskReportsAck>;
+                 StopTasks, TaskReports, TaskReportsAck, SubmissionCall,
+                 SubmissionAnswer, HelperReport, AdviceCall, AdviceAnswer>;
 
 }  // namespace basilspread
 
--- a/packages/core/include/basilspread/core/settings.h
+++ b/packages/core/include/basilspread/core/settings.h
@@ -10,6 +10,27 @@
 
 namespace basilspread {
 
+/// How a process works where all that must last is in a shared store, and
+/// one leader places on all workers.
+struct StoreSettings {
+  /// Whether it does; otherwise the shards' owners place.
+  bool enabled = false;
+  /// A member that was silent for this long leaves the group. Four join
+  /// intervals, so that two lost answers do not end a leadership.
+  Duration member_time_to_live = std::chrono::milliseconds(1200);
+  Duration join_interval = std::chrono::milliseconds(300);
+  /// Longest lease that workers grant.
+  Duration max_lease = std::chrono::seconds(6);
+  /// A member of a gang waits this long for the others.
+  Duration gang_timeout = std::chrono::seconds(3);
+  /// The fate of an ended submission is told for at least this long.
+  Duration status_retention = std::chrono::minutes(2);
+  /// A stop ends the process by force after this.
+  Duration stop_grace = std::chrono::seconds(6);
+  /// Callers of a process that stops find another one within this time.
+  Duration drain_time = std::chrono::seconds(2);
+};
+
 /// What the reducer needs to know of the process's settings.
 struct Settings {
   ProcessId self;
@@ -56,6 +77,7 @@
   Duration worker_timeout = std::chrono::seconds(2);
   /// A graceful stop gives up on what is in flight after this.
   Duration drain_timeout = std::chrono::seconds(30);
+  StoreSettings store;
 };
 
 }  // namespace basilspread
--- a/packages/core/include/basilspread/core/state.h
+++ b/packages/core/include/basilspread/core/state.h
@@ -11,6 +11,7 @@
 #include "basilspread/core/random.h"
 #include "basilspread/core/requests.h"
 #include "basilspread/core/settings.h"
+#include "basilspread/core/submissions.h"
 
 namespace basilspread {
 
@@ -28,6 +29,7 @@
   OwnershipState ownership;
   RequestsState requests;
   JobsState jobs;
+  SubmissionsState submissions;
   /// Set by StopRequested.
   bool stopping = false;
 };
--- /dev/null
+++ b/packages/core/include/basilspread/core/submission_message.h
@@ -0,0 +1,56 @@
+#ifndef BASILSPREAD_CORE_SUBMISSION_MESSAGE_H_
+#define BASILSPREAD_CORE_SUBMISSION_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "basilspread/core/error.h"
+#include "basilspread/core/fleet_call.h"
+#include "basilspread/core/ids.h"
+#include "basilspread/core/submission.h"
+#include "basilspread/core/time.h"
+
+namespace basilspread {
+
+/// Passes a caller's call on to the leader.
+struct SubmissionCall {
+  CallId call;
+  SubmissionOperation operation = SubmissionOperation::kStatus;
+  RouteName route;
+  SubmissionId id;
+  /// Set with kSubmit.
+  SubmissionSpecPtr spec;
+};
+
+/// The leader's answer, or that of the process itself.
+struct SubmissionAnswer {
+  CallId call;
+  /// What was asked; known to the process whose caller waits.
+  SubmissionOperation operation = SubmissionOperation::kStatus;
+  ErrorKind kind = ErrorKind::kNone;
+  SubmissionState state = SubmissionState::kQueued;
+  /// With kCountWaiting.
+  std::uint32_t waiting = 0;
+  /// When the caller may try again; zero: not stated.
+  Duration retry_after{};
+};
+
+/// Tells the leader that a process can ask for advice on its behalf.
+struct HelperReport {
+  /// Where the leader connects to.
+  std::string address;
+};
+
+/// The leader has a process ask the advisor.
+struct AdviceCall {
+  AskAdvice ask;
+};
+
+struct AdviceAnswer {
+  AdviceGiven given;
+};
+
+}  // namespace basilspread
+
+#endif  // BASILSPREAD_CORE_SUBMISSION_MESSAGE_H_
--- /dev/null
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -0,0 +1,157 @@
+#ifndef BASILSPREAD_CORE_SUBMISSIONS_H_
+#define BASILSPREAD_CORE_SUBMISSIONS_H_
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "basilspread/core/fleet.h"
+#include "basilspread/core/leadership.h"
+#include "basilspread/core/queue_tables.h"
+#include "basilspread/core/submission.h"
+#include "basilspread/core/submission_message.h"
+#include "basilspread/core/submission_record.h"
+#include "basilspread/core/time.h"
+
+namespace basilspread {
+
+enum class RunPhase {
+  kWaiting,
+  /// The start was sent and is not answered, or its answer was lost.
+  kStarting,
+  kRunning,
+  kSucceeded,
+};
+
+/// A task and its present run.
+struct RunState {
+  RunPhase phase = RunPhase::kWaiting;
+  /// The present run, or the last one.
+  Attempt run;
+  /// Of a gang's, only the first member's is kept.
+  std::set<Attempt> failed_runs;
+  /// Set from the start of a run until its end is known.
+  HostName worker;
+  /// When the start's outcome became certain; a look that was sent later
+  /// must list the run.
+  std::optional<TimePoint> certain_at;
+  /// Set while the start's answer is lost: a look under a higher fence tells.
+  std::optional<std::uint64_t> lost_under_fence;
+  std::string checkpoint;
+  bool stopping = false;
+};
+
+/// What an advisor said of a worker for one step.
+struct TicketState {
+  std::string ticket;
+  TimePoint valid_until;
+};
+
+struct StepState {
+  std::vector<RunState> tasks;
+  std::uint32_t succeeded = 0;
+  /// Workers that may run the step. Which ones never changes; their tickets
+  /// expire.
+  std::map<HostName, TicketState> allowed;
+  std::set<HostName> forbidden;
+  /// Number of the question that is not answered yet; 0: none.
+  std::uint64_t question = 0;
+  /// Not asked again before then.
+  TimePoint ask_not_before;
+  /// A member of the gang ended or could not be started: the others are
+  /// stopped and the gang starts anew.
+  bool gang_broken = false;
+  std::optional<TimePoint> gang_began;
+};
+
+/// A submission at the leader.
+struct Submission
+    : boost::intrusive_ref_counter<Submission, boost::thread_unsafe_counter> {
+  SubmissionId id;
+  /// Unset once it has ended.
+  SubmissionSpecPtr spec;
+  QueuePolicy policy;
+  RouteName route;
+  SubmissionState state = SubmissionState::kQueued;
+  /// Whether `state` is stored; an ended state is told only then.
+  bool is_stored = false;
+  bool accepted = false;
+  bool began = false;
+  /// Came from the log: an earlier leader may have started tasks of it.
+  bool inherited = false;
+  TimePoint arrived;
+  std::vector<StepState> steps;
+  /// Callers that wait for the acceptance or the cancellation to be stored.
+  std::vector<std::pair<ProcessId, CallId>> submitters;
+  std::vector<std::pair<ProcessId, CallId>> cancellers;
+  TimePoint ended_at;
+  /// What the log says of its tasks, until its specification is read too.
+  std::vector<TaskProgress> loaded;
+};
+
+using SubmissionPtr = boost::intrusive_ptr<Submission>;
+
+/// A call of this process's callers that is not answered yet.
+struct OpenCall {
+  SubmissionCall message;
+  TimePoint deadline;
+  /// The leader it was sent to and that has not declined it.
+  std::optional<ProcessId> sent_to;
+  /// Not sent again before then.
+  TimePoint send_not_before;
+  /// Some leader may have taken it up.
+  bool maybe_taken = false;
+  bool maybe_taken_before = false;
+};
+
+/// A process that asks for advice on the leader's behalf.
+struct Helper {
+  ProcessId process;
+  TimePoint heard_at;
+  /// When its questions so far will be answered, by their known costs.
+  TimePoint busy_until;
+};
+
+struct Question {
+  SubmissionId submission;
+  std::uint32_t step = 0;
+  ProcessId asker;
+  std::vector<HostName> workers;
+  TimePoint give_up_at;
+};
+
+/// Share of the workers asked about that an advisor allows, by route.
+struct AdviceStatistics {
+  double allowed_share = 0.5;
+};
+
+struct SubmissionsState {
+  LeadershipState leadership;
+  QueueTablesState tables;
+  WorkLogState log;
+  FleetState fleet;
+  std::map<SubmissionId, SubmissionPtr> all;
+  /// Those with tasks that are to be placed, the most urgent first.
+  std::set<std::pair<TimePoint, SubmissionId>> queue;
+  std::map<CallId, OpenCall> calls;
+  std::map<NodeName, Helper> helpers;
+  std::map<std::uint64_t, Question> questions;
+  std::map<RouteName, AdviceStatistics> advice;
+  std::uint64_t last_question = 0;
+  /// Questions that this process asks for the leader, by their numbers.
+  std::map<std::uint64_t, ProcessId> asked_for;
+  bool placement_due = false;
+  TimePoint next_report;
+  /// When a stop no longer waits for open calls.
+  TimePoint stop_by;
+  TimePoint next_forget;
+};
+
+}  // namespace basilspread
+
+#endif  // BASILSPREAD_CORE_SUBMISSIONS_H_
--- a/packages/core/include/basilspread/core/timer.h
+++ b/packages/core/include/basilspread/core/timer.h
@@ -15,6 +15,14 @@
   kRequests,
   kJobs,
   kStop,
+  kLeadership,
+  kCalls,
+  kFleet,
+  kPlacement,
+  kWorkLog,
+  kTablesRetry,
+  kFleetRetry,
+  kLoadRetry,
 };
 
 }  // namespace basilspread
--- /dev/null
+++ b/packages/core/src/internal/fleet.cc
@@ -0,0 +1,350 @@
+#include "internal/fleet.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "internal/fleet_looks.h"
+#include "internal/leadership.h"
+#include "internal/step_placement.h"
+#include "internal/submission_progress.h"
+
+namespace basilspread::internal::fleet {
+namespace {
+
+constexpr std::string_view kPart = "fleet";
+constexpr Duration kListRetryDelay = std::chrono::milliseconds(150);
+/// A worker is avoided after so many failures in a row, for a time that
+/// doubles with each further one. A task that always fails seldom meets the
+/// same worker so often.
+constexpr std::uint32_t kFailuresToAvoid = 4;
+constexpr Duration kFirstAvoidance = std::chrono::seconds(1);
+constexpr std::uint32_t kMaxAvoidanceDoublings = 3;
+
+FleetState& StateOf(Context& context) {
+  return context.state.submissions.fleet;
+}
+
+/// Another life of the worker, which runs nothing of before.
+void BeginNewLife(Context& context, FleetWorker& worker) {
+  context.Log(LogLevel::kWarning, kPart,
+              fmt::format("A worker started anew. worker={} runs_lost={}",
+                          worker.entry.name.value, worker.runs.size()));
+  worker.is_known = false;
+  worker.clock_read_at.reset();
+  worker.seen_end = 0;
+  worker.stored_end = 0;
+  worker.told_end = 0;
+  looks::LookNow(context, worker);
+}
+
+void Update(Context& context, const WorkerEntry& entry) {
+  FleetState& fleet = StateOf(context);
+  const auto [found, is_new] = fleet.workers.try_emplace(entry.name);
+  FleetWorker& worker = found->second;
+  const bool is_reborn =
+      !is_new && worker.entry.incarnation != entry.incarnation;
+  const bool was_draining = worker.entry.draining;
+  worker.entry = entry;
+  worker.unlisted = false;
+  if (is_new) {
+    looks::LookNow(context, worker);
+  } else if (is_reborn) {
+    BeginNewLife(context, worker);
+  }
+  if (entry.draining != was_draining) {
+    context.Log(LogLevel::kInfo, kPart,
+                fmt::format("A worker drains. worker={} draining={}",
+                            entry.name.value, entry.draining));
+  }
+}
+
+void Unlist(Context& context, const HostName& name) {
+  FleetState& fleet = StateOf(context);
+  const auto found = fleet.workers.find(name);
+  if (found == fleet.workers.end()) {
+    return;
+  }
+  context.Log(LogLevel::kInfo, kPart,
+              fmt::format("A worker is no longer listed. worker={} runs={}",
+                          name.value, found->second.runs.size()));
+  found->second.unlisted = true;
+  looks::LookNow(context, found->second);
+}
+
+void Follow(Context& context) {
+  context.Emit(FollowFleet{StateOf(context).next});
+}
+
+void FinishListing(Context& context) {
+  FleetState& fleet = StateOf(context);
+  std::vector<HostName> gone;
+  for (const auto& [name, worker] : fleet.workers) {
+    if (!fleet.listing.contains(name)) {
+      gone.push_back(name);
+    }
+  }
+  for (const HostName& name : gone) {
+    Unlist(context, name);
+  }
+  fleet.listing.clear();
+  fleet.is_listed = true;
+  Follow(context);
+  leadership::CheckLooks(context);
+}
+
+bool IsLeader(const Context& context) {
+  const LeaderPhase phase = context.state.submissions.leadership.phase;
+  return phase == LeaderPhase::kLooking || phase == LeaderPhase::kLeading;
+}
+
+void Bump(FleetWorker& worker) { ++worker.fence_step; }
+
+void NoteFailure(Context& context, FleetWorker& worker) {
+  ++worker.failures;
+  if (worker.failures < kFailuresToAvoid) {
+    return;
+  }
+  const std::uint32_t doublings =
+      std::min(worker.failures - kFailuresToAvoid, kMaxAvoidanceDoublings);
+  worker.avoided_until = context.now + kFirstAvoidance * (1U << doublings);
+  context.Log(LogLevel::kInfo, kPart,
+              fmt::format("A worker is avoided. worker={} failures={}",
+                          worker.entry.name.value, worker.failures));
+}
+
+/// The start did not happen and never will.
+void OnNotStarted(Context& context, FleetWorker& worker,
+                  const RunOrdered& event) {
+  context.Log(LogLevel::kDebug, kPart,
+              fmt::format("A start was refused. run={} worker={} reason={}",
+                          ToString(event.name), event.worker.value,
+                          NameOf(event.result)));
+  Release(worker, event.name);
+  submission_progress::OnNotStarted(context, event);
+  if (event.result == OrderResult::kRefused) {
+    NoteFailure(context, worker);
+  }
+  const bool is_mistaken = event.result == OrderResult::kNoRoom ||
+                           event.result == OrderResult::kLate ||
+                           event.result == OrderResult::kOtherIncarnation;
+  if (is_mistaken) {
+    worker.is_known = false;
+    looks::LookNow(context, worker);
+  }
+}
+
+}  // namespace
+
+void Start(Context& context) {
+  StateOf(context) = FleetState{};
+  context.Emit(ListFleet{});
+}
+
+void OnRead(Context& context, const FleetRead& event) {
+  FleetState& fleet = StateOf(context);
+  if (!IsLeader(context)) {
+    return;
+  }
+  if (!event.ok && !event.expired) {
+    context.ArmIn(TimerKind::kFleetRetry, kListRetryDelay);
+    return;
+  }
+  if (event.expired) {
+    context.Emit(ListFleet{});
+    return;
+  }
+  for (const WorkerEntry& entry : event.entries) {
+    Update(context, entry);
+    if (event.is_listing) {
+      fleet.listing.insert(entry.name);
+    }
+  }
+  for (const HostName& name : event.removed) {
+    Unlist(context, name);
+  }
+  fleet.next = event.next;
+  if (event.is_listing && !event.next_page.empty()) {
+    context.Emit(ListFleet{event.next_page});
+  } else if (event.is_listing) {
+    FinishListing(context);
+  } else {
+    Follow(context);
+  }
+  step_placement::Request(context);
+}
+
+void OnRetryTimer(Context& context) {
+  if (IsLeader(context)) {
+    // Records may have expired meanwhile, so the whole list is read.
+    context.Emit(ListFleet{});
+  }
+}
+
+void OnTimer(Context& context) {
+  if (!IsLeader(context)) {
+    return;
+  }
+  FleetState& fleet = StateOf(context);
+  std::vector<HostName> gone;
+  for (auto& [name, worker] : fleet.workers) {
+    looks::LookIfDue(context, worker);
+    const bool has_lapsed =
+        !worker.leased_until || context.now >= *worker.leased_until;
+    if (worker.unlisted && has_lapsed) {
+      gone.push_back(name);
+    }
+  }
+  for (const HostName& name : gone) {
+    FleetWorker& worker = fleet.workers.at(name);
+    looks::LoseRuns(context, worker, "the worker is gone");
+    fleet.workers.erase(name);
+  }
+  leadership::CheckLooks(context);
+  looks::ArmTimer(context);
+}
+
+void OnLooked(Context& context, const WorkerLooked& event) {
+  FleetWorker* worker = Find(context, event.worker);
+  if (worker == nullptr || !IsLeader(context)) {
+    return;
+  }
+  worker->looks -= worker->looks > 0 ? 1 : 0;
+  // A fence of this process's own may have overtaken the look.
+  if (event.result == OrderResult::kFenced &&
+      event.fence == looks::FenceOf(context, *worker)) {
+    leadership::OnFenced(context, looks::EpochOf(event.fence));
+    return;
+  }
+  if (event.result != OrderResult::kDone) {
+    looks::OnFailed(context, *worker, event);
+    return;
+  }
+  const bool is_reborn = event.incarnation != 0 &&
+                         event.incarnation != worker->entry.incarnation;
+  if (is_reborn) {
+    worker->entry.incarnation = event.incarnation;
+    BeginNewLife(context, *worker);
+    return;
+  }
+  looks::Take(context, *worker, event);
+  leadership::CheckLooks(context);
+}
+
+void OnOrdered(Context& context, const RunOrdered& event) {
+  FleetWorker* worker = Find(context, event.worker);
+  if (worker == nullptr || !IsLeader(context)) {
+    return;
+  }
+  if (event.result == OrderResult::kFenced &&
+      event.fence == looks::FenceOf(context, *worker)) {
+    leadership::OnFenced(context, looks::EpochOf(event.fence));
+    return;
+  }
+  if (event.is_stop || !worker->runs.contains(event.name)) {
+    // A stop shows in the next look, and is repeated while the run is listed.
+    return;
+  }
+  if (event.result == OrderResult::kDone) {
+    submission_progress::OnStarted(context, event.name);
+    return;
+  }
+  if (event.result == OrderResult::kUnknown) {
+    // The order may still be carried out: a look under a higher fence rules
+    // that out and tells whether it was.
+    submission_progress::OnStartLost(context, event.name, event.fence);
+    if (event.fence == looks::FenceOf(context, *worker)) {
+      Bump(*worker);
+    }
+    looks::LookNow(context, *worker);
+    return;
+  }
+  OnNotStarted(context, *worker, event);
+}
+
+bool IsListed(const Context& context) {
+  return context.state.submissions.fleet.is_listed;
+}
+
+std::size_t CountUnknown(const Context& context) {
+  const auto& workers = context.state.submissions.fleet.workers;
+  return static_cast<std::size_t>(
+      std::count_if(workers.begin(), workers.end(),
+                    [](const auto& entry) { return !entry.second.is_known; }));
+}
+
+void HoldInherited(Context& context) {
+  FleetState& fleet = StateOf(context);
+  fleet.unknown_until =
+      context.now + looks::LongestLease(context);
+  context.Log(
+      LogLevel::kWarning, kPart,
+      fmt::format("Some workers do not answer; tasks that may run there wait. "
+                  "workers={}",
+                  CountUnknown(context)));
+}
+
+bool MayStartInherited(const Context& context) {
+  const FleetState& fleet = context.state.submissions.fleet;
+  return !fleet.unknown_until || context.now >= *fleet.unknown_until ||
+         (fleet.is_listed && CountUnknown(context) == 0);
+}
+
+FleetWorker* Find(Context& context, const HostName& name) {
+  auto& workers = StateOf(context).workers;
+  const auto found = workers.find(name);
+  return found == workers.end() ? nullptr : &found->second;
+}
+
+bool HasRoom(const Context& context, const FleetWorker& worker,
+             const Resources& demand) {
+  const bool is_usable = worker.is_known && !worker.unlisted &&
+                         !worker.entry.draining &&
+                         worker.avoided_until <= context.now;
+  return is_usable &&
+         Fits(demand, worker.entry.capacity - worker.reserved);
+}
+
+void StartRunOn(Context& context, FleetWorker& worker, RunOrder order) {
+  worker.runs[order.name] = order.demand;
+  worker.reserved += order.demand;
+  const WorkerTime lease_until = looks::NextLease(context, worker);
+  context.Emit(StartRun{worker.entry.name, worker.entry.address,
+                        looks::FenceOf(context, worker), std::move(order.name),
+                        std::move(order.spec), lease_until,
+                        std::move(order.checkpoint), std::move(order.ticket)});
+  looks::Watch(context, worker);
+}
+
+void StopRunOn(Context& context, FleetWorker& worker, const RunName& name) {
+  context.Emit(StopRun{worker.entry.name, worker.entry.address,
+                       looks::FenceOf(context, worker), name});
+}
+
+void Adopt(Context& context, FleetWorker& worker, const RunName& name,
+           const Resources& demand) {
+  if (worker.runs.emplace(name, demand).second) {
+    worker.reserved += demand;
+  }
+  looks::Watch(context, worker);
+}
+
+void StopStranger(Context& context, FleetWorker& worker, const RunName& name) {
+  if (!worker.runs.contains(name)) {
+    Adopt(context, worker, name, worker.entry.capacity);
+  }
+  StopRunOn(context, worker, name);
+}
+
+void Release(FleetWorker& worker, const RunName& name) {
+  const auto found = worker.runs.find(name);
+  if (found == worker.runs.end()) {
+    return;
+  }
+  worker.reserved -= found->second;
+  worker.runs.erase(found);
+}
+
+}  // namespace basilspread::internal::fleet
--- /dev/null
+++ b/packages/core/src/internal/fleet.h
@@ -0,0 +1,56 @@
+#ifndef BASILSPREAD_CORE_INTERNAL_FLEET_H_
+#define BASILSPREAD_CORE_INTERNAL_FLEET_H_
+
+#include <cstddef>
+
+#include "basilspread/core/fleet.h"
+#include "basilspread/core/fleet_call.h"
+#include "basilspread/core/store_call.h"
+#include "internal/context.h"
+
+/// The leader's view of the workers: what runs there, and under which lease.
+namespace basilspread::internal::fleet {
+
+/// Reads the list of workers.
+void Start(Context& context);
+void OnRead(Context& context, const FleetRead& event);
+void OnRetryTimer(Context& context);
+void OnTimer(Context& context);
+void OnLooked(Context& context, const WorkerLooked& event);
+void OnOrdered(Context& context, const RunOrdered& event);
+
+bool IsListed(const Context& context);
+/// Workers that have not answered a look under the present epoch.
+std::size_t CountUnknown(const Context& context);
+/// Keeps inherited tasks waiting until all that an earlier leader may have
+/// started on workers that do not answer has surely ended.
+void HoldInherited(Context& context);
+bool MayStartInherited(const Context& context);
+
+FleetWorker* Find(Context& context, const HostName& name);
+/// Whether a task of this demand may be started there now.
+bool HasRoom(const Context& context, const FleetWorker& worker,
+             const Resources& demand);
+
+struct RunOrder {
+  RunName name;
+  SubmissionSpecPtr spec;
+  Resources demand;
+  std::string checkpoint;
+  std::string ticket;
+};
+
+void StartRunOn(Context& context, FleetWorker& worker, RunOrder order);
+void StopRunOn(Context& context, FleetWorker& worker, const RunName& name);
+/// Takes over a run that an earlier leader started.
+void Adopt(Context& context, FleetWorker& worker, const RunName& name,
+           const Resources& demand);
+/// Stops a run that should not be there. Until it has ended, nothing is
+/// started beside it, since its size may be unknown.
+void StopStranger(Context& context, FleetWorker& worker, const RunName& name);
+/// The run no longer occupies room.
+void Release(FleetWorker& worker, const RunName& name);
+
+}  // namespace basilspread::internal::fleet
+
+#endif  // BASILSPREAD_CORE_INTERNAL_FLEET_H_
--- /dev/null
+++ b/packages/core/src/internal/fleet_looks.cc
@@ -0,0 +1,221 @@
+#include "internal/fleet_looks.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "internal/fleet.h"
+#include "internal/step_placement.h"
+#include "internal/submission_progress.h"
+
+namespace basilspread::internal::fleet::looks {
+namespace {
+
+constexpr std::string_view kPart = "fleet";
+/// Fences of one epoch; a worker takes whole numbers up to 2^53, which leaves
+/// 2^33 epochs.
+constexpr std::uint64_t kFencesPerEpoch = std::uint64_t{1} << 20U;
+/// A look waits this long for an end: a third of the shortest lease, so that
+/// two lost looks end no lease.
+constexpr Duration kLookWait = std::chrono::milliseconds(1500);
+/// Ends that come close together share a look, which costs both sides a call.
+constexpr Duration kLookSpacing = std::chrono::milliseconds(25);
+constexpr Duration kRetryDelay = std::chrono::milliseconds(300);
+/// A worker without runs is told within this that its ends are stored.
+constexpr Duration kAcknowledgeDelay = std::chrono::milliseconds(400);
+/// One look that waits, and one beside it that does not.
+constexpr std::uint32_t kMaxLooks = 2;
+/// The steady clock of a worker may be slow by one part in this many.
+constexpr std::int64_t kClockDriftDivisor = 50;
+/// Added to every wait for a lease to lapse: the time that a kill takes.
+constexpr Duration kLapseMargin = std::chrono::milliseconds(500);
+
+void Schedule(Context& context, FleetWorker& worker, TimePoint at) {
+  if (!worker.next_look || at < *worker.next_look) {
+    worker.next_look = at;
+    ArmTimer(context);
+  }
+}
+
+void Look(Context& context, FleetWorker& worker, Duration wait) {
+  LookAtWorker look;
+  look.worker = worker.entry.name;
+  look.address = worker.entry.address;
+  look.fence = FenceOf(context, worker);
+  look.acknowledged = worker.stored_end;
+  look.lease_until = NextLease(context, worker);
+  look.wait = wait;
+  worker.told_end = std::max(worker.told_end, worker.stored_end);
+  ++worker.looks;
+  worker.next_look.reset();
+  context.Emit(std::move(look));
+}
+
+void TakeClock(Context& context, FleetWorker& worker,
+               const WorkerLooked& event) {
+  worker.clock = event.clock;
+  worker.clock_read_at = context.now;
+}
+
+void TakeEnds(Context& context, FleetWorker& worker,
+              const WorkerLooked& event) {
+  for (const ListedEnd& end : event.ended) {
+    if (end.number <= worker.seen_end) {
+      continue;
+    }
+    worker.seen_end = end.number;
+    Release(worker, end.name);
+    submission_progress::OnEnded(context, worker, end);
+  }
+}
+
+void TakeRunning(Context& context, FleetWorker& worker,
+                 const WorkerLooked& event) {
+  for (const ListedRun& run : event.running) {
+    submission_progress::OnListed(context, worker, run);
+  }
+}
+
+/// Runs that must be listed if they exist, and are not.
+void TakeMissing(Context& context, FleetWorker& worker,
+                 const WorkerLooked& event) {
+  std::vector<RunName> missing;
+  for (const auto& [name, demand] : worker.runs) {
+    const bool is_listed =
+        std::any_of(event.running.begin(), event.running.end(),
+                    [&name = name](const ListedRun& run) {
+                      return run.name == name;
+                    });
+    if (!is_listed &&
+        submission_progress::MustBeListed(context, name, event)) {
+      missing.push_back(name);
+    }
+  }
+  for (const RunName& name : missing) {
+    context.Log(LogLevel::kInfo, kPart,
+                fmt::format("A run is not on its worker. run={} worker={}",
+                            ToString(name), worker.entry.name.value));
+    Release(worker, name);
+    submission_progress::OnLost(context, name);
+  }
+}
+
+bool HasSomethingToTell(const FleetWorker& worker) {
+  return worker.stored_end > worker.told_end;
+}
+
+}  // namespace
+
+std::uint64_t FenceOf(const Context& context, const FleetWorker& worker) {
+  return context.state.submissions.leadership.epoch.value * kFencesPerEpoch +
+         worker.fence_step;
+}
+
+Epoch EpochOf(std::uint64_t fence) { return Epoch{fence / kFencesPerEpoch}; }
+
+Duration LongestLease(const Context& context) {
+  const Duration lease = context.state.settings.store.max_lease;
+  return lease + lease / kClockDriftDivisor + kLapseMargin;
+}
+
+WorkerTime NextLease(Context& context, FleetWorker& worker) {
+  if (!worker.clock_read_at) {
+    return WorkerTime::zero();
+  }
+  worker.leased_until = context.now + LongestLease(context);
+  return worker.clock + (context.now - *worker.clock_read_at) +
+         context.state.settings.store.max_lease;
+}
+
+void Watch(Context& context, FleetWorker& worker) {
+  if (worker.looks == 0) {
+    Schedule(context, worker, context.now);
+  }
+}
+
+void LookNow(Context& context, FleetWorker& worker) {
+  if (worker.looks < kMaxLooks) {
+    Look(context, worker, Duration::zero());
+  } else {
+    Schedule(context, worker, context.now + kLookSpacing);
+  }
+}
+
+void LookIfDue(Context& context, FleetWorker& worker) {
+  if (!worker.next_look || context.now < *worker.next_look) {
+    return;
+  }
+  if (!worker.is_known) {
+    if (worker.looks < kMaxLooks) {
+      Look(context, worker, Duration::zero());
+    }
+  } else if (worker.looks == 0) {
+    const bool has_runs = !worker.runs.empty();
+    Look(context, worker, has_runs ? kLookWait : Duration::zero());
+  }
+  worker.next_look.reset();
+}
+
+void ArmTimer(Context& context) {
+  std::optional<TimePoint> next;
+  for (const auto& [name, worker] : context.state.submissions.fleet.workers) {
+    if (worker.next_look && (!next || *worker.next_look < *next)) {
+      next = worker.next_look;
+    }
+    if (worker.unlisted && worker.leased_until &&
+        (!next || *worker.leased_until < *next)) {
+      next = worker.leased_until;
+    }
+  }
+  if (next) {
+    context.Emit(SetTimer{TimerKind::kFleet, *next});
+  }
+}
+
+void Take(Context& context, FleetWorker& worker, const WorkerLooked& event) {
+  const bool is_present = event.fence == FenceOf(context, worker);
+  TakeClock(context, worker, event);
+  worker.is_known = worker.is_known || is_present;
+  TakeEnds(context, worker, event);
+  TakeRunning(context, worker, event);
+  TakeMissing(context, worker, event);
+  if (!worker.runs.empty()) {
+    Schedule(context, worker,
+             event.ended.empty() ? context.now : context.now + kLookSpacing);
+  } else if (HasSomethingToTell(worker) ||
+             worker.seen_end > worker.stored_end) {
+    Schedule(context, worker, context.now + kAcknowledgeDelay);
+  }
+  step_placement::Request(context);
+}
+
+void OnFailed(Context& context, FleetWorker& worker,
+              const WorkerLooked& event) {
+  if (event.result == OrderResult::kOtherIncarnation) {
+    LoseRuns(context, worker, "another worker has its address");
+    worker.leased_until.reset();
+    worker.is_known = false;
+  }
+  const bool has_lapsed =
+      worker.leased_until && context.now >= *worker.leased_until;
+  if (has_lapsed) {
+    LoseRuns(context, worker, "its leases have lapsed");
+    worker.leased_until.reset();
+  }
+  worker.is_known = worker.is_known && worker.leased_until.has_value();
+  Schedule(context, worker, context.now + kRetryDelay);
+}
+
+void LoseRuns(Context& context, FleetWorker& worker, std::string_view reason) {
+  const auto runs = worker.runs;
+  for (const auto& [name, demand] : runs) {
+    context.Log(LogLevel::kInfo, kPart,
+                fmt::format("A run is lost. run={} worker={} reason=\"{}\"",
+                            ToString(name), worker.entry.name.value, reason));
+    Release(worker, name);
+    submission_progress::OnLost(context, name);
+  }
+}
+
+}  // namespace basilspread::internal::fleet::looks
--- /dev/null
+++ b/packages/core/src/internal/fleet_looks.h
@@ -0,0 +1,41 @@
+#ifndef BASILSPREAD_CORE_INTERNAL_FLEET_LOOKS_H_
+#define BASILSPREAD_CORE_INTERNAL_FLEET_LOOKS_H_
+
+#include <string_view>
+
+#include "basilspread/core/fleet.h"
+#include "basilspread/core/fleet_call.h"
+#include "internal/context.h"
+
+/// Looks at workers: they renew the leases and bring the ends of runs.
+namespace basilspread::internal::fleet::looks {
+
+/// The fence that orders to the worker carry: the leader's epoch, and within
+/// it a number that rises whenever an order's answer was lost.
+std::uint64_t FenceOf(const Context& context, const FleetWorker& worker);
+Epoch EpochOf(std::uint64_t fence);
+
+/// Time after which a lease that is given now has surely ended.
+Duration LongestLease(const Context& context);
+
+/// How long the leases there may run from now on, on the worker's clock;
+/// notes that they do. Zero while its clock is not known.
+WorkerTime NextLease(Context& context, FleetWorker& worker);
+
+/// Has the worker looked at from now on, since something runs there.
+void Watch(Context& context, FleetWorker& worker);
+/// Looks beside a look that may wait for an end.
+void LookNow(Context& context, FleetWorker& worker);
+void LookIfDue(Context& context, FleetWorker& worker);
+void ArmTimer(Context& context);
+
+/// Takes the list of a look in.
+void Take(Context& context, FleetWorker& worker, const WorkerLooked& event);
+void OnFailed(Context& context, FleetWorker& worker,
+              const WorkerLooked& event);
+/// Nothing that was started there runs any longer.
+void LoseRuns(Context& context, FleetWorker& worker, std::string_view reason);
+
+}  // namespace basilspread::internal::fleet::looks
+
+#endif  // BASILSPREAD_CORE_INTERNAL_FLEET_LOOKS_H_
--- /dev/null
+++ b/packages/core/src/internal/leadership.cc
@@ -0,0 +1,219 @@
+#include "internal/leadership.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "internal/fleet.h"
+#include "internal/submission_calls.h"
+#include "internal/work_log.h"
+
+namespace basilspread::internal::leadership {
+namespace {
+
+constexpr std::string_view kPart = "leadership";
+/// A new leader waits this long for workers that do not answer its first
+/// look; what may run on them is then waited for task by task.
+constexpr Duration kLookPatience = std::chrono::milliseconds(900);
+
+LeadershipState& StateOf(Context& context) {
+  return context.state.submissions.leadership;
+}
+
+GroupMember Self(const Context& context) {
+  return {context.state.settings.self, context.state.settings.peer_address};
+}
+
+void Join(Context& context) {
+  LeadershipState& state = StateOf(context);
+  if (state.joining || context.state.stopping) {
+    return;
+  }
+  state.joining = true;
+  context.Emit(JoinGroup{ToString(Self(context)),
+                         context.state.settings.store.member_time_to_live,
+                         state.generation});
+}
+
+void Enter(Context& context, LeaderPhase phase) {
+  LeadershipState& state = StateOf(context);
+  context.Log(LogLevel::kInfo, kPart,
+              fmt::format("Phase changed. from={} to={} epoch={}",
+                          NameOf(state.phase), NameOf(phase),
+                          state.epoch.value));
+  state.phase = phase;
+  state.phase_began = context.now;
+}
+
+void TakeOver(Context& context, Epoch epoch) {
+  LeadershipState& state = StateOf(context);
+  state.epoch = epoch;
+  state.leader = Self(context);
+  state.leader_generation = state.generation;
+  submission_calls::DropLeaderState(context);
+  Enter(context, LeaderPhase::kFencing);
+  work_log::RaiseEpoch(context);
+}
+
+void StepDown(Context& context, std::string_view reason) {
+  LeadershipState& state = StateOf(context);
+  state.holds = false;
+  state.confirmed_at.reset();
+  state.leader.reset();
+  if (state.phase == LeaderPhase::kFollowing) {
+    return;
+  }
+  context.Log(LogLevel::kWarning, kPart,
+              fmt::format("Stopped leading. epoch={} reason=\"{}\"",
+                          state.epoch.value, reason));
+  work_log::DeclineQueued(context);
+  Enter(context, LeaderPhase::kFollowing);
+  submission_calls::DropLeaderState(context);
+}
+
+void AskForLeader(Context& context) {
+  LeadershipState& state = StateOf(context);
+  if (state.reading_leader || state.holds) {
+    return;
+  }
+  state.reading_leader = true;
+  context.Emit(ReadLeader{});
+}
+
+}  // namespace
+
+void Start(Context& context) { OnTimer(context); }
+
+void OnTimer(Context& context) {
+  Join(context);
+  const LeadershipState& state = StateOf(context);
+  if (!state.leader || state.leader_generation != state.generation) {
+    AskForLeader(context);
+  }
+  if (context.now >= context.state.submissions.next_report) {
+    submission_calls::Report(context);
+  }
+  CheckLooks(context);
+  context.ArmIn(TimerKind::kLeadership,
+                context.state.settings.store.join_interval);
+}
+
+void OnJoined(Context& context, const GroupJoined& event) {
+  LeadershipState& state = StateOf(context);
+  state.joining = false;
+  if (!event.ok || context.state.stopping) {
+    return;
+  }
+  const bool has_changed = state.generation != event.generation;
+  state.generation = event.generation;
+  if (!event.leads && state.holds) {
+    StepDown(context, "the group gave the leadership to another member");
+  }
+  if (event.leads) {
+    state.confirmed_at = event.sent_at;
+    if (!state.holds) {
+      state.holds = true;
+      TakeOver(context, std::max(Epoch{event.generation}, state.epoch));
+    }
+  }
+  if (has_changed) {
+    // A partition moves only once its former holder has joined with the new
+    // generation.
+    Join(context);
+    AskForLeader(context);
+  }
+}
+
+void OnLeaderRead(Context& context, const LeaderRead& event) {
+  LeadershipState& state = StateOf(context);
+  state.reading_leader = false;
+  if (!event.ok || state.holds) {
+    return;
+  }
+  const std::optional<GroupMember> member = ParseGroupMember(event.member);
+  if (!member || member->process == context.state.settings.self) {
+    // Nobody leads, or this process is about to learn that it does.
+    state.leader.reset();
+    return;
+  }
+  state.leader_generation = state.generation;
+  if (state.leader == member) {
+    return;
+  }
+  state.leader = member;
+  context.Log(LogLevel::kInfo, kPart,
+              fmt::format("Follows a leader. leader={} generation={}",
+                          member->process.node.value, state.generation));
+  context.Emit(ConnectPeer{member->process.node, member->address});
+  submission_calls::OnLeaderChanged(context);
+}
+
+void OnResumed(Context& context, const Resumed& event) {
+  context.Log(LogLevel::kWarning, kPart,
+              fmt::format("The process was suspended. seconds={:.1f}",
+                          std::chrono::duration<double>(event.suspended)
+                              .count()));
+  StateOf(context).confirmed_at.reset();
+  Join(context);
+}
+
+void Leave(Context& context) {
+  context.Emit(LeaveGroup{ToString(Self(context))});
+  StepDown(context, "the process stops");
+  AskForLeader(context);
+}
+
+void OnFenced(Context& context, Epoch in_force) {
+  LeadershipState& state = StateOf(context);
+  const bool held = state.holds;
+  StepDown(context, "a higher epoch stands");
+  // Should the group still name this process, it takes over again above the
+  // epoch that stands.
+  state.epoch = std::max(state.epoch, Epoch{in_force.value + 1});
+  if (held) {
+    Join(context);
+  }
+}
+
+bool IsLeading(const Context& context) {
+  return context.state.submissions.leadership.phase == LeaderPhase::kLeading;
+}
+
+bool IsConfirmed(const Context& context) {
+  const LeadershipState& state = context.state.submissions.leadership;
+  return state.phase == LeaderPhase::kLeading && state.confirmed_at &&
+         context.now <
+             *state.confirmed_at +
+                 context.state.settings.store.member_time_to_live;
+}
+
+void OnEpochRaised(Context& context) {
+  Enter(context, LeaderPhase::kLoading);
+  context.Emit(ListWork{});
+}
+
+void OnLoaded(Context& context) {
+  Enter(context, LeaderPhase::kLooking);
+  // Not before the log was read: a look's answer makes sense only to one who
+  // knows the submissions.
+  fleet::Start(context);
+}
+
+void CheckLooks(Context& context) {
+  const LeadershipState& state = StateOf(context);
+  if (state.phase != LeaderPhase::kLooking) {
+    return;
+  }
+  const std::size_t unknown = fleet::CountUnknown(context);
+  const bool is_complete = fleet::IsListed(context) && unknown == 0;
+  if (!is_complete && context.now < state.phase_began + kLookPatience) {
+    return;
+  }
+  if (!is_complete) {
+    fleet::HoldInherited(context);
+  }
+  Enter(context, LeaderPhase::kLeading);
+  submission_calls::OnLeading(context);
+}
+
+}  // namespace basilspread::internal::leadership
--- /dev/null
+++ b/packages/core/src/internal/leadership.h
@@ -0,0 +1,36 @@
+#ifndef BASILSPREAD_CORE_INTERNAL_LEADERSHIP_H_
+#define BASILSPREAD_CORE_INTERNAL_LEADERSHIP_H_
+
+#include "basilspread/core/event.h"
+#include "internal/context.h"
+
+/// Which process leads: the one that holds the leadership in the group.
+namespace basilspread::internal::leadership {
+
+void Start(Context& context);
+void OnTimer(Context& context);
+void OnJoined(Context& context, const GroupJoined& event);
+void OnLeaderRead(Context& context, const LeaderRead& event);
+void OnResumed(Context& context, const Resumed& event);
+/// Hands the leadership back.
+void Leave(Context& context);
+
+/// A higher epoch stands at the store or at a worker.
+void OnFenced(Context& context, Epoch in_force);
+
+/// Whether this process places on workers.
+bool IsLeading(const Context& context);
+/// Whether no other process can have come to lead, so that what this one
+/// does not know does not exist.
+bool IsConfirmed(const Context& context);
+
+/// The work log's epoch was raised; reads the log.
+void OnEpochRaised(Context& context);
+/// The log was read; looks at the workers.
+void OnLoaded(Context& context);
+/// Leads, once the workers are known or were waited for long enough.
+void CheckLooks(Context& context);
+
+}  // namespace basilspread::internal::leadership
+
+#endif  // BASILSPREAD_CORE_INTERNAL_LEADERSHIP_H_
--- /dev/null
+++ b/packages/core/src/internal/queue_tables.h
@@ -0,0 +1,26 @@
+#ifndef BASILSPREAD_CORE_INTERNAL_QUEUE_TABLES_H_
+#define BASILSPREAD_CORE_INTERNAL_QUEUE_TABLES_H_
+
+#include <string>
+
+#include "basilspread/core/queue_tables.h"
+#include "basilspread/core/store_call.h"
+#include "internal/context.h"
+
+/// The operator's tables, followed by every process.
+namespace basilspread::internal::queue_tables {
+
+void Start(Context& context);
+void OnRead(Context& context, const TablesRead& event);
+void OnRetryTimer(Context& context);
+
+bool IsKnown(const Context& context);
+/// The route with this authority and the longest prefix of the path; null
+/// when there is none.
+const QueueRoute* Match(const Context& context, const std::string& authority,
+                        const std::string& path);
+const QueueRoute* Find(const Context& context, const RouteName& name);
+
+}  // namespace basilspread::internal::queue_tables
+
+#endif  // BASILSPREAD_CORE_INTERNAL_QUEUE_TABLES_H_
--- /dev/null
+++ b/packages/core/src/internal/step_advice.cc
@@ -0,0 +1,260 @@
+#include "internal/step_advice.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+#include "internal/leadership.h"
+#include "internal/step_placement.h"
+#include "internal/submission_progress.h"
+
+namespace basilspread::internal::step_advice {
+namespace {
+
+constexpr std::string_view kPart = "advice";
+/// A ticket must outlast the way of the start to its worker.
+constexpr Duration kTicketMargin = std::chrono::milliseconds(60);
+/// A question is given up this long after its answer was due.
+constexpr Duration kQuestionPatience = std::chrono::milliseconds(700);
+constexpr Duration kAskAgainDelay = std::chrono::milliseconds(60);
+/// A process with a longer line of questions is not asked.
+constexpr Duration kMaxLine = std::chrono::milliseconds(500);
+constexpr Duration kHelperTimeout = std::chrono::seconds(3);
+/// Weight of the newest answer in the mean share of allowed workers.
+constexpr double kShareWeight = 0.05;
+/// More workers than the mean share asks for, since the share varies.
+constexpr double kSpareFactor = 1.6;
+constexpr std::size_t kSpareWorkers = 2;
+/// Most workers that one question names.
+constexpr std::size_t kMaxWorkers = 100;
+
+SubmissionsState& StateOf(Context& context) {
+  return context.state.submissions;
+}
+
+Duration CostOf(const AdvicePolicy& policy, std::size_t workers) {
+  return policy.decision_time +
+         policy.time_per_worker * static_cast<std::int64_t>(workers);
+}
+
+/// The process whose line of questions ends first; unset: all lines are long.
+std::optional<ProcessId> ChooseAsker(Context& context) {
+  SubmissionsState& state = StateOf(context);
+  const ProcessId& self = context.state.settings.self;
+  Helper& own = state.helpers[self.node];
+  own.process = self;
+  own.heard_at = context.now;
+  std::optional<ProcessId> best;
+  TimePoint best_free = context.now + kMaxLine;
+  for (const auto& [node, helper] : state.helpers) {
+    const bool is_live = context.now < helper.heard_at + kHelperTimeout;
+    if (is_live && helper.busy_until < best_free) {
+      best = helper.process;
+      best_free = helper.busy_until;
+    }
+  }
+  return best;
+}
+
+/// Numbers of different leaders differ, so that a process that asked for one
+/// and then leads itself cannot mistake the answers.
+std::uint64_t NextNumber(Context& context) {
+  constexpr unsigned kEpochShift = 32;
+  SubmissionsState& state = StateOf(context);
+  return (state.leadership.epoch.value << kEpochShift) +
+         ++state.last_question;
+}
+
+/// The workers to name: those known to be allowed first, then those with the
+/// most room, as many as will likely hold what is needed.
+std::vector<HostName> ChooseWorkers(const Context& context,
+                                    const Submission& submission,
+                                    const StepState& step,
+                                    std::vector<Candidate>& candidates,
+                                    std::uint32_t needed) {
+  const auto statistics = context.state.submissions.advice.find(submission.route);
+  const double share =
+      statistics == context.state.submissions.advice.end()
+          ? AdviceStatistics{}.allowed_share
+          : statistics->second.allowed_share;
+  const auto is_known = [&step](const Candidate& candidate) {
+    return step.allowed.contains(candidate.worker->entry.name);
+  };
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [&is_known](const Candidate& left, const Candidate& right) {
+                     const bool left_known = is_known(left);
+                     const bool right_known = is_known(right);
+                     return left_known != right_known ? left_known
+                                                      : left.room > right.room;
+                   });
+  std::vector<HostName> workers;
+  double expected = 0;
+  for (const Candidate& candidate : candidates) {
+    const bool is_enough =
+        expected >= needed * kSpareFactor && workers.size() >= kSpareWorkers;
+    if (is_enough || workers.size() >= kMaxWorkers) {
+      break;
+    }
+    workers.push_back(candidate.worker->entry.name);
+    expected += candidate.room * (is_known(candidate) ? kSpareFactor : share);
+  }
+  return workers;
+}
+
+void Finish(Context& context, std::uint64_t number) {
+  StateOf(context).questions.erase(number);
+}
+
+/// The step that a question is about, if it is still open.
+StepState* FindStep(Context& context, std::uint64_t number,
+                    const Question& question) {
+  Submission* submission =
+      submission_progress::Find(context, question.submission);
+  if (submission == nullptr || question.step >= submission->steps.size()) {
+    return nullptr;
+  }
+  StepState& step = submission->steps[question.step];
+  return step.question == number ? &step : nullptr;
+}
+
+void TakeTickets(Context& context, const Question& question, StepState& step,
+                 const AdviceGiven& event) {
+  for (const HostName& worker : question.workers) {
+    step.forbidden.insert(worker);
+  }
+  for (const AdviceTicket& ticket : event.tickets) {
+    step.forbidden.erase(ticket.worker);
+    step.allowed[ticket.worker] = {
+        ticket.ticket, context.now + event.validity - kTicketMargin};
+  }
+  const Submission* submission =
+      submission_progress::Find(context, question.submission);
+  double& share = StateOf(context).advice[submission->route].allowed_share;
+  const double seen = static_cast<double>(event.tickets.size()) /
+                      static_cast<double>(question.workers.size());
+  share += (seen - share) * kShareWeight;
+}
+
+}  // namespace
+
+bool IsAllowed(const Context& context, const StepState& step,
+               const HostName& worker) {
+  const auto ticket = step.allowed.find(worker);
+  return ticket != step.allowed.end() &&
+         context.now < ticket->second.valid_until;
+}
+
+void Ask(Context& context, Submission& submission, std::uint32_t index,
+         std::vector<Candidate> candidates, std::uint32_t needed) {
+  SubmissionsState& state = StateOf(context);
+  StepState& step = submission.steps[index];
+  if (step.question != 0 || context.now < step.ask_not_before ||
+      candidates.empty()) {
+    return;
+  }
+  const std::optional<ProcessId> asker = ChooseAsker(context);
+  if (!asker) {
+    return;
+  }
+  AskAdvice ask;
+  ask.workers =
+      ChooseWorkers(context, submission, step, candidates, needed);
+  ask.number = NextNumber(context);
+  ask.submission = submission.id;
+  ask.step = index;
+  step.question = ask.number;
+  Helper& helper = state.helpers[asker->node];
+  helper.busy_until = std::max(helper.busy_until, context.now) +
+                      CostOf(*submission.policy.advice, ask.workers.size());
+  state.questions[ask.number] = {submission.id, index, *asker, ask.workers,
+                                 helper.busy_until + kQuestionPatience};
+  if (*asker == context.state.settings.self) {
+    context.Emit(std::move(ask));
+  } else {
+    context.Emit(SendToPeer{asker->node, AdviceCall{std::move(ask)}});
+  }
+}
+
+void OnGiven(Context& context, const AdviceGiven& event) {
+  SubmissionsState& state = StateOf(context);
+  const auto asked = state.asked_for.extract(event.number);
+  if (!asked.empty()) {
+    context.Emit(SendToPeer{asked.mapped().node, AdviceAnswer{event}});
+    return;
+  }
+  const auto found = state.questions.find(event.number);
+  if (found == state.questions.end()) {
+    return;
+  }
+  const Question question = found->second;
+  StepState* step = FindStep(context, event.number, question);
+  Finish(context, event.number);
+  if (step == nullptr) {
+    return;
+  }
+  step->question = 0;
+  if (event.ok) {
+    TakeTickets(context, question, *step, event);
+  } else {
+    step->ask_not_before = context.now + kAskAgainDelay;
+    context.Log(LogLevel::kInfo, kPart,
+                fmt::format("A question failed. submission={} step={} asker={}",
+                            question.submission.value, question.step,
+                            question.asker.node.value));
+  }
+  step_placement::Request(context);
+}
+
+void OnTimer(Context& context) {
+  std::vector<std::uint64_t> overdue;
+  for (const auto& [number, question] : StateOf(context).questions) {
+    if (context.now >= question.give_up_at) {
+      overdue.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : overdue) {
+    OnGiven(context, AdviceGiven{number, false, {}, {}});
+  }
+}
+
+void OnHelper(Context& context, const ProcessId& from,
+              const HelperReport& report) {
+  Helper& helper = StateOf(context).helpers[from.node];
+  if (helper.process != from) {
+    helper = Helper{};
+    helper.process = from;
+    context.Emit(ConnectPeer{from.node, report.address});
+  }
+  helper.heard_at = context.now;
+}
+
+void OnCall(Context& context, const ProcessId& from, const AdviceCall& call) {
+  StateOf(context).asked_for[call.ask.number] = from;
+  context.Emit(call.ask);
+}
+
+void OnAnswer(Context& context, const AdviceAnswer& answer) {
+  OnGiven(context, answer.given);
+}
+
+void OnHelperGone(Context& context, const NodeName& node) {
+  SubmissionsState& state = StateOf(context);
+  if (!leadership::IsLeading(context)) {
+    return;
+  }
+  state.helpers.erase(node);
+  std::vector<std::uint64_t> lost;
+  for (const auto& [number, question] : state.questions) {
+    if (question.asker.node == node) {
+      lost.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : lost) {
+    OnGiven(context, AdviceGiven{number, false, {}, {}});
+  }
+}
+
+}  // namespace basilspread::internal::step_advice
--- /dev/null
+++ b/packages/core/src/internal/submission_calls.cc
@@ -0,0 +1,315 @@
+#include "internal/submission_calls.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cctype>
+#include <functional>
+#include <utility>
+#include <vector>
+
+#include "internal/leadership.h"
+#include "internal/queue_tables.h"
+#include "internal/submission_service.h"
+
+namespace basilspread::internal::submission_calls {
+namespace {
+
+constexpr std::string_view kPart = "calls";
+constexpr std::size_t kIdLength = 16;
+/// Open calls are looked through this often.
+constexpr Duration kCheckInterval = std::chrono::milliseconds(50);
+/// A call that the leader declined, or did not answer, is sent again.
+constexpr Duration kDeclinedDelay = std::chrono::milliseconds(100);
+constexpr Duration kUnansweredDelay = std::chrono::milliseconds(800);
+/// Time that an answer takes on its way back to the caller.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(150);
+/// When a caller may try again: a takeover takes about as long.
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
+constexpr Duration kReportInterval = std::chrono::seconds(1);
+/// Kept for the exit itself at the end of a stop.
+constexpr Duration kExitMargin = std::chrono::milliseconds(800);
+constexpr std::size_t kMaxOpenCalls = 2048;
+
+SubmissionsState& StateOf(Context& context) {
+  return context.state.submissions;
+}
+
+bool IsId(std::string_view text) {
+  return text.size() == kIdLength &&
+         std::all_of(text.begin(), text.end(), [](unsigned char character) {
+           return std::isxdigit(character) != 0;
+         });
+}
+
+void Answer(Context& context, SubmissionAnswer answer) {
+  const bool is_refusal = answer.kind != ErrorKind::kNone &&
+                          AnswerFor(answer.kind).retryable;
+  if (is_refusal && answer.retry_after == Duration::zero()) {
+    answer.retry_after = kRetryAfter;
+  }
+  if (answer.kind != ErrorKind::kNone &&
+      answer.kind != ErrorKind::kUnknownRoute) {
+    context.Log(LogLevel::kDebug, kPart,
+                fmt::format("A call was refused. call={} error={}",
+                            answer.call.value, AnswerFor(answer.kind).name));
+  }
+  context.Emit(AnswerSubmissionCaller{std::move(answer)});
+}
+
+void Refuse(Context& context, CallId call, ErrorKind kind) {
+  SubmissionAnswer answer;
+  answer.call = call;
+  answer.kind = kind;
+  Answer(context, std::move(answer));
+}
+
+/// Why a submission cannot be taken at all; kNone when it can.
+ErrorKind FindFault(const SubmissionSpec& spec) {
+  // Steps that last, that fill idle room and that repeat by the clock are not
+  // built yet.
+  const bool is_unsupported =
+      spec.repetitions > 0 ||
+      std::any_of(spec.steps.begin(), spec.steps.end(),
+                  [](const StepSpec& step) {
+                    return step.long_running || step.fills_idle_cpu;
+                  });
+  return is_unsupported ? ErrorKind::kNotSupported : ErrorKind::kNone;
+}
+
+void Send(Context& context, OpenCall& call) {
+  const auto& leader = StateOf(context).leadership.leader;
+  if (!leader || context.now < call.send_not_before) {
+    return;
+  }
+  call.sent_to = leader->process;
+  call.send_not_before = context.now + kUnansweredDelay;
+  call.maybe_taken_before = call.maybe_taken;
+  call.maybe_taken = true;
+  const SubmissionCall message = call.message;
+  if (leader->process == context.state.settings.self) {
+    service::OnCall(context, leader->process, message);
+  } else {
+    context.Emit(SendToPeer{leader->process.node, message});
+  }
+}
+
+/// Does the same with every open call; a call may end meanwhile.
+void ForEachOpen(Context& context,
+                 const std::function<void(CallId, OpenCall&)>& action) {
+  auto& calls = StateOf(context).calls;
+  std::vector<CallId> ids;
+  ids.reserve(calls.size());
+  for (const auto& [id, call] : calls) {
+    ids.push_back(id);
+  }
+  for (const CallId id : ids) {
+    const auto found = calls.find(id);
+    if (found != calls.end()) {
+      action(id, found->second);
+    }
+  }
+}
+
+/// The leader did nothing with the call.
+void TakeBack(Context& context, OpenCall& call, Duration delay) {
+  call.sent_to.reset();
+  call.maybe_taken = call.maybe_taken_before;
+  call.send_not_before = context.now + delay;
+}
+
+void Expire(Context& context, CallId id, bool maybe_taken) {
+  StateOf(context).calls.erase(id);
+  Refuse(context, id,
+         maybe_taken ? ErrorKind::kOutcomeUnknown : ErrorKind::kNoLeader);
+}
+
+/// Reads id and operation off the path behind the route's prefix.
+/// False when the path names nothing there.
+bool ReadTarget(const SubmissionCallArrived& event, const QueueRoute& route,
+                SubmissionCall& message) {
+  const std::string rest = event.path.substr(route.path_prefix.size());
+  message.operation = event.operation;
+  message.route = route.name;
+  if (rest.empty() && event.operation == SubmissionOperation::kStatus) {
+    message.operation = SubmissionOperation::kCountWaiting;
+    return true;
+  }
+  message.id = SubmissionId{rest};
+  return IsId(rest);
+}
+
+}  // namespace
+
+void Start(Context& context) {
+  context.ArmIn(TimerKind::kCalls, kCheckInterval);
+}
+
+void OnArrived(Context& context, const SubmissionCallArrived& event) {
+  SubmissionsState& state = StateOf(context);
+  if (!queue_tables::IsKnown(context)) {
+    return Refuse(context, event.call, ErrorKind::kNotReady);
+  }
+  const QueueRoute* route =
+      queue_tables::Match(context, event.authority, event.path);
+  if (route == nullptr) {
+    return Refuse(context, event.call, ErrorKind::kUnknownRoute);
+  }
+  OpenCall call;
+  call.message.call = event.call;
+  if (!ReadTarget(event, *route, call.message)) {
+    return Refuse(context, event.call, ErrorKind::kBadRequest);
+  }
+  if (event.spec) {
+    event.spec->id = call.message.id;
+    event.spec->route = route->name;
+    call.message.spec = event.spec;
+    const ErrorKind fault = FindFault(*event.spec);
+    if (fault != ErrorKind::kNone) {
+      context.Log(LogLevel::kWarning, kPart,
+                  fmt::format("A submission asks for what is not supported. "
+                              "id={}",
+                              call.message.id.value));
+      return Refuse(context, event.call, fault);
+    }
+  }
+  if (state.calls.size() >= kMaxOpenCalls) {
+    return Refuse(context, event.call, ErrorKind::kOverloaded);
+  }
+  call.deadline = context.now + event.time_left - kAnswerMargin;
+  OpenCall& open = state.calls[event.call];
+  open = std::move(call);
+  Send(context, open);
+}
+
+void OnCallerGone(Context& context, const CallerGone& event) {
+  StateOf(context).calls.erase(event.call);
+}
+
+void OnTimer(Context& context) {
+  ForEachOpen(context, [&context](CallId id, OpenCall& call) {
+    if (context.now >= call.deadline) {
+      Expire(context, id, call.maybe_taken);
+    } else {
+      Send(context, call);
+    }
+  });
+  service::OnTimer(context);
+  context.ArmIn(TimerKind::kCalls, kCheckInterval);
+}
+
+void OnAnswer(Context& context, const SubmissionAnswer& answer) {
+  SubmissionsState& state = StateOf(context);
+  const auto found = state.calls.find(answer.call);
+  if (found == state.calls.end()) {
+    return;
+  }
+  const bool is_declined = answer.kind == ErrorKind::kNotOwner ||
+                           answer.kind == ErrorKind::kNotReady;
+  if (is_declined) {
+    TakeBack(context, found->second, kDeclinedDelay);
+    return;
+  }
+  SubmissionAnswer told = answer;
+  told.operation = found->second.message.operation;
+  const bool is_refusal =
+      answer.kind == ErrorKind::kLogUnavailable ||
+      answer.kind == ErrorKind::kOverloaded;
+  if (is_refusal && found->second.maybe_taken_before) {
+    // An earlier leader may have stored it: only the present one's refusal
+    // is certain.
+    told.kind = ErrorKind::kOutcomeUnknown;
+  }
+  state.calls.erase(found);
+  Answer(context, std::move(told));
+}
+
+void OnMessageNotSent(Context& context, const PeerMessageNotSent& event) {
+  const auto* message = std::get_if<SubmissionCall>(&event.message);
+  if (message == nullptr) {
+    return;
+  }
+  const auto found = StateOf(context).calls.find(message->call);
+  if (found != StateOf(context).calls.end()) {
+    TakeBack(context, found->second, kDeclinedDelay);
+  }
+}
+
+void OnLinkChanged(Context& context, const PeerLinkChanged& event) {
+  SubmissionsState& state = StateOf(context);
+  const auto& leader = state.leadership.leader;
+  if (!leader || leader->process.node != event.peer) {
+    return;
+  }
+  if (event.connected) {
+    Report(context);
+  }
+  // What was sent on the old connection may be lost.
+  ForEachOpen(context, [&](CallId /*id*/, OpenCall& call) {
+    call.send_not_before = context.now;
+    if (event.connected) {
+      Send(context, call);
+    }
+  });
+}
+
+void OnLeaderChanged(Context& context) {
+  Report(context);
+  ForEachOpen(context, [&context](CallId /*id*/, OpenCall& call) {
+    call.sent_to.reset();
+    call.send_not_before = context.now;
+    Send(context, call);
+  });
+}
+
+void Report(Context& context) {
+  SubmissionsState& state = StateOf(context);
+  const auto& leader = state.leadership.leader;
+  const bool is_other =
+      leader && leader->process != context.state.settings.self;
+  if (!is_other) {
+    return;
+  }
+  state.next_report = context.now + kReportInterval;
+  context.Emit(SendToPeer{leader->process.node,
+                          HelperReport{context.state.settings.peer_address}});
+}
+
+void OnLeading(Context& context) { OnLeaderChanged(context); }
+
+void DropLeaderState(Context& context) {
+  SubmissionsState& state = StateOf(context);
+  state.all.clear();
+  state.queue.clear();
+  state.questions.clear();
+  state.fleet = FleetState{};
+  state.log = WorkLogState{};
+}
+
+void OnStopRequested(Context& context) {
+  if (context.state.stopping) {
+    return;
+  }
+  context.state.stopping = true;
+  context.Log(LogLevel::kInfo, kPart, "A stop was requested.");
+  context.Emit(SetReadiness{false});
+  leadership::Leave(context);
+  StateOf(context).stop_by = context.now +
+                             context.state.settings.store.stop_grace -
+                             kExitMargin;
+  context.ArmIn(TimerKind::kStop, context.state.settings.store.drain_time);
+}
+
+void OnStopTimer(Context& context) {
+  SubmissionsState& state = StateOf(context);
+  // By now the balancer has taken this process out; what still comes is
+  // refused at once, so that the open calls come to an end.
+  context.Emit(RefuseCallers{});
+  if (state.calls.empty() || context.now >= state.stop_by) {
+    context.Emit(ExitProcess{});
+    return;
+  }
+  context.ArmIn(TimerKind::kStop, kCheckInterval);
+}
+
+}  // namespace basilspread::internal::submission_calls
--- /dev/null
+++ b/packages/core/src/internal/submission_service.cc
@@ -0,0 +1,229 @@
+#include "internal/submission_service.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "internal/leadership.h"
+#include "internal/queue_tables.h"
+#include "internal/step_advice.h"
+#include "internal/submission_calls.h"
+#include "internal/submission_progress.h"
+#include "internal/work_log.h"
+
+namespace basilspread::internal::service {
+namespace {
+
+constexpr std::string_view kPart = "submissions";
+constexpr Duration kForgetInterval = std::chrono::seconds(5);
+
+SubmissionsState& StateOf(Context& context) {
+  return context.state.submissions;
+}
+
+void Reply(Context& context, const ProcessId& to, SubmissionAnswer answer) {
+  if (to == context.state.settings.self) {
+    submission_calls::OnAnswer(context, answer);
+    return;
+  }
+  context.Emit(SendToPeer{to.node, std::move(answer)});
+}
+
+void Reply(Context& context, const ProcessId& to, CallId call,
+           ErrorKind kind) {
+  SubmissionAnswer answer;
+  answer.call = call;
+  answer.kind = kind;
+  Reply(context, to, std::move(answer));
+}
+
+void Submit(Context& context, const ProcessId& from,
+            const SubmissionCall& message) {
+  SubmissionsState& state = StateOf(context);
+  if (Submission* known = submission_progress::Find(context, message.id)) {
+    if (known->accepted) {
+      Reply(context, from, message.call, ErrorKind::kNone);
+    } else {
+      known->submitters.emplace_back(from, message.call);
+    }
+    return;
+  }
+  const QueueRoute* route = queue_tables::Find(context, message.route);
+  if (route == nullptr) {
+    // The other process has newer tables; these come within moments.
+    return Reply(context, from, message.call, ErrorKind::kNotReady);
+  }
+  if (!work_log::IsAvailable(context)) {
+    return Reply(context, from, message.call, ErrorKind::kLogUnavailable);
+  }
+  const SubmissionPtr submission = submission_progress::Make(
+      message.spec, route->policy, context.now);
+  submission->submitters.emplace_back(from, message.call);
+  state.all.emplace(message.id, submission);
+  work_log::Accept(context, *submission);
+  submission_progress::Enqueue(context, *submission);
+}
+
+/// What may be told: an end only once it is stored, so that no later leader
+/// says otherwise.
+SubmissionState ToldState(const Submission& submission) {
+  if (!HasEnded(submission.state) || submission.is_stored) {
+    return submission.state;
+  }
+  return submission.began ? SubmissionState::kRunning
+                          : SubmissionState::kQueued;
+}
+
+void TellUnknown(Context& context, const ProcessId& from, CallId call) {
+  Reply(context, from, call,
+        leadership::IsConfirmed(context) ? ErrorKind::kUnknownSubmission
+                                         : ErrorKind::kNotReady);
+}
+
+void TellStatus(Context& context, const ProcessId& from,
+                const SubmissionCall& message) {
+  const Submission* submission =
+      submission_progress::Find(context, message.id);
+  if (submission == nullptr) {
+    return TellUnknown(context, from, message.call);
+  }
+  if (!submission->accepted) {
+    return Reply(context, from, message.call, ErrorKind::kNotReady);
+  }
+  SubmissionAnswer answer;
+  answer.call = message.call;
+  answer.state = ToldState(*submission);
+  Reply(context, from, std::move(answer));
+}
+
+void Cancel(Context& context, const ProcessId& from,
+            const SubmissionCall& message) {
+  Submission* submission = submission_progress::Find(context, message.id);
+  if (submission == nullptr) {
+    return TellUnknown(context, from, message.call);
+  }
+  if (!submission->accepted) {
+    return Reply(context, from, message.call, ErrorKind::kNotReady);
+  }
+  if (HasEnded(submission->state) && submission->is_stored) {
+    const bool is_cancelled =
+        submission->state == SubmissionState::kCancelled;
+    return Reply(context, from, message.call,
+                 is_cancelled ? ErrorKind::kNone
+                              : ErrorKind::kUnknownSubmission);
+  }
+  submission->cancellers.emplace_back(from, message.call);
+  if (!HasEnded(submission->state)) {
+    submission_progress::Cancel(context, *submission);
+  }
+}
+
+void CountWaiting(Context& context, const ProcessId& from,
+                  const SubmissionCall& message) {
+  const auto& all = StateOf(context).all;
+  SubmissionAnswer answer;
+  answer.call = message.call;
+  answer.waiting = static_cast<std::uint32_t>(
+      std::count_if(all.begin(), all.end(), [&message](const auto& entry) {
+        const Submission& submission = *entry.second;
+        return submission.route == message.route && submission.accepted &&
+               !submission.began && !HasEnded(submission.state);
+      }));
+  Reply(context, from, std::move(answer));
+}
+
+}  // namespace
+
+void OnCall(Context& context, const ProcessId& from,
+            const SubmissionCall& message) {
+  if (!leadership::IsLeading(context)) {
+    const bool comes_to_lead = StateOf(context).leadership.holds;
+    return Reply(context, from, message.call,
+                 comes_to_lead ? ErrorKind::kNotReady : ErrorKind::kNotOwner);
+  }
+  switch (message.operation) {
+    case SubmissionOperation::kSubmit:
+      return Submit(context, from, message);
+    case SubmissionOperation::kStatus:
+      return TellStatus(context, from, message);
+    case SubmissionOperation::kCancel:
+      return Cancel(context, from, message);
+    case SubmissionOperation::kCountWaiting:
+      return CountWaiting(context, from, message);
+  }
+}
+
+void OnAccepted(Context& context, const SubmissionId& id) {
+  Submission* submission = submission_progress::Find(context, id);
+  if (submission == nullptr) {
+    return;
+  }
+  submission->accepted = true;
+  context.Log(
+      LogLevel::kInfo, kPart,
+      fmt::format("A submission is accepted. id={} route={} steps={} "
+                  "store_ms={}",
+                  id.value, submission->route.value, submission->steps.size(),
+                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                      context.now - submission->arrived)
+                      .count()));
+  for (const auto& [to, call] : std::exchange(submission->submitters, {})) {
+    Reply(context, to, call, ErrorKind::kNone);
+  }
+  submission_progress::Enqueue(context, *submission);
+}
+
+void OnNotAccepted(Context& context, const SubmissionId& id, ErrorKind kind) {
+  const auto found = StateOf(context).all.find(id);
+  if (found == StateOf(context).all.end()) {
+    return;
+  }
+  const SubmissionPtr submission = found->second;
+  StateOf(context).all.erase(found);
+  context.Log(LogLevel::kInfo, kPart,
+              fmt::format("A submission is refused. id={} reason={}", id.value,
+                          AnswerFor(kind).name));
+  for (const auto& [to, call] : submission->submitters) {
+    Reply(context, to, call, kind);
+  }
+}
+
+void OnChangeStored(Context& context, const SubmissionId& id) {
+  Submission* submission = submission_progress::Find(context, id);
+  if (submission == nullptr || !HasEnded(submission->state)) {
+    return;
+  }
+  submission->is_stored = true;
+  const ErrorKind kind = submission->state == SubmissionState::kCancelled
+                             ? ErrorKind::kNone
+                             : ErrorKind::kUnknownSubmission;
+  for (const auto& [to, call] : std::exchange(submission->cancellers, {})) {
+    Reply(context, to, call, kind);
+  }
+}
+
+void OnTimer(Context& context) {
+  SubmissionsState& state = StateOf(context);
+  step_advice::OnTimer(context);
+  if (!leadership::IsLeading(context) || context.now < state.next_forget) {
+    return;
+  }
+  state.next_forget = context.now + kForgetInterval;
+  const TimePoint before =
+      context.now - context.state.settings.store.status_retention;
+  std::vector<SubmissionId> old;
+  for (const auto& [id, submission] : state.all) {
+    if (HasEnded(submission->state) && submission->is_stored &&
+        submission->ended_at < before) {
+      old.push_back(id);
+    }
+  }
+  for (const SubmissionId& id : old) {
+    state.all.erase(id);
+    work_log::Forget(context, id);
+  }
+}
+
+}  // namespace basilspread::internal::service
--- /dev/null
+++ b/packages/core/src/internal/submission_service.h
@@ -0,0 +1,24 @@
+#ifndef BASILSPREAD_CORE_INTERNAL_SUBMISSION_SERVICE_H_
+#define BASILSPREAD_CORE_INTERNAL_SUBMISSION_SERVICE_H_
+
+#include "basilspread/core/submission_message.h"
+#include "basilspread/core/submissions.h"
+#include "internal/context.h"
+
+/// The leader's answers to calls about submissions.
+namespace basilspread::internal::service {
+
+void OnCall(Context& context, const ProcessId& from,
+            const SubmissionCall& message);
+/// The record of a new submission is stored.
+void OnAccepted(Context& context, const SubmissionId& id);
+/// It is not stored and never will be.
+void OnNotAccepted(Context& context, const SubmissionId& id, ErrorKind kind);
+/// What changed in a submission is stored.
+void OnChangeStored(Context& context, const SubmissionId& id);
+/// Forgets submissions that ended long ago.
+void OnTimer(Context& context);
+
+}  // namespace basilspread::internal::service
+
+#endif  // BASILSPREAD_CORE_INTERNAL_SUBMISSION_SERVICE_H_
--- /dev/null
+++ b/packages/core/src/internal/work_log.cc
@@ -0,0 +1,320 @@
+#include "internal/work_log.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "internal/leadership.h"
+#include "internal/submission_progress.h"
+#include "internal/submission_service.h"
+
+namespace basilspread::internal::work_log {
+namespace {
+
+constexpr std::string_view kPart = "work-log";
+/// Appends begin this far apart at least, so that records share calls: the
+/// store's calls are limited and a caller waits half of it on average.
+constexpr Duration kAppendSpacing = std::chrono::milliseconds(15);
+/// Delay before an append that was refused or lost is repeated; doubles.
+constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(40);
+constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(640);
+constexpr Duration kLoadRetryDelay = std::chrono::milliseconds(100);
+/// Records of one append; some hundred bytes to 6 KB each, so that a call
+/// stays below the 2 MB that a store takes.
+constexpr std::size_t kMaxRecords = 256;
+
+SubmissionsState& StateOf(Context& context) {
+  return context.state.submissions;
+}
+
+ProgressRecord Describe(const Submission& submission) {
+  ProgressRecord record;
+  record.id = submission.id;
+  record.state = submission.state;
+  if (HasEnded(submission.state)) {
+    return record;
+  }
+  for (std::uint32_t step = 0; step < submission.steps.size(); ++step) {
+    const auto& tasks = submission.steps[step].tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+      const RunState& task = tasks[index];
+      const bool succeeded = task.phase == RunPhase::kSucceeded;
+      if (succeeded || !task.failed_runs.empty()) {
+        record.tasks.push_back(
+            {step,
+             index,
+             succeeded,
+             {task.failed_runs.begin(), task.failed_runs.end()},
+             task.run});
+      }
+    }
+  }
+  return record;
+}
+
+void Send(Context& context) {
+  WorkLogState& log = StateOf(context).log;
+  log.is_waiting = true;
+  log.last_sent = context.now;
+  context.Emit(*log.in_flight);
+}
+
+void Retry(Context& context) {
+  WorkLogState& log = StateOf(context).log;
+  log.retry_delay = std::clamp<Duration>(log.retry_delay * 2, kFirstRetryDelay,
+                                         kMaxRetryDelay);
+  log.not_before = context.now + log.retry_delay;
+  context.ArmIn(TimerKind::kWorkLog, log.retry_delay);
+}
+
+void NoteFailure(Context& context, std::string_view reason) {
+  WorkLogState& log = StateOf(context).log;
+  if (!log.failing_since) {
+    log.failing_since = context.now;
+    context.Log(LogLevel::kWarning, kPart,
+                fmt::format("The store does not append. reason={}", reason));
+  }
+}
+
+void NoteSuccess(Context& context) {
+  WorkLogState& log = StateOf(context).log;
+  if (log.failing_since) {
+    const std::chrono::duration<double> away = context.now - *log.failing_since;
+    context.Log(LogLevel::kInfo, kPart,
+                fmt::format("The store appends again. seconds={:.2f}",
+                            away.count()));
+  }
+  log.failing_since.reset();
+  log.retry_delay = Duration::zero();
+}
+
+/// Which ends of workers are stored with the append that is being made.
+void SettleEnds(Context& context) {
+  SubmissionsState& state = StateOf(context);
+  for (const auto& [name, worker] : state.fleet.workers) {
+    if (worker.seen_end > worker.stored_end) {
+      state.log.settling_ends[name] = worker.seen_end;
+    }
+  }
+}
+
+void TakeAccepted(Context& context, AppendWork& append) {
+  WorkLogState& log = StateOf(context).log;
+  const std::size_t count = std::min(log.accepted.size(), kMaxRecords);
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto* record = std::get_if<AcceptedRecord>(&log.accepted[i]);
+    if (record != nullptr) {
+      log.settling_accepted.push_back(record->spec->id);
+    }
+    append.records.push_back(std::move(log.accepted[i]));
+  }
+  log.accepted.erase(log.accepted.begin(),
+                     log.accepted.begin() + static_cast<std::ptrdiff_t>(count));
+}
+
+void TakeChanged(Context& context, AppendWork& append) {
+  SubmissionsState& state = StateOf(context);
+  for (const SubmissionId& id : state.log.changed) {
+    const auto found = state.all.find(id);
+    if (found == state.all.end()) {
+      continue;
+    }
+    append.records.emplace_back(Describe(*found->second));
+    if (HasEnded(found->second->state)) {
+      append.records.emplace_back(SpecDroppedRecord{id});
+    }
+  }
+  state.log.settling_changed = std::move(state.log.changed);
+  state.log.changed.clear();
+}
+
+void MarkEndsStored(Context& context) {
+  SubmissionsState& state = StateOf(context);
+  for (const auto& [name, number] : state.log.settling_ends) {
+    const auto worker = state.fleet.workers.find(name);
+    if (worker != state.fleet.workers.end()) {
+      worker->second.stored_end =
+          std::max(worker->second.stored_end,
+                   std::min(number, worker->second.seen_end));
+    }
+  }
+  state.log.settling_ends.clear();
+}
+
+void OnStored(Context& context) {
+  WorkLogState& log = StateOf(context).log;
+  NoteSuccess(context);
+  log.in_flight.reset();
+  log.may_be_stored = false;
+  ++log.sequence;
+  MarkEndsStored(context);
+  const auto accepted = std::exchange(log.settling_accepted, {});
+  const auto changed = std::exchange(log.settling_changed, {});
+  for (const SubmissionId& id : accepted) {
+    service::OnAccepted(context, id);
+  }
+  for (const SubmissionId& id : changed) {
+    service::OnChangeStored(context, id);
+  }
+  Pump(context);
+}
+
+/// The store did nothing: new submissions are given up, changes are queued
+/// anew.
+void OnRefused(Context& context) {
+  WorkLogState& log = StateOf(context).log;
+  log.in_flight.reset();
+  log.settling_ends.clear();
+  log.changed.merge(log.settling_changed);
+  log.settling_changed.clear();
+  for (const SubmissionId& id : std::exchange(log.settling_accepted, {})) {
+    service::OnNotAccepted(context, id, ErrorKind::kLogUnavailable);
+  }
+  Retry(context);
+}
+
+}  // namespace
+
+void RaiseEpoch(Context& context) {
+  SubmissionsState& state = StateOf(context);
+  state.log = WorkLogState{};
+  state.log.epoch = state.leadership.epoch;
+  state.log.in_flight = AppendWork{state.log.epoch, 0, {}};
+  Send(context);
+}
+
+void OnListed(Context& context, const WorkListed& event) {
+  if (StateOf(context).leadership.phase != LeaderPhase::kLoading) {
+    return;
+  }
+  if (!event.ok) {
+    context.ArmIn(TimerKind::kLoadRetry, kLoadRetryDelay);
+    return;
+  }
+  for (const WorkRecord& record : event.records) {
+    submission_progress::Load(context, record);
+  }
+  if (!event.next.empty()) {
+    context.Emit(ListWork{event.next});
+    return;
+  }
+  submission_progress::FinishLoading(context);
+  leadership::OnLoaded(context);
+}
+
+void OnLoadTimer(Context& context) {
+  if (StateOf(context).leadership.phase == LeaderPhase::kLoading) {
+    // Loading a record twice changes nothing, so the list is read anew.
+    context.Emit(ListWork{});
+  }
+}
+
+void Accept(Context& context, const Submission& submission) {
+  StateOf(context).log.accepted.emplace_back(
+      AcceptedRecord{submission.spec, submission.policy});
+  Pump(context);
+}
+
+void Change(Context& context, const SubmissionId& id) {
+  StateOf(context).log.changed.insert(id);
+  Pump(context);
+}
+
+void Forget(Context& context, const SubmissionId& id) {
+  StateOf(context).log.accepted.emplace_back(ForgottenRecord{id});
+  Pump(context);
+}
+
+void Pump(Context& context) {
+  SubmissionsState& state = StateOf(context);
+  WorkLogState& log = state.log;
+  const bool is_idle = log.accepted.empty() && log.changed.empty();
+  if (!leadership::IsLeading(context) || log.in_flight || is_idle) {
+    return;
+  }
+  const TimePoint due = std::max(log.last_sent + kAppendSpacing, log.not_before);
+  if (context.now < due) {
+    context.Emit(SetTimer{TimerKind::kWorkLog, due});
+    return;
+  }
+  AppendWork append{log.epoch, log.sequence, {}};
+  TakeAccepted(context, append);
+  TakeChanged(context, append);
+  SettleEnds(context);
+  log.in_flight = std::move(append);
+  Send(context);
+}
+
+void OnAppended(Context& context, const WorkAppended& event) {
+  WorkLogState& log = StateOf(context).log;
+  const bool is_expected = log.is_waiting && log.in_flight &&
+                           event.epoch == log.epoch &&
+                           event.sequence == log.in_flight->sequence;
+  if (!is_expected) {
+    return;
+  }
+  log.is_waiting = false;
+  if (event.result == WorkAppendResult::kFenced) {
+    leadership::OnFenced(context, event.epoch_in_force);
+    return;
+  }
+  const bool is_raise = log.in_flight->records.empty();
+  if (event.result == WorkAppendResult::kOutOfSequence) {
+    const bool was_stored =
+        log.may_be_stored && event.expected_sequence == event.sequence + 1;
+    if (was_stored) {
+      OnStored(context);
+      return;
+    }
+    log.sequence = event.expected_sequence;
+    log.in_flight->sequence = event.expected_sequence;
+    Send(context);
+    return;
+  }
+  if (event.result == WorkAppendResult::kStored) {
+    OnStored(context);
+    if (is_raise) {
+      leadership::OnEpochRaised(context);
+    }
+    return;
+  }
+  const bool is_unknown = event.result == WorkAppendResult::kUnknown;
+  NoteFailure(context, is_unknown ? "no answer" : "refused");
+  if (is_unknown) {
+    log.may_be_stored = true;
+  } else if (!log.may_be_stored && !is_raise) {
+    OnRefused(context);
+    return;
+  }
+  Retry(context);
+}
+
+void OnTimer(Context& context) {
+  const WorkLogState& log = StateOf(context).log;
+  if (log.in_flight && !log.is_waiting && context.now >= log.not_before) {
+    Send(context);
+    return;
+  }
+  Pump(context);
+}
+
+bool IsAvailable(const Context& context) {
+  const WorkLogState& log = context.state.submissions.log;
+  return !log.failing_since || (!log.in_flight && context.now >= log.not_before);
+}
+
+void DeclineQueued(Context& context) {
+  WorkLogState& log = StateOf(context).log;
+  std::vector<SubmissionId> declined;
+  for (const WorkRecord& record : log.accepted) {
+    if (const auto* accepted = std::get_if<AcceptedRecord>(&record)) {
+      declined.push_back(accepted->spec->id);
+    }
+  }
+  for (const SubmissionId& id : declined) {
+    service::OnNotAccepted(context, id, ErrorKind::kNotOwner);
+  }
+}
+
+}  // namespace basilspread::internal::work_log
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -4,15 +4,23 @@
 
 #include "internal/configuration.h"
 #include "internal/context.h"
+#include "internal/fleet.h"
 #include "internal/handover.h"
 #include "internal/hosts.h"
 #include "internal/jobs.h"
+#include "internal/leadership.h"
 #include "internal/log.h"
 #include "internal/membership.h"
 #include "internal/peers.h"
+#include "internal/queue_tables.h"
 #include "internal/report.h"
 #include "internal/requests.h"
+#include "internal/step_advice.h"
+#include "internal/step_placement.h"
+#include "internal/submission_calls.h"
+#include "internal/submission_service.h"
 #include "internal/takeover.h"
+#include "internal/work_log.h"
 
 namespace basilspread {
 namespace {
@@ -24,6 +32,12 @@
   Context& context;
 
   void operator()(const Started& /*event*/) const {
+    if (this->UsesStore()) {
+      internal::queue_tables::Start(this->context);
+      internal::leadership::Start(this->context);
+      internal::submission_calls::Start(this->context);
+      return;
+    }
     internal::log::Start(this->context);
     internal::configuration::Start(this->context);
     internal::hosts::Start(this->context);
@@ -38,6 +52,10 @@
   }
 
   void operator()(const CallerGone& event) const {
+    if (this->UsesStore()) {
+      internal::submission_calls::OnCallerGone(this->context, event);
+      return;
+    }
     internal::requests::OnCallerGone(this->context, event);
     internal::jobs::OnCallerGone(this->context, event);
   }
@@ -51,6 +69,13 @@
   }
 
   void operator()(const PeerLinkChanged& event) const {
+    if (this->UsesStore()) {
+      internal::submission_calls::OnLinkChanged(this->context, event);
+      if (!event.connected) {
+        internal::step_advice::OnHelperGone(this->context, event.peer);
+      }
+      return;
+    }
     internal::peers::OnLinkChanged(this->context, event);
   }
 
@@ -59,6 +84,10 @@
   }
 
   void operator()(const PeerMessageNotSent& event) const {
+    if (this->UsesStore()) {
+      internal::submission_calls::OnMessageNotSent(this->context, event);
+      return;
+    }
     internal::requests::OnPeerMessageNotSent(this->context, event);
   }
 
@@ -95,11 +124,33 @@
       case TimerKind::kJobs:
         return internal::jobs::OnTimer(this->context);
       case TimerKind::kStop:
-        return internal::handover::OnStopTimer(this->context);
+        return this->UsesStore()
+                   ? internal::submission_calls::OnStopTimer(this->context)
+                   : internal::handover::OnStopTimer(this->context);
+      case TimerKind::kLeadership:
+        return internal::leadership::OnTimer(this->context);
+      case TimerKind::kCalls:
+        return internal::submission_calls::OnTimer(this->context);
+      case TimerKind::kFleet:
+        return internal::fleet::OnTimer(this->context);
+      case TimerKind::kPlacement:
+        return internal::step_placement::OnTimer(this->context);
+      case TimerKind::kWorkLog:
+        return internal::work_log::OnTimer(this->context);
+      case TimerKind::kTablesRetry:
+        return internal::queue_tables::OnRetryTimer(this->context);
+      case TimerKind::kFleetRetry:
+        return internal::fleet::OnRetryTimer(this->context);
+      case TimerKind::kLoadRetry:
+        return internal::work_log::OnLoadTimer(this->context);
     }
   }
 
   void operator()(const StopRequested& /*event*/) const {
+    if (this->UsesStore()) {
+      internal::submission_calls::OnStopRequested(this->context);
+      return;
+    }
     internal::handover::OnStopRequested(this->context);
   }
 
@@ -111,12 +162,60 @@
     internal::jobs::OnWorkerAnswered(this->context, event);
   }
 
+  void operator()(const SubmissionCallArrived& event) const {
+    internal::submission_calls::OnArrived(this->context, event);
+  }
+
+  void operator()(const Resumed& event) const {
+    if (this->UsesStore()) {
+      internal::leadership::OnResumed(this->context, event);
+    }
+  }
+
+  void operator()(const GroupJoined& event) const {
+    internal::leadership::OnJoined(this->context, event);
+  }
+
+  void operator()(const LeaderRead& event) const {
+    internal::leadership::OnLeaderRead(this->context, event);
+  }
+
+  void operator()(const WorkAppended& event) const {
+    internal::work_log::OnAppended(this->context, event);
+  }
+
+  void operator()(const WorkListed& event) const {
+    internal::work_log::OnListed(this->context, event);
+  }
+
+  void operator()(const TablesRead& event) const {
+    internal::queue_tables::OnRead(this->context, event);
+  }
+
+  void operator()(const FleetRead& event) const {
+    internal::fleet::OnRead(this->context, event);
+  }
+
+  void operator()(const WorkerLooked& event) const {
+    internal::fleet::OnLooked(this->context, event);
+  }
+
+  void operator()(const RunOrdered& event) const {
+    internal::fleet::OnOrdered(this->context, event);
+  }
+
+  void operator()(const AdviceGiven& event) const {
+    internal::step_advice::OnGiven(this->context, event);
+  }
+
   void operator()(const DumpRequested& event) const {
     this->context.Emit(
         AnswerDump{event.call, internal::report::Describe(this->context)});
   }
 
  private:
+  bool UsesStore() const { return this->context.state.settings.store.enabled; }
+
   struct PeerDispatcher {
     Context& context;
     const ProcessId& from;
@@ -130,6 +229,21 @@
     void operator()(const ForwardAnswer& message) const {
       internal::requests::OnForwardAnswered(this->context, this->from, message);
     }
+    void operator()(const SubmissionCall& message) const {
+      internal::service::OnCall(this->context, this->from, message);
+    }
+    void operator()(const SubmissionAnswer& message) const {
+      internal::submission_calls::OnAnswer(this->context, message);
+    }
+    void operator()(const HelperReport& message) const {
+      internal::step_advice::OnHelper(this->context, this->from, message);
+    }
+    void operator()(const AdviceCall& message) const {
+      internal::step_advice::OnCall(this->context, this->from, message);
+    }
+    void operator()(const AdviceAnswer& message) const {
+      internal::step_advice::OnAnswer(this->context, message);
+    }
     template <typename JobMessage>
     void operator()(const JobMessage& message) const {
       internal::jobs::OnMessage(this->context, this->from, message);
@@ -142,6 +256,10 @@
 Effects Reduce(State& state, const Event& event) {
   Effects effects;
   Context context{state, event.time, effects};
+  if (state.settings.store.enabled) {
+    std::visit(Dispatcher{context}, event.body);
+    return effects;
+  }
   internal::membership::OnEvent(context);
   std::visit(Dispatcher{context}, event.body);
   internal::jobs::Settle(context);
--- a/packages/ctl/src/draft_check.cc
+++ b/packages/ctl/src/draft_check.cc
@@ -5,7 +5,7 @@
 #include "basilspread/config/table_warnings.h"
 #include "basilspread/config/tables.h"
 #include "basilspread/core/configuration.h"
-#include "basilspread/platform/host_list_client.h"
+#include "basilspread/clients/host_list_client.h"
 #include "entry_dump.h"
 
 namespace basilspread::ctl {
@@ -52,7 +52,7 @@
   }
   const config::Endpoint& endpoint = *arguments.addresses.hosts;
   const HostsListed listed =
-      platform::HostListClient(endpoint.host, endpoint.port, kHostListTimeout)
+      clients::HostListClient(endpoint.host, endpoint.port, kHostListTimeout)
           .List();
   if (!listed.ok) {
     warnings.emplace_back("the host list does not answer; hosts not checked");
--- a/packages/ctl/src/tables_log.h
+++ b/packages/ctl/src/tables_log.h
@@ -8,7 +8,7 @@
 #include "basilspread/core/record.h"
 #include "basilspread/core/result.h"
 #include "basilspread/core/tables_history.h"
-#include "basilspread/platform/log_client.h"
+#include "basilspread/clients/log_client.h"
 
 namespace basilspread::ctl {
 
@@ -40,7 +40,7 @@
   void Apply(const StoredBatch& stored);
   void Take(TablesDecisions decisions);
 
-  platform::LogClient log;
+  clients::LogClient log;
   TablesHistory history;
   TablesDecisions all;
   std::vector<std::pair<ProcessId, Offset>> writers;
--- a/packages/node/src/main.cc
+++ b/packages/entry/src/main.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <cxxopts.hpp>
 #include <fstream>
+#include <functional>
 #include <iterator>
 #include <optional>
 #include <random>
@@ -13,9 +14,11 @@
 #include <thread>
 #include <utility>
 
+#include "adapter.h"
 #include "basilspread/config/node_settings.h"
 #include "line_log.h"
 #include "node.h"
+#include "store_node.h"
 
 namespace {
 
@@ -73,29 +76,42 @@
   return signals;
 }
 
-void AwaitStop(const sigset_t& signals, basilspread::node::Node& node) {
+void AwaitStop(const sigset_t& signals,
+               const std::function<void()>& request_stop) {
   while (true) {
     int number = 0;
     sigwait(&signals, &number);
     if (number == SIGHUP) {
       continue;
     }
-    node.RequestStop();
+    request_stop();
     return;
   }
 }
 
+template <typename Node>
+int Run(const sigset_t& signals, Node& node) {
+  std::thread waiter([&signals, &node] {
+    AwaitStop(signals, [&node] { node.RequestStop(); });
+  });
+  waiter.detach();
+  node.Run();
+  return 0;
+}
+
 int Serve(NodeSettings settings) {
   settings.core.self.incarnation = DrawRandom();
   settings.core.seed = DrawRandom();
   basilspread::node::SetLogLevel(
       basilspread::node::LogLevelNamed(settings.log_level));
   const sigset_t signals = BlockSignals();
+  if (settings.core.store.enabled) {
+    basilspread::node::StoreNode node(std::move(settings),
+                                      basilspread::adapter::MakeHooks);
+    return Run(signals, node);
+  }
   basilspread::node::Node node(std::move(settings));
-  std::thread waiter([&signals, &node] { AwaitStop(signals, node); });
-  waiter.detach();
-  node.Run();
-  return 0;
+  return Run(signals, node);
 }
 
 int Main(int argc, char** argv) {
--- a/packages/node/src/control_loop.cc
+++ b/packages/node/src/control_loop.cc
@@ -1,5 +1,7 @@
 #include "control_loop.h"
 
+#include <time.h>
+
 #include <utility>
 #include <variant>
 
@@ -10,6 +12,19 @@
 
 /// Events that may wait before those of peers are held back.
 constexpr std::size_t kMaxQueuedEvents = 1024;
+/// A shorter gap between the clocks is the time between their readings.
+constexpr Duration kLeastSuspension = std::chrono::milliseconds(100);
+
+/// How long the machine was suspended since it was started: the monotonic
+/// clock stands still meanwhile, the boot clock does not.
+Duration SuspendedSinceBoot() {
+  timespec boot{};
+  timespec monotonic{};
+  clock_gettime(CLOCK_BOOTTIME, &boot);
+  clock_gettime(CLOCK_MONOTONIC, &monotonic);
+  return std::chrono::seconds(boot.tv_sec - monotonic.tv_sec) +
+         std::chrono::nanoseconds(boot.tv_nsec - monotonic.tv_nsec);
+}
 
 }  // namespace
 
@@ -48,9 +63,11 @@
 }
 
 void ControlLoop::Run() {
+  this->suspended_before = SuspendedSinceBoot();
   this->Handle(Started{});
   while (this->running) {
     std::optional<EventBody> body = this->Next();
+    this->CheckSuspension();
     if (body) {
       this->Handle(*std::move(body));
     }
@@ -105,6 +122,15 @@
   return next;
 }
 
+void ControlLoop::CheckSuspension() {
+  const Duration offset = SuspendedSinceBoot();
+  const Duration suspended = offset - this->suspended_before;
+  this->suspended_before = offset;
+  if (suspended >= kLeastSuspension) {
+    this->Handle(Resumed{suspended});
+  }
+}
+
 void ControlLoop::Handle(EventBody body) {
   const Event event{std::chrono::steady_clock::now(), std::move(body)};
   for (const Effect& effect : Reduce(this->state, event)) {
--- a/packages/node/src/control_loop.h
+++ b/packages/node/src/control_loop.h
@@ -45,12 +45,15 @@
   std::optional<EventBody> Next();
   std::optional<TimerKind> TakeDueTimer(TimePoint now);
   std::optional<TimePoint> NextDeadline() const;
+  /// Handles Resumed first when the process was suspended.
+  void CheckSuspension();
   void Handle(EventBody body);
 
   State& state;
   Interpreter interpret;
   OnHandled on_handled;
   std::map<TimerKind, TimePoint> timers;
+  Duration suspended_before{};
   bool running = true;
   std::mutex mutex;
   std::condition_variable has_events;
--- /dev/null
+++ b/packages/node/src/http_client_loop.cc
@@ -0,0 +1,163 @@
+#include "http_client_loop.h"
+
+#include <Poco/Exception.h>
+
+#include <algorithm>
+
+namespace basilspread::node {
+namespace {
+
+using Poco::Net::PollSet;
+
+const Poco::Timespan kLongestWait(1, 0);
+
+TimePoint Now() { return std::chrono::steady_clock::now(); }
+
+}  // namespace
+
+HttpClientLoop::~HttpClientLoop() { this->Stop(); }
+
+void HttpClientLoop::Start() {
+  this->wake_socket.Open();
+  this->poll_set.add(this->wake_socket.Get(), PollSet::POLL_READ);
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void HttpClientLoop::Stop() {
+  if (!this->thread.joinable()) {
+    return;
+  }
+  {
+    const std::lock_guard lock(this->mutex);
+    this->stopping = true;
+  }
+  this->wake_socket.Wake();
+  this->thread.join();
+}
+
+void HttpClientLoop::Send(HttpCall call) {
+  bool was_empty = false;
+  {
+    const std::lock_guard lock(this->mutex);
+    was_empty = this->incoming.empty();
+    this->incoming.push_back(std::move(call));
+  }
+  if (was_empty) {
+    this->wake_socket.Wake();
+  }
+}
+
+void HttpClientLoop::Run() {
+  while (true) {
+    {
+      const std::lock_guard lock(this->mutex);
+      if (this->stopping) {
+        return;
+      }
+    }
+    for (const auto& [socket, mode] :
+         this->poll_set.poll(this->UntilNextDeadline())) {
+      this->OnReady(socket, mode);
+    }
+    this->TakeCalls();
+    this->CheckDeadlines();
+  }
+}
+
+void HttpClientLoop::TakeCalls() {
+  std::vector<HttpCall> calls;
+  {
+    const std::lock_guard lock(this->mutex);
+    calls.swap(this->incoming);
+  }
+  for (HttpCall& call : calls) {
+    HttpExchangePtr& exchange = this->lanes[{call.address, call.lane}];
+    if (!exchange) {
+      exchange.reset(new HttpExchange(call.address));
+    }
+    exchange->Add(std::move(call));
+    exchange->Advance();
+    this->Watch(exchange);
+  }
+}
+
+void HttpClientLoop::OnReady(const Poco::Net::Socket& socket, int mode) {
+  if (socket == this->wake_socket.Get()) {
+    this->wake_socket.Take();
+    return;
+  }
+  const auto found = this->by_socket.find(socket);
+  if (found == this->by_socket.end()) {
+    return;
+  }
+  const HttpExchangePtr exchange = found->second;
+  if ((mode & PollSet::POLL_ERROR) != 0) {
+    exchange->Fail();
+  } else {
+    if ((mode & PollSet::POLL_WRITE) != 0) {
+      exchange->OnWritable();
+    }
+    const bool is_same = exchange->socket && *exchange->socket == socket;
+    if ((mode & PollSet::POLL_READ) != 0 && is_same) {
+      exchange->OnReadable();
+    }
+  }
+  this->Watch(exchange);
+}
+
+void HttpClientLoop::Watch(const HttpExchangePtr& exchange) {
+  const bool is_other =
+      exchange->watched &&
+      (!exchange->socket || *exchange->watched != *exchange->socket);
+  if (is_other) {
+    this->Unwatch(exchange);
+  }
+  if (!exchange->socket) {
+    return;
+  }
+  int mode = PollSet::POLL_ERROR | PollSet::POLL_READ;
+  mode |= exchange->WantsToWrite() ? PollSet::POLL_WRITE : 0;
+  if (!exchange->watched) {
+    this->poll_set.add(*exchange->socket, mode);
+    this->by_socket[*exchange->socket] = exchange;
+    exchange->watched = exchange->socket;
+  } else if (exchange->poll_mode != mode) {
+    this->poll_set.update(*exchange->socket, mode);
+  }
+  exchange->poll_mode = mode;
+}
+
+void HttpClientLoop::Unwatch(const HttpExchangePtr& exchange) {
+  this->poll_set.remove(*exchange->watched);
+  this->by_socket.erase(*exchange->watched);
+  exchange->watched->close();
+  exchange->watched.reset();
+  exchange->poll_mode = 0;
+}
+
+void HttpClientLoop::CheckDeadlines() {
+  const TimePoint now = Now();
+  for (const auto& [lane, exchange] : this->lanes) {
+    const auto deadline = exchange->NextDeadline();
+    if (deadline && *deadline <= now) {
+      exchange->Expire(now);
+      this->Watch(exchange);
+    }
+  }
+}
+
+Poco::Timespan HttpClientLoop::UntilNextDeadline() const {
+  Poco::Timespan wait = kLongestWait;
+  const TimePoint now = Now();
+  for (const auto& [lane, exchange] : this->lanes) {
+    if (const auto deadline = exchange->NextDeadline()) {
+      const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
+          std::max(*deadline - now, Duration::zero()));
+      // Rounded up, so that the thread does not wake just before.
+      wait = std::min(wait, Poco::Timespan(left.count() + 1000));
+    }
+  }
+  return wait;
+}
+
+}  // namespace basilspread::node
--- a/packages/node/src/http_loop.cc
+++ b/packages/node/src/http_loop.cc
@@ -33,11 +33,9 @@
 void HttpLoop::Start() {
   this->listener = Listen(this->address, kListenBacklog);
   this->listener.setBlocking(false);
-  // A datagram to itself wakes the thread out of the poll set.
-  this->wake_socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
-  this->wake_socket.setBlocking(false);
+  this->wake_socket.Open();
   this->poll_set.add(this->listener, PollSet::POLL_READ);
-  this->poll_set.add(this->wake_socket, PollSet::POLL_READ);
+  this->poll_set.add(this->wake_socket.Get(), PollSet::POLL_READ);
   this->is_listening = true;
   this->thread = std::thread([this] { this->Run(); });
 }
@@ -47,12 +45,18 @@
     const std::lock_guard lock(this->mutex);
     this->answers.push_back(PendingAnswer{call, std::move(make_response)});
   }
-  this->Wake();
+  this->wake_socket.Wake();
+}
+
+void HttpLoop::Wind() {
+  this->winding = true;
+  this->wake_socket.Wake();
 }
 
 void HttpLoop::Drain() {
+  this->winding = true;
   this->draining = true;
-  this->Wake();
+  this->wake_socket.Wake();
 }
 
 void HttpLoop::Stop(Duration bound) {
@@ -67,15 +71,6 @@
   this->thread.join();
 }
 
-void HttpLoop::Wake() {
-  const char byte = 0;
-  try {
-    this->wake_socket.sendTo(&byte, 1, this->wake_socket.address());
-  } catch (const Poco::Exception&) {
-    // The socket's buffer is full: the thread is about to wake anyway.
-  }
-}
-
 void HttpLoop::Run() {
   while (!this->IsDone()) {
     for (const auto& [socket, mode] : this->poll_set.poll(kCheckInterval)) {
@@ -113,10 +108,8 @@
 }
 
 void HttpLoop::OnReady(const Poco::Net::Socket& socket, int mode) {
-  if (socket == this->wake_socket) {
-    char buffer[64];
-    Poco::Net::SocketAddress sender;
-    this->wake_socket.receiveFrom(buffer, sizeof(buffer), sender);
+  if (socket == this->wake_socket.Get()) {
+    this->wake_socket.Take();
     return;
   }
   if (this->is_listening && socket == this->listener) {
@@ -168,14 +161,21 @@
   if (this->connections.size() < this->limits.max_connections) {
     return true;
   }
-  // A connection that is idle may be closed at any time, the oldest first;
-  // one with a request on it may not.
-  ConnectionList& idle = this->ListOf(ConnectionPhase::kIdle);
-  if (idle.empty()) {
-    return false;
+  // A connection that is idle may be closed at any time, the oldest first,
+  // and so may one whose request has not come whole; the request of any other
+  // was taken up.
+  for (const ConnectionPhase phase :
+       {ConnectionPhase::kIdle, ConnectionPhase::kReading}) {
+    if (!this->ListOf(phase).empty()) {
+      this->CloseOldest(phase);
+      return true;
+    }
   }
-  this->Close(ConnectionPtr(&idle.front()));
-  return true;
+  return false;
+}
+
+void HttpLoop::CloseOldest(ConnectionPhase phase) {
+  this->Close(ConnectionPtr(&this->ListOf(phase).front()));
 }
 
 void HttpLoop::Read(const ConnectionPtr& connection) {
@@ -213,6 +213,13 @@
     this->Watch(connection);
     return;
   }
+  if (this->draining) {
+    // The control thread may have ended: nobody else would answer.
+    connection->Answer(*MakeErrorResponse(ErrorKind::kStopping, ""), false);
+    this->Enter(connection, ConnectionPhase::kWriting);
+    this->Write(connection);
+    return;
+  }
   connection->call = CallId{++this->last_call};
   this->calls.emplace(connection->call, connection);
   this->Enter(connection, ConnectionPhase::kAnswering);
@@ -242,7 +249,7 @@
     }
     const ConnectionPtr connection = found->second;
     this->calls.erase(found);
-    connection->Answer(*answer.make_response(), !this->draining);
+    connection->Answer(*answer.make_response(), !this->winding);
     this->Enter(connection, ConnectionPhase::kWriting);
     try {
       this->Write(connection);
--- a/packages/node/src/http_loop.h
+++ b/packages/node/src/http_loop.h
@@ -1,7 +1,6 @@
 #ifndef BASILSPREAD_NODE_HTTP_LOOP_H_
 #define BASILSPREAD_NODE_HTTP_LOOP_H_
 
-#include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/ServerSocket.h>
 
@@ -19,6 +18,7 @@
 #include "basilspread/core/payload.h"
 #include "basilspread/core/time.h"
 #include "http_connection.h"
+#include "wake_socket.h"
 
 namespace basilspread::node {
 
@@ -63,8 +63,12 @@
   /// Answers a request, from any thread. Dropped when the caller is gone.
   void Answer(CallId call, ResponseMaker make_response);
 
-  /// From now on new connections are refused and every answer ends its
-  /// connection. From any thread.
+  /// From now on every answer ends its connection; new ones are still taken.
+  /// From any thread.
+  void Wind();
+
+  /// From now on new connections and requests are refused, and every answer
+  /// ends its connection. From any thread.
   void Drain();
 
   /// Serves what is in progress for at most `bound`, then ends the thread.
@@ -79,9 +83,9 @@
   };
 
   void Run();
-  void Wake();
   void Accept();
   bool MakeRoom();
+  void CloseOldest(ConnectionPhase phase);
   void OnReady(const Poco::Net::Socket& socket, int mode);
   void Read(const ConnectionPtr& connection);
   void TakeRequest(const ConnectionPtr& connection);
@@ -100,7 +104,7 @@
   const HttpLimits limits;
   const Hooks hooks;
   Poco::Net::ServerSocket listener;
-  Poco::Net::DatagramSocket wake_socket;
+  WakeSocket wake_socket;
   Poco::Net::PollSet poll_set;
   /// One list a phase, oldest first.
   std::array<ConnectionList, kConnectionPhases> phases;
@@ -109,6 +113,7 @@
   std::uint64_t last_call = 0;
   bool is_listening = false;
   std::atomic<std::size_t> connection_count = 0;
+  std::atomic<bool> winding = false;
   std::atomic<bool> draining = false;
   std::mutex mutex;
   std::vector<PendingAnswer> answers;
--- a/packages/node/src/interpreter.h
+++ b/packages/node/src/interpreter.h
@@ -7,10 +7,10 @@
 #include "admin.h"
 #include "basilspread/core/effect.h"
 #include "basilspread/core/event.h"
-#include "basilspread/platform/host_list_client.h"
-#include "basilspread/platform/log_client.h"
-#include "basilspread/platform/minion_client.h"
-#include "basilspread/platform/worker_client.h"
+#include "basilspread/clients/host_list_client.h"
+#include "basilspread/clients/log_client.h"
+#include "basilspread/clients/minion_client.h"
+#include "basilspread/clients/worker_client.h"
 #include "executor.h"
 #include "front_end.h"
 #include "metrics.h"
@@ -20,10 +20,10 @@
 
 /// What the interpreter carries effects out with.
 struct Services {
-  const platform::LogClient& log;
-  platform::HostListClient& host_list;
-  const platform::MinionClient& minions;
-  const platform::WorkerClient& workers;
+  const clients::LogClient& log;
+  clients::HostListClient& host_list;
+  const clients::MinionClient& minions;
+  const clients::WorkerClient& workers;
   FrontEnd& front_end;
   Admin& admin;
   PeerLinks& peers;
@@ -57,6 +57,9 @@
   void operator()(const RefuseCallers& effect);
   void operator()(const AnswerJobCaller& effect);
   void operator()(const CallWorker& effect);
+  /// Effects of a process with a store, which another node carries out.
+  template <typename Other>
+  void operator()(const Other& /*effect*/) {}
   /// The control loop takes these two itself.
   void operator()(const SetTimer& /*effect*/) {}
   void operator()(const ExitProcess& /*effect*/) {}
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -7,9 +7,9 @@
 #include "basilspread/config/node_settings.h"
 #include "basilspread/core/effect.h"
 #include "basilspread/core/state.h"
-#include "basilspread/platform/host_list_client.h"
-#include "basilspread/platform/log_client.h"
-#include "basilspread/platform/minion_client.h"
+#include "basilspread/clients/host_list_client.h"
+#include "basilspread/clients/log_client.h"
+#include "basilspread/clients/minion_client.h"
 #include "control_loop.h"
 #include "executor.h"
 #include "front_end.h"
@@ -41,10 +41,10 @@
   Metrics metrics;
   State state;
   ControlLoop loop;
-  platform::LogClient log;
-  platform::HostListClient host_list;
-  platform::MinionClient minions;
-  platform::WorkerClient workers;
+  clients::LogClient log;
+  clients::HostListClient host_list;
+  clients::MinionClient minions;
+  clients::WorkerClient workers;
   FrontEnd front_end;
   Admin admin;
   PeerLinks peers;
--- a/packages/node/src/outbound_link.cc
+++ b/packages/node/src/outbound_link.cc
@@ -7,12 +7,16 @@
 #include <random>
 #include <utility>
 
+#include "liveness.h"
+
 namespace basilspread::node {
 namespace {
 
 constexpr std::size_t kMaxQueuedFrames = 4096;
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration kMaxRetryDelay = std::chrono::seconds(2);
+/// A peer that confirms no byte for this long is cut off.
+constexpr Duration kSilence = std::chrono::seconds(2);
 const Poco::Timespan kConnectTimeout(1, 0);
 const Poco::Timespan kSendTimeout(5, 0);
 
@@ -147,6 +151,7 @@
   socket.connect(Poco::Net::SocketAddress(endpoint.host, endpoint.port),
                  kConnectTimeout);
   socket.setNoDelay(true);
+  DetectSilence(socket, kSilence);
   socket.setSendTimeout(kSendTimeout);
   const std::lock_guard lock(this->mutex);
   this->open_socket = socket;
--- /dev/null
+++ b/packages/node/src/store_node.h
@@ -0,0 +1,58 @@
+#ifndef BASILSPREAD_NODE_STORE_NODE_H_
+#define BASILSPREAD_NODE_STORE_NODE_H_
+
+#include <functional>
+
+#include "admin.h"
+#include "basilspread/config/node_settings.h"
+#include "basilspread/core/effect.h"
+#include "basilspread/core/state.h"
+#include "control_loop.h"
+#include "metrics.h"
+#include "peer_links.h"
+
+namespace basilspread::node {
+
+/// What speaks to the store, the workers and the callers.
+struct OutsideHooks {
+  using Post = std::function<void(EventBody)>;
+
+  /// Binds and serves. Throws Poco::Exception when a port is taken.
+  std::function<void()> start;
+  /// Gives the answers that are due, for at most this long, and ends.
+  std::function<void(Duration)> stop;
+  /// Carries an effect out without blocking; false when it is none of its.
+  std::function<bool(const Effect&)> carry;
+};
+
+/// Makes the hooks of one process.
+using OutsideFactory = std::function<OutsideHooks(const config::NodeSettings&,
+                                                  OutsideHooks::Post)>;
+
+/// One entry process where all that must last is in a shared store.
+class StoreNode {
+ public:
+  StoreNode(config::NodeSettings node_settings, const OutsideFactory& factory);
+
+  /// Serves until a stop was requested and the callers have their answers.
+  /// Throws Poco::Exception when an address cannot be bound.
+  void Run();
+  /// May be called from any thread.
+  void RequestStop();
+
+ private:
+  OutsideHooks::Post MakePost();
+  void Carry(const Effect& effect);
+
+  config::NodeSettings settings;
+  Metrics metrics;
+  State state;
+  ControlLoop loop;
+  Admin admin;
+  PeerLinks peers;
+  OutsideHooks outside;
+};
+
+}  // namespace basilspread::node
+
+#endif  // BASILSPREAD_NODE_STORE_NODE_H_
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -7,6 +7,7 @@
 #include "heartbeat_codec.h"
 #include "job_codec.h"
 #include "payload_codec.h"
+#include "submission_codec.h"
 
 namespace basilspread::wire {
 namespace {
@@ -14,6 +15,7 @@
 using Builder = flatbuffers::FlatBufferBuilder;
 
 using job_codec::Pack;
+using submission_codec::Pack;
 
 PackedBody Pack(Builder& builder, const Heartbeat& message) {
   return {fb::PeerBody::Heartbeat, PackHeartbeat(builder, message).Union()};
@@ -74,6 +76,12 @@
       return PeerMessage(Unpack(*frame.body_as_ForwardRequest()));
     case fb::PeerBody::ForwardAnswer:
       return PeerMessage(Unpack(*frame.body_as_ForwardAnswer()));
+    case fb::PeerBody::SubmissionCall:
+    case fb::PeerBody::SubmissionAnswer:
+    case fb::PeerBody::HelperReport:
+    case fb::PeerBody::AdviceCall:
+    case fb::PeerBody::AdviceAnswer:
+      return submission_codec::UnpackMessage(frame);
     default:
       return job_codec::UnpackMessage(frame);
   }
--- /dev/null
+++ b/packages/wire/src/submission_codec.cc
@@ -0,0 +1,229 @@
+#include "submission_codec.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "common.h"
+#include "job_parts.h"
+
+namespace basilspread::wire::submission_codec {
+namespace {
+
+using job_codec::EnumOf;
+using job_codec::PackPart;
+using job_codec::UnpackPart;
+
+std::string TextOf(const flatbuffers::String* text) {
+  return text == nullptr ? std::string() : text->str();
+}
+
+/// Unset when empty: an absent text takes no bytes.
+flatbuffers::Offset<flatbuffers::String> PackText(Builder& builder,
+                                                  const std::string& text) {
+  return text.empty() ? flatbuffers::Offset<flatbuffers::String>()
+                      : builder.CreateString(text);
+}
+
+flatbuffers::Offset<fb::StepSpec> PackStep(Builder& builder,
+                                           const StepSpec& step) {
+  const auto demand = PackPart(builder, step.demand);
+  const auto after = builder.CreateVector(step.after);
+  const auto label = PackText(builder, step.required_label);
+  const auto rack = PackText(builder, step.data_rack.value);
+  const auto image = PackText(builder, step.image);
+  return fb::CreateStepSpec(
+      builder, step.count, demand, step.expected_run_time.count(), after,
+      step.checkpoints, step.gang, step.rack_local, step.speculative,
+      step.long_running, step.fills_idle_cpu, label, rack, step.max_per_worker,
+      image, step.target_latency.count(), step.max_unavailable);
+}
+
+StepSpec UnpackStep(const fb::StepSpec& packed) {
+  StepSpec step;
+  step.count = packed.count();
+  step.demand = UnpackPart(*packed.demand());
+  step.expected_run_time = Duration(packed.expected_run_time_ns());
+  if (packed.after() != nullptr) {
+    step.after.assign(packed.after()->begin(), packed.after()->end());
+  }
+  step.checkpoints = packed.checkpoints();
+  step.gang = packed.gang();
+  step.rack_local = packed.rack_local();
+  step.speculative = packed.speculative();
+  step.long_running = packed.long_running();
+  step.fills_idle_cpu = packed.fills_idle_cpu();
+  step.required_label = TextOf(packed.required_label());
+  step.data_rack = RackName{TextOf(packed.data_rack())};
+  step.max_per_worker = packed.max_per_worker();
+  step.image = TextOf(packed.image());
+  step.target_latency = Duration(packed.target_latency_ns());
+  step.max_unavailable = packed.max_unavailable();
+  return step;
+}
+
+Result<PeerMessage> Unpack(const fb::SubmissionCall& packed) {
+  SubmissionCall message;
+  message.call = CallId{packed.call()};
+  message.operation =
+      EnumOf(packed.operation(), SubmissionOperation::kCountWaiting);
+  message.route = RouteName{packed.route()->str()};
+  message.id = SubmissionId{packed.id()->str()};
+  if (packed.spec() != nullptr) {
+    BOOST_OUTCOME_TRY(spec, UnpackSpec(*packed.spec()));
+    message.spec = std::move(spec);
+  }
+  if (message.operation == SubmissionOperation::kSubmit && !message.spec) {
+    return Error{ErrorKind::kBadRequest, "a submission has no specification"};
+  }
+  return PeerMessage(std::move(message));
+}
+
+PeerMessage Unpack(const fb::SubmissionAnswer& packed) {
+  SubmissionAnswer message;
+  message.call = CallId{packed.call()};
+  message.kind = ErrorKindNamed(packed.error()->string_view());
+  message.state = EnumOf(packed.state(), SubmissionState::kCancelled);
+  message.waiting = packed.waiting();
+  message.retry_after = Duration(packed.retry_after_ns());
+  return message;
+}
+
+PeerMessage Unpack(const fb::AdviceCall& packed) {
+  AdviceCall message;
+  message.ask.number = packed.number();
+  message.ask.submission = SubmissionId{packed.submission()->str()};
+  message.ask.step = packed.step();
+  for (const auto* worker : *packed.workers()) {
+    message.ask.workers.push_back(HostName{worker->str()});
+  }
+  return message;
+}
+
+PeerMessage Unpack(const fb::AdviceAnswer& packed) {
+  AdviceAnswer message;
+  message.given.number = packed.number();
+  message.given.ok = packed.ok();
+  message.given.validity = Duration(packed.validity_ns());
+  if (packed.tickets() != nullptr) {
+    for (const auto* ticket : *packed.tickets()) {
+      message.given.tickets.push_back(
+          {HostName{ticket->worker()->str()}, ticket->ticket()->str()});
+    }
+  }
+  return message;
+}
+
+}  // namespace
+
+PackedBody Pack(Builder& builder, const SubmissionCall& message) {
+  const auto route = builder.CreateString(message.route.value);
+  const auto id = builder.CreateString(message.id.value);
+  const auto spec = message.spec ? PackSpec(builder, *message.spec)
+                                 : flatbuffers::Offset<fb::SubmissionSpec>();
+  return {fb::PeerBody::SubmissionCall,
+          fb::CreateSubmissionCall(
+              builder, message.call.value,
+              static_cast<std::uint8_t>(message.operation), route, id, spec)
+              .Union()};
+}
+
+PackedBody Pack(Builder& builder, const SubmissionAnswer& message) {
+  const auto error =
+      builder.CreateString(std::string(AnswerFor(message.kind).name));
+  return {fb::PeerBody::SubmissionAnswer,
+          fb::CreateSubmissionAnswer(builder, message.call.value, error,
+                                     static_cast<std::uint8_t>(message.state),
+                                     message.waiting,
+                                     message.retry_after.count())
+              .Union()};
+}
+
+PackedBody Pack(Builder& builder, const HelperReport& message) {
+  const auto address = builder.CreateString(message.address);
+  return {fb::PeerBody::HelperReport,
+          fb::CreateHelperReport(builder, address).Union()};
+}
+
+PackedBody Pack(Builder& builder, const AdviceCall& message) {
+  std::vector<flatbuffers::Offset<flatbuffers::String>> workers;
+  for (const HostName& worker : message.ask.workers) {
+    workers.push_back(builder.CreateString(worker.value));
+  }
+  const auto names = builder.CreateVector(workers);
+  const auto submission = builder.CreateString(message.ask.submission.value);
+  return {fb::PeerBody::AdviceCall,
+          fb::CreateAdviceCall(builder, message.ask.number, submission,
+                               message.ask.step, names)
+              .Union()};
+}
+
+PackedBody Pack(Builder& builder, const AdviceAnswer& message) {
+  std::vector<flatbuffers::Offset<fb::AdviceTicket>> tickets;
+  for (const AdviceTicket& ticket : message.given.tickets) {
+    const auto worker = builder.CreateString(ticket.worker.value);
+    const auto text = builder.CreateString(ticket.ticket);
+    tickets.push_back(fb::CreateAdviceTicket(builder, worker, text));
+  }
+  const auto packed = builder.CreateVector(tickets);
+  return {fb::PeerBody::AdviceAnswer,
+          fb::CreateAdviceAnswer(builder, message.given.number,
+                                 message.given.ok, packed,
+                                 message.given.validity.count())
+              .Union()};
+}
+
+Result<PeerMessage> UnpackMessage(const fb::Frame& frame) {
+  switch (frame.body_type()) {
+    case fb::PeerBody::SubmissionCall:
+      return Unpack(*frame.body_as_SubmissionCall());
+    case fb::PeerBody::SubmissionAnswer:
+      return Unpack(*frame.body_as_SubmissionAnswer());
+    case fb::PeerBody::HelperReport:
+      return PeerMessage(
+          HelperReport{frame.body_as_HelperReport()->address()->str()});
+    case fb::PeerBody::AdviceCall:
+      return Unpack(*frame.body_as_AdviceCall());
+    case fb::PeerBody::AdviceAnswer:
+      return Unpack(*frame.body_as_AdviceAnswer());
+    default:
+      return Error{ErrorKind::kBadRequest, "the message's kind is unknown"};
+  }
+}
+
+flatbuffers::Offset<fb::SubmissionSpec> PackSpec(Builder& builder,
+                                                 const SubmissionSpec& spec) {
+  std::vector<flatbuffers::Offset<fb::StepSpec>> steps;
+  for (const StepSpec& step : spec.steps) {
+    steps.push_back(PackStep(builder, step));
+  }
+  const auto packed_steps = builder.CreateVector(steps);
+  const auto id = builder.CreateString(spec.id.value);
+  const auto route = builder.CreateString(spec.route.value);
+  const auto command = builder.CreateString(spec.command);
+  return fb::CreateSubmissionSpec(builder, id, route, command, packed_steps,
+                                  spec.repetitions);
+}
+
+Result<SubmissionSpecPtr> UnpackSpec(const fb::SubmissionSpec& packed) {
+  boost::intrusive_ptr<SubmissionSpec> spec(new SubmissionSpec);
+  spec->id = SubmissionId{packed.id()->str()};
+  spec->route = RouteName{packed.route()->str()};
+  spec->command = packed.command()->str();
+  spec->repetitions = packed.repetitions();
+  for (const auto* step : *packed.steps()) {
+    spec->steps.push_back(UnpackStep(*step));
+    const auto& after = spec->steps.back().after;
+    const std::size_t index = spec->steps.size() - 1;
+    if (std::any_of(after.begin(), after.end(),
+                    [index](std::uint32_t earlier) {
+                      return earlier >= index;
+                    })) {
+      return Error{ErrorKind::kBadRequest, "a step waits for a later one"};
+    }
+  }
+  return SubmissionSpecPtr(std::move(spec));
+}
+
+}  // namespace basilspread::wire::submission_codec
--- /dev/null
+++ b/packages/wire/src/work_codec.cc
@@ -0,0 +1,164 @@
+#include "basilspread/wire/work_codec.h"
+
+#include <utility>
+#include <vector>
+
+#include "common.h"
+#include "job_parts.h"
+#include "submission_codec.h"
+
+namespace basilspread::wire {
+namespace {
+
+using Builder = flatbuffers::FlatBufferBuilder;
+
+/// Raised by every change that an older process could misread.
+constexpr std::uint32_t kWorkVersion = 1;
+constexpr std::string_view kSpecPrefix = "s/";
+constexpr std::string_view kProgressPrefix = "p/";
+
+Error Malformed(std::string_view key) {
+  return Error{ErrorKind::kBadRequest,
+               "the record of " + std::string(key) + " is malformed"};
+}
+
+std::string KeyOf(std::string_view prefix, const SubmissionId& id) {
+  return std::string(prefix) + id.value;
+}
+
+std::string Finish(Builder& builder, fb::WorkBody type,
+                   flatbuffers::Offset<void> body) {
+  builder.Finish(fb::CreateWorkRecord(builder, kWorkVersion, type, body));
+  return ToString(builder);
+}
+
+flatbuffers::Offset<fb::QueuePolicy> Pack(Builder& builder,
+                                          const QueuePolicy& policy) {
+  flatbuffers::Offset<fb::AdvicePolicy> advice;
+  if (policy.advice) {
+    advice = fb::CreateAdvicePolicy(builder,
+                                    policy.advice->decision_time.count(),
+                                    policy.advice->time_per_worker.count(),
+                                    policy.advice->ticket_validity.count());
+  }
+  const auto pool = builder.CreateString(policy.pool.value);
+  return fb::CreateQueuePolicy(builder, pool, policy.priority,
+                               policy.max_attempts, policy.stretch,
+                               policy.target_latency.count(), advice);
+}
+
+QueuePolicy Unpack(const fb::QueuePolicy& packed) {
+  QueuePolicy policy;
+  policy.pool = PoolName{packed.pool()->str()};
+  policy.priority = packed.priority();
+  policy.max_attempts = packed.max_attempts();
+  policy.stretch = packed.stretch();
+  policy.target_latency = Duration(packed.target_latency_ns());
+  if (const auto* advice = packed.advice()) {
+    policy.advice = AdvicePolicy{Duration(advice->decision_time_ns()),
+                                 Duration(advice->time_per_worker_ns()),
+                                 Duration(advice->ticket_validity_ns())};
+  }
+  return policy;
+}
+
+/// Writes one kind of record.
+struct Encoder {
+  KeyedRecord operator()(const AcceptedRecord& record) const {
+    Builder builder;
+    const auto spec = submission_codec::PackSpec(builder, *record.spec);
+    const auto policy = Pack(builder, record.policy);
+    const auto body = fb::CreateAcceptedRecord(builder, spec, policy).Union();
+    return {KeyOf(kSpecPrefix, record.spec->id),
+            Finish(builder, fb::WorkBody::AcceptedRecord, body)};
+  }
+
+  KeyedRecord operator()(const ProgressRecord& record) const {
+    Builder builder;
+    std::vector<flatbuffers::Offset<fb::TaskProgress>> tasks;
+    for (const TaskProgress& task : record.tasks) {
+      std::vector<std::uint32_t> failed_runs;
+      for (const Attempt run : task.failed_runs) {
+        failed_runs.push_back(run.value);
+      }
+      const auto failed = builder.CreateVector(failed_runs);
+      tasks.push_back(fb::CreateTaskProgress(builder, task.step, task.index,
+                                             task.succeeded, failed,
+                                             task.run.value));
+    }
+    const auto packed = builder.CreateVector(tasks);
+    const auto body =
+        fb::CreateProgressRecord(
+            builder, static_cast<std::uint8_t>(record.state), packed)
+            .Union();
+    return {KeyOf(kProgressPrefix, record.id),
+            Finish(builder, fb::WorkBody::ProgressRecord, body)};
+  }
+
+  KeyedRecord operator()(const ForgottenRecord& record) const {
+    return {KeyOf(kProgressPrefix, record.id), std::nullopt};
+  }
+
+  KeyedRecord operator()(const SpecDroppedRecord& record) const {
+    return {KeyOf(kSpecPrefix, record.id), std::nullopt};
+  }
+};
+
+Result<WorkRecord> DecodeAccepted(const fb::AcceptedRecord& packed) {
+  BOOST_OUTCOME_TRY(spec, submission_codec::UnpackSpec(*packed.spec()));
+  return WorkRecord(AcceptedRecord{std::move(spec), Unpack(*packed.policy())});
+}
+
+WorkRecord DecodeProgress(SubmissionId id, const fb::ProgressRecord& packed) {
+  ProgressRecord record;
+  record.id = std::move(id);
+  record.state = job_codec::EnumOf(packed.state(), SubmissionState::kCancelled);
+  if (packed.tasks() != nullptr) {
+    for (const auto* task : *packed.tasks()) {
+      TaskProgress progress;
+      progress.step = task->step();
+      progress.index = task->index();
+      progress.succeeded = task->succeeded();
+      progress.run = Attempt{task->run()};
+      if (task->failed_runs() != nullptr) {
+        for (const std::uint32_t run : *task->failed_runs()) {
+          progress.failed_runs.push_back(Attempt{run});
+        }
+      }
+      record.tasks.push_back(std::move(progress));
+    }
+  }
+  return record;
+}
+
+}  // namespace
+
+KeyedRecord EncodeWork(const WorkRecord& record) {
+  return std::visit(Encoder{}, record);
+}
+
+Result<WorkRecord> DecodeWork(std::string_view key, std::string_view value) {
+  flatbuffers::Verifier verifier = MakeVerifier(value);
+  if (!verifier.VerifyBuffer<fb::WorkRecord>(nullptr)) {
+    return Malformed(key);
+  }
+  const auto* record = flatbuffers::GetRoot<fb::WorkRecord>(value.data());
+  if (record->version() != kWorkVersion) {
+    return Error{ErrorKind::kProtocolMismatch,
+                 "the record of " + std::string(key) + " has version " +
+                     std::to_string(record->version())};
+  }
+  const auto* accepted = record->body_as_AcceptedRecord();
+  if (accepted != nullptr && key.starts_with(kSpecPrefix)) {
+    return DecodeAccepted(*accepted);
+  }
+  const auto* progress = record->body_as_ProgressRecord();
+  if (progress != nullptr && key.starts_with(kProgressPrefix)) {
+    return DecodeProgress(
+        SubmissionId{std::string(key.substr(kProgressPrefix.size()))},
+        *progress);
+  }
+  return Malformed(key);
+}
+
+}  // namespace basilspread::wire
