--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -21,6 +21,8 @@
   bool is_known = false;
   /// Number of the fence within the leader's epoch.
   std::uint32_t fence_step = 0;
+  /// The last look had no answer: nothing is started or renewed before one.
+  bool is_silent = false;
   /// Looks that are not answered yet.
   std::uint32_t looks = 0;
   /// Unset: nothing there needs a look.
@@ -50,6 +52,9 @@
   std::set<HostName> listing;
   /// When what the previous leader started, and no look can tell, has ended.
   std::optional<TimePoint> unknown_until;
+  /// When workers whose entries lapsed while the store was away are listed
+  /// again.
+  TimePoint settled_at;
 };
 
 }  // namespace basilspread
--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -60,6 +60,9 @@
   /// The generation that `leader` was read at.
   std::uint64_t leader_generation = 0;
   bool reading_leader = false;
+  /// When the store last failed this process, or the process started: until
+  /// then the store may have been away.
+  TimePoint store_failed_at;
 };
 
 /// The leader's writer of the work log: one append at a time.
@@ -83,7 +86,8 @@
   std::vector<WorkRecord> dropped;
   /// What the append in flight settles.
   std::vector<SubmissionId> settling_accepted;
-  std::set<SubmissionId> settling_changed;
+  /// With the state that each record tells: it may have changed since.
+  std::map<SubmissionId, SubmissionState> settling_changed;
   std::map<HostName, std::uint64_t> settling_ends;
 
   /// Since when the store has refused or not answered; unset: it answers.
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr std::string_view kPart = "fleet";
+/// After an outage of the store, workers whose entries lapsed meanwhile are
+/// back in the list within this time.
+constexpr Duration kSettleTime = std::chrono::milliseconds(2500);
 constexpr Duration kListRetryDelay = std::chrono::milliseconds(150);
 /// A worker is avoided after so many failures in a row, for a time that
 /// doubles with each further one. A task that always fails seldom meets the
@@ -140,6 +143,8 @@
 
 void Start(Context& context) {
   StateOf(context) = FleetState{};
+  StateOf(context).settled_at =
+      context.state.submissions.leadership.store_failed_at + kSettleTime;
   context.Emit(ListFleet{});
 }
 
@@ -288,6 +293,9 @@
 
 bool MayStartInherited(const Context& context) {
   const FleetState& fleet = context.state.submissions.fleet;
+  if (context.now < fleet.settled_at) {
+    return false;
+  }
   return !fleet.unknown_until || context.now >= *fleet.unknown_until ||
          (fleet.is_listed && CountUnknown(context) == 0);
 }
@@ -300,8 +308,8 @@
 
 bool HasRoom(const Context& context, const FleetWorker& worker,
              const Resources& demand) {
-  const bool is_usable = worker.is_known && !worker.unlisted &&
-                         !worker.entry.draining &&
+  const bool is_usable = worker.is_known && !worker.is_silent &&
+                         !worker.unlisted && !worker.entry.draining &&
                          worker.avoided_until <= context.now;
   return is_usable &&
          Fits(demand, worker.entry.capacity - worker.reserved);
--- a/packages/core/src/internal/fleet_looks.cc
+++ b/packages/core/src/internal/fleet_looks.cc
@@ -44,7 +44,8 @@
   look.address = worker.entry.address;
   look.fence = FenceOf(context, worker);
   look.acknowledged = worker.stored_end;
-  look.lease_until = NextLease(context, worker);
+  look.lease_until =
+      worker.is_silent ? WorkerTime::zero() : NextLease(context, worker);
   look.wait = wait;
   worker.told_end = std::max(worker.told_end, worker.stored_end);
   ++worker.looks;
@@ -176,6 +177,7 @@
 void Take(Context& context, FleetWorker& worker, const WorkerLooked& event) {
   const bool is_present = event.fence == FenceOf(context, worker);
   TakeClock(context, worker, event);
+  worker.is_silent = false;
   worker.is_known = worker.is_known || is_present;
   TakeEnds(context, worker, event);
   TakeRunning(context, worker, event);
@@ -192,6 +194,7 @@
 
 void OnFailed(Context& context, FleetWorker& worker,
               const WorkerLooked& event) {
+  worker.is_silent = true;
   if (event.result == OrderResult::kOtherIncarnation) {
     LoseRuns(context, worker, "another worker has its address");
     worker.leased_until.reset();
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -82,7 +82,10 @@
 
 }  // namespace
 
-void Start(Context& context) { OnTimer(context); }
+void Start(Context& context) {
+  StateOf(context).store_failed_at = context.now;
+  OnTimer(context);
+}
 
 void OnTimer(Context& context) {
   Join(context);
@@ -101,7 +104,11 @@
 void OnJoined(Context& context, const GroupJoined& event) {
   LeadershipState& state = StateOf(context);
   state.joining = false;
-  if (!event.ok || context.state.stopping) {
+  if (!event.ok) {
+    state.store_failed_at = context.now;
+    return;
+  }
+  if (context.state.stopping) {
     return;
   }
   const bool has_changed = state.generation != event.generation;
--- a/packages/core/src/internal/submission_service.cc
+++ b/packages/core/src/internal/submission_service.cc
@@ -190,9 +190,10 @@
   }
 }
 
-void OnChangeStored(Context& context, const SubmissionId& id) {
+void OnChangeStored(Context& context, const SubmissionId& id,
+                    SubmissionState state) {
   Submission* submission = submission_progress::Find(context, id);
-  if (submission == nullptr || !HasEnded(submission->state)) {
+  if (submission == nullptr || !HasEnded(state)) {
     return;
   }
   submission->is_stored = true;
--- a/packages/core/src/internal/submission_service.h
+++ b/packages/core/src/internal/submission_service.h
@@ -14,8 +14,9 @@
 void OnAccepted(Context& context, const SubmissionId& id);
 /// It is not stored and never will be.
 void OnNotAccepted(Context& context, const SubmissionId& id, ErrorKind kind);
-/// What changed in a submission is stored.
-void OnChangeStored(Context& context, const SubmissionId& id);
+/// The submission is stored as being in `state`.
+void OnChangeStored(Context& context, const SubmissionId& id,
+                    SubmissionState state);
 /// Forgets submissions that ended long ago.
 void OnTimer(Context& context);
 
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -121,11 +121,11 @@
       continue;
     }
     append.records.emplace_back(Describe(*found->second));
+    state.log.settling_changed[id] = found->second->state;
     if (HasEnded(found->second->state)) {
       append.records.emplace_back(SpecDroppedRecord{id});
     }
   }
-  state.log.settling_changed = std::move(state.log.changed);
   state.log.changed.clear();
 }
 
@@ -154,8 +154,8 @@
   for (const SubmissionId& id : accepted) {
     service::OnAccepted(context, id);
   }
-  for (const SubmissionId& id : changed) {
-    service::OnChangeStored(context, id);
+  for (const auto& [id, state] : changed) {
+    service::OnChangeStored(context, id, state);
   }
   Pump(context);
 }
@@ -166,8 +166,9 @@
   WorkLogState& log = StateOf(context).log;
   log.in_flight.reset();
   log.settling_ends.clear();
-  log.changed.merge(log.settling_changed);
-  log.settling_changed.clear();
+  for (const auto& [id, state] : std::exchange(log.settling_changed, {})) {
+    log.changed.insert(id);
+  }
   for (const SubmissionId& id : std::exchange(log.settling_accepted, {})) {
     service::OnNotAccepted(context, id, ErrorKind::kLogUnavailable);
   }
--- a/packages/node/src/http_loop.cc
+++ b/packages/node/src/http_loop.cc
@@ -66,6 +66,7 @@
   {
     const std::lock_guard lock(this->mutex);
     this->stop_at = Now() + bound;
+    this->ending = true;
   }
   this->Drain();
   this->thread.join();
@@ -213,8 +214,8 @@
     this->Watch(connection);
     return;
   }
-  if (this->draining) {
-    // The control thread may have ended: nobody else would answer.
+  if (this->ending) {
+    // The control thread has ended: nobody else would answer.
     connection->Answer(*MakeErrorResponse(ErrorKind::kStopping, ""), false);
     this->Enter(connection, ConnectionPhase::kWriting);
     this->Write(connection);
--- a/packages/node/src/http_loop.h
+++ b/packages/node/src/http_loop.h
@@ -67,11 +67,12 @@
   /// From any thread.
   void Wind();
 
-  /// From now on new connections and requests are refused, and every answer
-  /// ends its connection. From any thread.
+  /// From now on new connections are refused, and every answer ends its
+  /// connection. From any thread.
   void Drain();
 
   /// Serves what is in progress for at most `bound`, then ends the thread.
+  /// Requests that come meanwhile are refused.
   void Stop(Duration bound);
 
   std::size_t ConnectionCount() const { return this->connection_count; }
@@ -115,6 +116,7 @@
   std::atomic<std::size_t> connection_count = 0;
   std::atomic<bool> winding = false;
   std::atomic<bool> draining = false;
+  std::atomic<bool> ending = false;
   std::mutex mutex;
   std::vector<PendingAnswer> answers;
   /// Set by Stop: when the thread gives up.
