Answer every caller of a process that stops, and test the new concerns

The tests run several reducers with stand-ins of the store, the workers and the advisor under virtual time (packages/core/tests/support/store_world.h).

--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -73,6 +73,8 @@
   /// The append that is not settled yet; repeated until it is.
   std::optional<AppendWork> in_flight;
   bool is_waiting = false;
+  /// A timer is armed for the next append; later events do not put it off.
+  bool is_due = false;
   /// An earlier try of it may have been carried out.
   bool may_be_stored = false;
   /// Repeats wait until then.
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -147,7 +147,9 @@
   std::map<std::uint64_t, ProcessId> asked_for;
   bool placement_due = false;
   TimePoint next_report;
-  /// When a stop no longer waits for open calls.
+  /// Of a stop: from when on callers are refused, and when it no longer waits
+  /// for open calls.
+  TimePoint refuse_from;
   TimePoint stop_by;
   TimePoint next_forget;
 };
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "internal/fleet.h"
+#include "internal/step_placement.h"
 #include "internal/submission_calls.h"
 #include "internal/work_log.h"
 
@@ -220,6 +221,9 @@
     fleet::HoldInherited(context);
   }
   Enter(context, LeaderPhase::kLeading);
+  // What the looks brought up is stored and placed from here on.
+  work_log::Pump(context);
+  step_placement::Request(context);
   submission_calls::OnLeading(context);
 }
 
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -147,6 +147,9 @@
 
 void OnArrived(Context& context, const SubmissionCallArrived& event) {
   SubmissionsState& state = StateOf(context);
+  if (context.state.stopping && context.now >= state.refuse_from) {
+    return Refuse(context, event.call, ErrorKind::kStopping);
+  }
   if (!queue_tables::IsKnown(context)) {
     return Refuse(context, event.call, ErrorKind::kNotReady);
   }
@@ -177,6 +180,9 @@
     return Refuse(context, event.call, ErrorKind::kOverloaded);
   }
   call.deadline = context.now + event.time_left - kAnswerMargin;
+  if (context.state.stopping) {
+    call.deadline = std::min(call.deadline, state.stop_by);
+  }
   OpenCall& open = state.calls[event.call];
   open = std::move(call);
   Send(context, open);
@@ -294,10 +300,14 @@
   context.Log(LogLevel::kInfo, kPart, "A stop was requested.");
   context.Emit(SetReadiness{false});
   leadership::Leave(context);
-  StateOf(context).stop_by = context.now +
-                             context.state.settings.store.stop_grace -
-                             kExitMargin;
-  context.ArmIn(TimerKind::kStop, context.state.settings.store.drain_time);
+  SubmissionsState& state = StateOf(context);
+  const StoreSettings& settings = context.state.settings.store;
+  state.refuse_from = context.now + settings.drain_time;
+  state.stop_by = context.now + settings.stop_grace - kExitMargin;
+  ForEachOpen(context, [&state](CallId /*id*/, OpenCall& call) {
+    call.deadline = std::min(call.deadline, state.stop_by);
+  });
+  context.ArmIn(TimerKind::kStop, settings.drain_time);
 }
 
 void OnStopTimer(Context& context) {
@@ -305,7 +315,8 @@
   // By now the balancer has taken this process out; what still comes is
   // refused at once, so that the open calls come to an end.
   context.Emit(RefuseCallers{});
-  if (state.calls.empty() || context.now >= state.stop_by) {
+  const bool is_over = context.now >= state.stop_by + kCheckInterval;
+  if (state.calls.empty() || is_over) {
     context.Emit(ExitProcess{});
     return;
   }
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -16,6 +16,8 @@
 /// Appends begin this far apart at least, so that records share calls: the
 /// store's calls are limited and a caller waits half of it on average.
 constexpr Duration kAppendSpacing = std::chrono::milliseconds(15);
+/// Events of one look or one burst come within this time.
+constexpr Duration kGatherTime = std::chrono::milliseconds(2);
 /// Delay before an append that was refused or lost is repeated; doubles.
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(40);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(640);
@@ -89,6 +91,18 @@
   log.retry_delay = Duration::zero();
 }
 
+/// An append begins once the events that come together are handled.
+void PumpSoon(Context& context) {
+  WorkLogState& log = StateOf(context).log;
+  if (leadership::IsLeading(context) && !log.in_flight && !log.is_due) {
+    log.is_due = true;
+    context.Emit(SetTimer{TimerKind::kWorkLog,
+                          std::max({context.now + kGatherTime,
+                                    log.last_sent + kAppendSpacing,
+                                    log.not_before})});
+  }
+}
+
 /// Which ends of workers are stored with the append that is being made.
 void SettleEnds(Context& context) {
   SubmissionsState& state = StateOf(context);
@@ -214,17 +228,17 @@
 void Accept(Context& context, const Submission& submission) {
   StateOf(context).log.accepted.emplace_back(
       AcceptedRecord{submission.spec, submission.policy});
-  Pump(context);
+  PumpSoon(context);
 }
 
 void Change(Context& context, const SubmissionId& id) {
   StateOf(context).log.changed.insert(id);
-  Pump(context);
+  PumpSoon(context);
 }
 
 void Forget(Context& context, const SubmissionId& id) {
   StateOf(context).log.accepted.emplace_back(ForgottenRecord{id});
-  Pump(context);
+  PumpSoon(context);
 }
 
 void Pump(Context& context) {
@@ -292,7 +306,8 @@
 }
 
 void OnTimer(Context& context) {
-  const WorkLogState& log = StateOf(context).log;
+  WorkLogState& log = StateOf(context).log;
+  log.is_due = false;
   if (log.in_flight && !log.is_waiting && context.now >= log.not_before) {
     Send(context);
     return;
--- /dev/null
+++ b/packages/core/tests/fleet_test.cc
@@ -0,0 +1,60 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+#include "support/store_world.h"
+
+namespace basilspread::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kFirst = "00000000000000c1";
+
+struct World : StoreWorld {
+  World() : StoreWorld(2, {"w1", "w2"}) { REQUIRE(this->Leader() >= 0); }
+};
+
+TEST_CASE("Runs of a worker that left start elsewhere", "[fleet]") {
+  World world;
+  world.run_time = seconds(2);
+  world.Submit(0, kFirst, {Tasks(5)});
+  world.Run(milliseconds(500));
+  world.RemoveWorker("w1");
+  // A lease, its margins, and the run itself.
+  world.Run(seconds(12));
+  CHECK(world.StatusOf(0, kFirst) == SubmissionState::kCompleted);
+  CHECK(world.faults.empty());
+}
+
+TEST_CASE("Runs of a worker that is cut off start elsewhere once they lapsed",
+          "[fleet]") {
+  World world;
+  world.run_time = seconds(20);
+  world.Submit(0, kFirst, {Tasks(1)});
+  world.Run(milliseconds(500));
+  const std::string holder = world.Worker("w1").runs.empty() ? "w2" : "w1";
+  world.Worker(holder).is_silent = true;
+  world.Run(seconds(4));
+  CHECK(world.Starts(kFirst) == 1);
+  world.Run(seconds(6));
+  CHECK(world.Starts(kFirst) == 2);
+  CHECK(world.faults.empty());
+}
+
+TEST_CASE("An order that is carried out late starts nothing twice",
+          "[fleet]") {
+  World world;
+  world.run_time = seconds(3);
+  world.start_delay = seconds(2);
+  world.Submit(0, kFirst, {Tasks(2)});
+  world.Run(milliseconds(400));
+  world.start_delay = Duration::zero();
+  world.Run(seconds(8));
+  CHECK(world.StatusOf(0, kFirst) == SubmissionState::kCompleted);
+  CHECK(world.faults.empty());
+}
+
+}  // namespace
+}  // namespace basilspread::test
--- /dev/null
+++ b/packages/core/tests/leadership_test.cc
@@ -0,0 +1,123 @@
+#include "basilspread/core/leadership.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+#include "support/store_world.h"
+
+namespace basilspread::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kFirst = "00000000000000b1";
+const std::string kSecond = "00000000000000b2";
+
+struct World : StoreWorld {
+  World() : StoreWorld(3, {"w1", "w2", "w3", "w4"}) { REQUIRE(this->Leader() >= 0); }
+};
+
+/// Kills the leader and waits for the next one.
+void ReplaceLeader(StoreWorld& world) {
+  world.Kill(world.Leader());
+  world.Run(seconds(2));
+  REQUIRE(world.Leader() >= 0);
+}
+
+TEST_CASE("A member's text is read back", "[leadership]") {
+  const GroupMember member{{NodeName{"node-1"}, 77}, "10.0.0.1:7000"};
+  CHECK(ParseGroupMember(ToString(member)) == member);
+  CHECK_FALSE(ParseGroupMember("node-1"));
+  CHECK_FALSE(ParseGroupMember("node-1/x/10.0.0.1:7000"));
+  CHECK_FALSE(ParseGroupMember(""));
+}
+
+TEST_CASE("A killed leader is replaced within two seconds", "[leadership]") {
+  World world;
+  const int before = world.Leader();
+  world.Kill(before);
+  world.Run(seconds(2));
+  CHECK(world.Leader() >= 0);
+  CHECK(world.Leader() != before);
+}
+
+TEST_CASE("A new leader takes over what runs, and starts nothing twice",
+          "[leadership]") {
+  World world;
+  world.run_time = seconds(4);
+  world.Submit(0, kFirst, {Tasks(6)});
+  world.Run(milliseconds(500));
+  ReplaceLeader(world);
+  world.Run(seconds(5));
+  CHECK(world.StatusOf(world.Leader(), kFirst) == SubmissionState::kCompleted);
+  for (std::uint32_t i = 0; i < 6; ++i) {
+    CHECK(world.Starts(kFirst, 0, i) == 1);
+  }
+  CHECK(world.faults.empty());
+}
+
+TEST_CASE("Ends that the last leader did not store count at the next",
+          "[leadership]") {
+  World world;
+  world.end_of = [](const RunName&) { return RunEnd::kFailed; };
+  world.Submit(0, kFirst, {Tasks(1)});
+  world.Run(milliseconds(300));
+  // From here on nothing is stored, and the second run fails.
+  world.store_is_down = true;
+  world.Run(milliseconds(300));
+  world.Kill(world.Leader());
+  world.store_is_down = false;
+  world.Run(seconds(8));
+  REQUIRE(world.Leader() >= 0);
+  CHECK(world.StatusOf(world.Leader(), kFirst) == SubmissionState::kFailed);
+  CHECK(world.Starts(kFirst) == 3);
+}
+
+TEST_CASE("After an outage, inherited tasks wait for workers to be listed",
+          "[leadership]") {
+  World world;
+  world.run_time = seconds(5);
+  world.Submit(0, kFirst, {Tasks(4)});
+  world.Run(milliseconds(500));
+  world.store_is_down = true;
+  world.Run(seconds(2));
+  // Every entry has lapsed meanwhile; the workers go on.
+  std::vector<std::string> names = {"w1", "w2", "w3", "w4"};
+  world.Kill(world.Leader());
+  for (const std::string& name : names) {
+    world.Worker(name).is_unlisted = true;
+  }
+  world.store_is_down = false;
+  world.Run(milliseconds(1500));
+  for (const std::string& name : names) {
+    world.Relist(name);
+  }
+  world.Run(seconds(6));
+  CHECK(world.faults.empty());
+  CHECK(world.StatusOf(world.Leader(), kFirst) == SubmissionState::kCompleted);
+}
+
+TEST_CASE("A run that nobody knows occupies room until it has ended",
+          "[leadership]") {
+  World world;
+  world.run_time = seconds(3);
+  world.Submit(0, kFirst, {Tasks(16)});
+  world.Run(milliseconds(500));
+  const CallId cancel =
+      world.Ask(world.Leader(), SubmissionOperation::kCancel, kFirst);
+  for (const char* name : {"w1", "w2", "w3", "w4"}) {
+    world.Worker(name).ignores_stops = true;
+  }
+  world.Run(milliseconds(200));
+  REQUIRE(world.AnswerTo(cancel));
+  ReplaceLeader(world);
+  world.Submit(world.Leader(), kSecond, {Tasks(16)});
+  world.Run(seconds(6));
+  CHECK(world.faults.empty());
+  CHECK(world.StatusOf(world.Leader(), kSecond) != SubmissionState::kQueued);
+}
+
+}  // namespace
+}  // namespace basilspread::test
--- /dev/null
+++ b/packages/core/tests/submissions_test.cc
@@ -0,0 +1,184 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+#include "support/store_world.h"
+
+namespace basilspread::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kFirst = "00000000000000a1";
+const std::string kSecond = "00000000000000a2";
+
+struct World : StoreWorld {
+  World() : StoreWorld(3, {"w1", "w2", "w3", "w4"}) { REQUIRE(this->Leader() >= 0); }
+};
+
+int Follower(const StoreWorld& world) { return world.Leader() == 0 ? 1 : 0; }
+
+bool IsOk(const StoreWorld& world, CallId call) {
+  const auto answer = world.AnswerTo(call);
+  return answer && answer->kind == ErrorKind::kNone;
+}
+
+TEST_CASE("A submission at any process runs to its end", "[submissions]") {
+  World world;
+  StepSpec second = Tasks(3);
+  second.after = {0};
+  const CallId call =
+      world.Submit(Follower(world), kFirst, {Tasks(5), second});
+  world.Run(seconds(2));
+  CHECK(IsOk(world, call));
+  CHECK(world.StatusOf(Follower(world), kFirst) ==
+        SubmissionState::kCompleted);
+  for (std::uint32_t i = 0; i < 5; ++i) {
+    CHECK(world.Starts(kFirst, 0, i) == 1);
+  }
+  CHECK(world.Starts(kFirst, 1, 2) == 1);
+  CHECK(world.faults.empty());
+}
+
+TEST_CASE("The same id is one submission at any process", "[submissions]") {
+  World world;
+  for (int node = 0; node < 3; ++node) {
+    world.Submit(node, kFirst, {Tasks(1)});
+  }
+  world.Run(seconds(1));
+  const CallId again = world.Submit(1, kFirst, {Tasks(1)});
+  world.Run(seconds(1));
+  CHECK(IsOk(world, again));
+  CHECK(world.Starts(kFirst) == 1);
+}
+
+TEST_CASE("A gang starts as a whole", "[submissions]") {
+  World world;
+  StepSpec gang = Tasks(12);
+  gang.gang = true;
+  world.run_time = seconds(1);
+  world.Submit(0, kSecond, {Tasks(8)});
+  world.Run(milliseconds(300));
+  world.Submit(0, kFirst, {gang});
+  world.Run(milliseconds(500));
+  CHECK(world.Starts(kFirst, 0, 0) == 0);
+  world.Run(seconds(4));
+  CHECK(world.StatusOf(0, kFirst) == SubmissionState::kCompleted);
+  CHECK(world.faults.empty());
+}
+
+TEST_CASE("A submission whose task always fails has failed", "[submissions]") {
+  World world;
+  world.end_of = [](const RunName& name) {
+    return name.task.submission.value == kFirst ? RunEnd::kFailed
+                                                : RunEnd::kSucceeded;
+  };
+  SECTION("a single task") { world.Submit(0, kFirst, {Tasks(1)}); }
+  SECTION("a gang") {
+    StepSpec gang = Tasks(2);
+    gang.gang = true;
+    world.Submit(0, kFirst, {gang});
+  }
+  world.Run(seconds(3));
+  CHECK(world.StatusOf(0, kFirst) == SubmissionState::kFailed);
+  CHECK(world.Starts(kFirst) == 3);
+}
+
+TEST_CASE("Only workers that the advisor allows are used", "[submissions]") {
+  World world;
+  world.is_allowed = [](const HostName& worker) {
+    return worker.value == "w3";
+  };
+  world.run_time = seconds(1);
+  world.Submit(0, kFirst, {Tasks(4)});
+  world.Run(milliseconds(700));
+  CHECK(world.Worker("w3").runs.size() == 4);
+}
+
+TEST_CASE("Parts that are not built are refused, not accepted",
+          "[submissions]") {
+  World world;
+  StepSpec step = Tasks(1);
+  SECTION("steps that last") { step.long_running = true; }
+  SECTION("steps that fill idle room") { step.fills_idle_cpu = true; }
+  const CallId call = world.Submit(0, kFirst, {step});
+  REQUIRE(world.AnswerTo(call));
+  CHECK(world.AnswerTo(call)->kind == ErrorKind::kNotSupported);
+}
+
+TEST_CASE("A cancel is told once its own record is stored", "[submissions]") {
+  World world;
+  world.run_time = milliseconds(100);
+  StepSpec second = Tasks(1);
+  second.after = {0};
+  world.Submit(world.Leader(), kFirst, {Tasks(1), second});
+  while (world.Starts(kFirst, 1, 0) == 0) {
+    world.Run(milliseconds(5));
+  }
+  // The end of the first step is being stored just now.
+  const CallId cancel =
+      world.Ask(world.Leader(), SubmissionOperation::kCancel, kFirst);
+  while (!world.AnswerTo(cancel)) {
+    world.Run(milliseconds(5));
+  }
+  CHECK(IsOk(world, cancel));
+  world.Kill(world.Leader());
+  world.Run(seconds(6));
+  REQUIRE(world.Leader() >= 0);
+  CHECK(world.StatusOf(world.Leader(), kFirst) == SubmissionState::kCancelled);
+}
+
+TEST_CASE("An append whose answer is lost is settled by repeating it",
+          "[submissions]") {
+  World world;
+  world.appends_lose_answers = true;
+  const CallId call = world.Submit(Follower(world), kFirst, {Tasks(1)});
+  world.Run(milliseconds(900));
+  CHECK_FALSE(world.AnswerTo(call));
+  world.appends_lose_answers = false;
+  world.Run(seconds(2));
+  CHECK(IsOk(world, call));
+  CHECK(world.StatusOf(0, kFirst) == SubmissionState::kCompleted);
+  CHECK(world.Starts(kFirst) == 1);
+}
+
+TEST_CASE("What the store refused is told as not run", "[submissions]") {
+  World world;
+  world.appends_are_refused = true;
+  const CallId call = world.Submit(Follower(world), kFirst, {Tasks(1)});
+  world.Run(milliseconds(200));
+  REQUIRE(world.AnswerTo(call));
+  CHECK(world.AnswerTo(call)->kind == ErrorKind::kLogUnavailable);
+  CHECK(world.AnswerTo(call)->retry_after > Duration::zero());
+  world.appends_are_refused = false;
+  world.Run(seconds(3));
+  CHECK(world.Starts(kFirst) == 0);
+}
+
+TEST_CASE("What may be stored is not told as not run", "[submissions]") {
+  World world;
+  world.store_is_down = true;
+  const CallId call = world.Submit(Follower(world), kFirst, {Tasks(1)});
+  world.Run(seconds(4));
+  REQUIRE(world.AnswerTo(call));
+  CHECK(world.AnswerTo(call)->kind == ErrorKind::kOutcomeUnknown);
+}
+
+TEST_CASE("A process that stops answers every caller", "[submissions]") {
+  World world;
+  const int node = Follower(world);
+  world.Stop(node);
+  world.store_is_down = true;
+  const CallId early = world.Submit(node, kFirst, {Tasks(1)});
+  world.Run(milliseconds(2500));
+  const CallId late = world.Submit(node, kSecond, {Tasks(1)});
+  REQUIRE(world.AnswerTo(late));
+  CHECK(world.AnswerTo(late)->kind == ErrorKind::kStopping);
+  // Before the process is killed.
+  world.Run(milliseconds(3000));
+  CHECK(world.AnswerTo(early));
+}
+
+}  // namespace
+}  // namespace basilspread::test
--- /dev/null
+++ b/packages/core/tests/support/store_world.cc
@@ -0,0 +1,564 @@
+#include "support/store_world.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "basilspread/core/hooks.h"
+
+namespace basilspread::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kCallTime = milliseconds(2);
+constexpr Duration kAppendTime = milliseconds(9);
+constexpr Duration kTimeout = milliseconds(800);
+/// A process that has just started places no inherited work for 2.5 s.
+constexpr Duration kSettleTime = seconds(5);
+constexpr Duration kTick = milliseconds(5);
+const Resources kCapacity{4000, 4096, 0};
+const Resources kDemand{1000, 256, 0};
+
+QueueTables MakeTables() {
+  QueueRoute route;
+  route.name = RouteName{"plans"};
+  route.authority = "cluster";
+  route.path_prefix = "/plans/";
+  route.policy.pool = PoolName{"pool"};
+  route.policy.max_attempts = 3;
+  route.policy.stretch = 2.0;
+  route.policy.target_latency = seconds(1);
+  route.policy.advice =
+      AdvicePolicy{milliseconds(5), milliseconds(1), milliseconds(1500)};
+  QueueTables tables;
+  tables.version = TablesVersion{1};
+  tables.routes = {route};
+  return tables;
+}
+
+Settings MakeSettings(int index) {
+  Settings settings;
+  settings.self.node = NodeName{"node-" + std::to_string(index)};
+  settings.self.incarnation = static_cast<std::uint64_t>(index) + 1;
+  settings.peer_address = "127.0.0.1:" + std::to_string(9000 + index);
+  settings.store.enabled = true;
+  return settings;
+}
+
+std::string KeyOf(const WorkRecord& record) {
+  if (const auto* accepted = std::get_if<AcceptedRecord>(&record)) {
+    return "s/" + accepted->spec->id.value;
+  }
+  if (const auto* progress = std::get_if<ProgressRecord>(&record)) {
+    return "p/" + progress->id.value;
+  }
+  if (const auto* dropped = std::get_if<SpecDroppedRecord>(&record)) {
+    return "s/" + dropped->id.value;
+  }
+  return "p/" + std::get<ForgottenRecord>(record).id.value;
+}
+
+bool IsDrop(const WorkRecord& record) {
+  return std::holds_alternative<ForgottenRecord>(record) ||
+         std::holds_alternative<SpecDroppedRecord>(record);
+}
+
+std::string Describe(const StepTask& task) {
+  return task.submission.value + "." + std::to_string(task.step) + "." +
+         std::to_string(task.index);
+}
+
+}  // namespace
+
+struct StoreWorld::Node {
+  Node(int node_index, const Settings& settings)
+      : index(node_index), state(settings, DefaultHooks()) {}
+
+  int index;
+  State state;
+  bool is_up = true;
+  std::map<TimerKind, TimePoint> timers;
+};
+
+/// Carries out the effects of one node.
+struct StoreWorld::Deliver {
+  StoreWorld& world;
+  Node& node;
+
+  void operator()(const SetTimer& effect) const {
+    this->node.timers[effect.kind] = effect.at;
+    StoreWorld* target = &this->world;
+    Node* owner = &this->node;
+    target->In(effect.at - target->now, [target, owner, effect] {
+      const auto timer = owner->timers.find(effect.kind);
+      if (timer != owner->timers.end() && timer->second == effect.at) {
+        owner->timers.erase(timer);
+        target->Post(owner->index, TimerFired{effect.kind});
+      }
+    });
+  }
+
+  void operator()(const JoinGroup& effect) const {
+    GroupJoined joined;
+    joined.sent_at = this->world.now;
+    if (this->world.store_is_down) {
+      this->world.PostIn(this->node.index, kTimeout, joined);
+      return;
+    }
+    const bool is_new = !this->world.members.contains(effect.member);
+    this->world.members[effect.member] =
+        this->world.now + effect.time_to_live;
+    this->world.generation += is_new ? 1 : 0;
+    this->world.DealLeadership();
+    joined.ok = true;
+    joined.generation = this->world.generation;
+    joined.leads = this->world.leader_member == effect.member;
+    this->world.PostIn(this->node.index, kCallTime, joined);
+  }
+
+  void operator()(const LeaveGroup& effect) const {
+    this->world.members.erase(effect.member);
+    this->world.DealLeadership();
+  }
+
+  void operator()(const ReadLeader& /*effect*/) const {
+    const bool ok = !this->world.store_is_down;
+    this->world.PostIn(this->node.index, ok ? kCallTime : kTimeout,
+                       LeaderRead{ok, this->world.leader_member});
+  }
+
+  void operator()(const AppendWork& effect) const {
+    this->world.Append(this->node.index, effect);
+  }
+
+  void operator()(const ListWork& /*effect*/) const {
+    WorkListed listed;
+    listed.ok = !this->world.store_is_down;
+    for (const auto& [key, record] : this->world.log) {
+      listed.records.push_back(record);
+    }
+    this->world.PostIn(this->node.index, listed.ok ? kCallTime : kTimeout,
+                       std::move(listed));
+  }
+
+  void operator()(const ReadTables& /*effect*/) const {
+    TablesRead read;
+    read.ok = true;
+    read.tables = MakeTables();
+    this->world.PostIn(this->node.index, kCallTime, std::move(read));
+  }
+
+  void operator()(const ListFleet& /*effect*/) const {
+    FleetRead read;
+    read.ok = !this->world.store_is_down;
+    read.is_listing = true;
+    for (const auto& [name, worker] : this->world.workers) {
+      if (!worker.is_gone && !worker.is_unlisted) {
+        read.entries.push_back(worker.entry);
+      }
+    }
+    this->world.PostIn(this->node.index, kCallTime, std::move(read));
+  }
+
+  void operator()(const LookAtWorker& effect) const {
+    this->world.Look(this->node.index, effect, this->world.now,
+                     this->world.now + effect.wait);
+  }
+
+  void operator()(const StartRun& effect) const {
+    StoreWorld* target = &this->world;
+    RunOrdered ordered{effect.worker, effect.fence, effect.name, false,
+                       OrderResult::kUnknown};
+    if (target->start_delay > Duration::zero()) {
+      target->In(target->start_delay,
+                 [target, effect] { target->Start(effect); });
+      target->PostIn(this->node.index, kTimeout, ordered);
+      return;
+    }
+    ordered.result = target->Start(effect);
+    const bool is_lost = ordered.result == OrderResult::kUnknown;
+    target->PostIn(this->node.index, is_lost ? kTimeout : kCallTime, ordered);
+  }
+
+  void operator()(const StopRun& effect) const {
+    WorldWorker& worker = this->world.workers.at(effect.worker);
+    const auto run = worker.runs.find(effect.name.task);
+    const bool is_heard =
+        !worker.is_gone && !worker.is_silent && !worker.ignores_stops;
+    if (is_heard && effect.fence >= worker.fence &&
+        run != worker.runs.end() && run->second.run == effect.name.run) {
+      this->world.End(worker, effect.name.task, RunEnd::kStopped);
+    }
+  }
+
+  void operator()(const AskAdvice& effect) const {
+    AdviceGiven given{effect.number, true, {}, milliseconds(1500)};
+    for (const HostName& worker : effect.workers) {
+      if (!this->world.is_allowed || this->world.is_allowed(worker)) {
+        given.tickets.push_back({worker, "ticket"});
+      }
+    }
+    this->world.PostIn(this->node.index, milliseconds(8), std::move(given));
+  }
+
+  void operator()(const AnswerSubmissionCaller& effect) const {
+    this->world.answers[effect.answer.call] = effect.answer;
+  }
+
+  void operator()(const SendToPeer& effect) const {
+    for (const auto& peer : this->world.nodes) {
+      if (peer->state.settings.self.node == effect.peer && peer->is_up) {
+        this->world.PostIn(
+            peer->index, kCallTime,
+            PeerReceived{this->node.state.settings.self, effect.message});
+      }
+    }
+  }
+
+  void operator()(const ConnectPeer& effect) const {
+    this->world.PostIn(this->node.index, kCallTime,
+                       PeerLinkChanged{effect.peer, true});
+  }
+
+  template <typename Other>
+  void operator()(const Other& /*effect*/) const {}
+};
+
+StoreWorld::StoreWorld(int count,
+                       const std::vector<std::string>& worker_names) {
+  for (const std::string& name : worker_names) {
+    this->AddWorker(name);
+  }
+  for (int i = 0; i < count; ++i) {
+    this->nodes.push_back(std::make_unique<Node>(i, MakeSettings(i)));
+  }
+  for (int i = 0; i < count; ++i) {
+    this->PostIn(i, milliseconds(i), Started{});
+  }
+  this->Run(kSettleTime);
+}
+
+StoreWorld::~StoreWorld() = default;
+
+void StoreWorld::AddWorker(const std::string& name) {
+  WorldWorker& worker = this->workers[HostName{name}];
+  worker.entry.name = HostName{name};
+  worker.entry.pool = PoolName{"pool"};
+  worker.entry.address = "127.0.0.1:1";
+  worker.entry.capacity = kCapacity;
+  worker.entry.incarnation = 1;
+  worker.started = this->now;
+}
+
+WorldWorker& StoreWorld::Worker(const std::string& name) {
+  return this->workers.at(HostName{name});
+}
+
+void StoreWorld::Relist(const std::string& name) {
+  WorldWorker& worker = this->Worker(name);
+  worker.is_unlisted = false;
+  FleetRead read;
+  read.ok = true;
+  read.entries = {worker.entry};
+  for (const auto& node : this->nodes) {
+    this->PostIn(node->index, kCallTime, read);
+  }
+}
+
+void StoreWorld::RemoveWorker(const std::string& name) {
+  WorldWorker& worker = this->Worker(name);
+  worker.is_gone = true;
+  worker.runs.clear();
+  FleetRead read;
+  read.ok = true;
+  read.removed = {HostName{name}};
+  for (const auto& node : this->nodes) {
+    this->PostIn(node->index, kCallTime, read);
+  }
+}
+
+CallId StoreWorld::Submit(int node, const std::string& id,
+                          std::vector<StepSpec> steps) {
+  SubmissionCallArrived call;
+  call.call = CallId{++this->last_call};
+  call.operation = SubmissionOperation::kSubmit;
+  call.authority = "cluster";
+  call.path = "/plans/" + id;
+  call.time_left = seconds(3);
+  call.spec.reset(new SubmissionSpec);
+  call.spec->command = "run";
+  call.spec->steps = std::move(steps);
+  const CallId number = call.call;
+  this->Post(node, std::move(call));
+  return number;
+}
+
+CallId StoreWorld::Ask(int node, SubmissionOperation operation,
+                       const std::string& id) {
+  SubmissionCallArrived call;
+  call.call = CallId{++this->last_call};
+  call.operation = operation;
+  call.authority = "cluster";
+  call.path = "/plans/" + id;
+  call.time_left = seconds(3);
+  const CallId number = call.call;
+  this->Post(node, std::move(call));
+  return number;
+}
+
+std::optional<SubmissionAnswer> StoreWorld::AnswerTo(CallId call) const {
+  const auto answer = this->answers.find(call);
+  return answer == this->answers.end()
+             ? std::nullopt
+             : std::optional<SubmissionAnswer>(answer->second);
+}
+
+std::optional<SubmissionState> StoreWorld::StatusOf(int node,
+                                                    const std::string& id) {
+  const CallId call = this->Ask(node, SubmissionOperation::kStatus, id);
+  this->Run(seconds(1));
+  const auto answer = this->AnswerTo(call);
+  if (!answer || answer->kind != ErrorKind::kNone) {
+    return std::nullopt;
+  }
+  return answer->state;
+}
+
+void StoreWorld::Run(Duration duration) {
+  const TimePoint end = this->now + duration;
+  while (this->now < end) {
+    this->now += kTick;
+    this->AdvanceWorkers();
+    while (!this->pending.empty() && this->pending.begin()->at <= this->now) {
+      const auto action = this->pending.begin()->action;
+      this->pending.erase(this->pending.begin());
+      action();
+    }
+  }
+}
+
+void StoreWorld::Kill(int node) {
+  this->nodes.at(static_cast<std::size_t>(node))->is_up = false;
+}
+
+void StoreWorld::Stop(int node) { this->Post(node, StopRequested{}); }
+
+int StoreWorld::Leader() const {
+  for (const auto& node : this->nodes) {
+    const LeaderPhase phase = node->state.submissions.leadership.phase;
+    if (node->is_up && phase == LeaderPhase::kLeading) {
+      return node->index;
+    }
+  }
+  return -1;
+}
+
+const State& StoreWorld::StateOf(int node) const {
+  return this->nodes.at(static_cast<std::size_t>(node))->state;
+}
+
+int StoreWorld::Starts(const std::string& id, std::uint32_t step,
+                       std::uint32_t index) const {
+  const auto count = this->starts.find({SubmissionId{id}, step, index});
+  return count == this->starts.end() ? 0 : count->second;
+}
+
+void StoreWorld::In(Duration delay, std::function<void()> action) {
+  this->pending.insert(
+      {this->now + delay, ++this->last_pending, std::move(action)});
+}
+
+void StoreWorld::Post(int index, EventBody body) {
+  Node& node = *this->nodes.at(static_cast<std::size_t>(index));
+  if (!node.is_up) {
+    return;
+  }
+  for (const Effect& effect :
+       Reduce(node.state, Event{this->now, std::move(body)})) {
+    std::visit(Deliver{*this, node}, effect);
+  }
+}
+
+void StoreWorld::PostIn(int node, Duration delay, EventBody body) {
+  this->In(delay, [this, node, body = std::move(body)] {
+    this->Post(node, body);
+  });
+}
+
+void StoreWorld::AdvanceWorkers() {
+  for (auto& [name, worker] : this->workers) {
+    std::vector<std::pair<StepTask, RunEnd>> ends;
+    const bool has_lapsed =
+        worker.leased_until && this->now >= *worker.leased_until;
+    for (const auto& [task, run] : worker.runs) {
+      if (has_lapsed) {
+        ends.emplace_back(task, RunEnd::kLeaseLapsed);
+      } else if (this->now >= run.ends_at) {
+        const RunName run_name{task, run.run};
+        ends.emplace_back(task, this->end_of ? this->end_of(run_name)
+                                             : RunEnd::kSucceeded);
+      }
+    }
+    for (const auto& [task, end] : ends) {
+      this->End(worker, task, end);
+    }
+  }
+}
+
+void StoreWorld::End(WorldWorker& worker, const StepTask& task, RunEnd end) {
+  const Attempt run = worker.runs.at(task).run;
+  worker.runs.erase(task);
+  worker.ends.push_back({++worker.last_end, {task, run}, end, ""});
+}
+
+void StoreWorld::CheckStart(const WorldWorker& worker, const RunName& name,
+                            const Resources& demand) {
+  Resources used = demand;
+  for (const auto& [task, run] : worker.runs) {
+    used += run.demand;
+  }
+  if (!Fits(used, worker.entry.capacity)) {
+    this->faults.push_back("over capacity: " + worker.entry.name.value);
+  }
+  for (const auto& [other_name, other] : this->workers) {
+    if (other.runs.contains(name.task)) {
+      this->faults.push_back("runs twice: " + Describe(name.task));
+    }
+  }
+  if (this->acknowledged_done.contains(name.task)) {
+    this->faults.push_back("started after its end was taken note of: " +
+                           Describe(name.task));
+  }
+}
+
+OrderResult StoreWorld::Start(const StartRun& effect) {
+  WorldWorker& worker = this->workers.at(effect.worker);
+  if (worker.is_gone || worker.is_silent) {
+    return OrderResult::kUnknown;
+  }
+  if (effect.fence < worker.fence) {
+    return OrderResult::kFenced;
+  }
+  worker.fence = effect.fence;
+  if (worker.started + effect.lease_until <= this->now) {
+    return OrderResult::kLate;
+  }
+  const Resources demand =
+      effect.spec->steps.at(effect.name.task.step).demand;
+  this->CheckStart(worker, effect.name, demand);
+  worker.leased_until = worker.started + effect.lease_until;
+  worker.runs[effect.name.task] = {effect.name.run,
+                                   this->now + this->run_time, demand};
+  ++this->starts[effect.name.task];
+  return OrderResult::kDone;
+}
+
+void StoreWorld::Look(int node, const LookAtWorker& effect, TimePoint sent,
+                      TimePoint until) {
+  WorldWorker& worker = this->workers.at(effect.worker);
+  WorkerLooked looked;
+  looked.worker = effect.worker;
+  looked.fence = effect.fence;
+  looked.sent_at = sent;
+  if (worker.is_gone || worker.is_silent) {
+    this->PostIn(node, kTimeout, std::move(looked));
+    return;
+  }
+  if (effect.fence < worker.fence) {
+    looked.result = OrderResult::kFenced;
+    this->PostIn(node, kCallTime, std::move(looked));
+    return;
+  }
+  worker.fence = effect.fence;
+  worker.acknowledged = std::max(worker.acknowledged, effect.acknowledged);
+  if (effect.lease_until > WorkerTime::zero()) {
+    worker.leased_until = worker.started + effect.lease_until;
+  }
+  for (const ListedEnd& end : worker.ends) {
+    if (end.number > worker.acknowledged) {
+      looked.ended.push_back(end);
+    } else if (end.end == RunEnd::kSucceeded) {
+      this->acknowledged_done.insert(end.name.task);
+    }
+  }
+  if (looked.ended.empty() && this->now < until) {
+    this->In(kTick, [this, node, effect, sent, until] {
+      this->Look(node, effect, sent, until);
+    });
+    return;
+  }
+  for (const auto& [task, run] : worker.runs) {
+    looked.running.push_back({{task, run.run}, "", 0});
+  }
+  looked.result = OrderResult::kDone;
+  looked.clock = this->now - worker.started;
+  looked.incarnation = worker.entry.incarnation;
+  this->PostIn(node, kCallTime, std::move(looked));
+}
+
+void StoreWorld::Append(int node, const AppendWork& effect) {
+  WorkAppended appended;
+  appended.epoch = effect.epoch;
+  appended.sequence = effect.sequence;
+  if (this->store_is_down) {
+    this->PostIn(node, kTimeout, appended);
+    return;
+  }
+  if (this->appends_are_refused) {
+    appended.result = WorkAppendResult::kRefused;
+    this->PostIn(node, kCallTime, appended);
+    return;
+  }
+  if (effect.epoch < this->log_epoch) {
+    appended.result = WorkAppendResult::kFenced;
+    appended.epoch_in_force = this->log_epoch;
+    this->PostIn(node, kCallTime, appended);
+    return;
+  }
+  const bool is_repeat = effect.epoch == this->log_epoch &&
+                         effect.sequence + 1 == this->log_sequence;
+  if (!is_repeat) {
+    for (const WorkRecord& record : effect.records) {
+      if (IsDrop(record)) {
+        this->log.erase(KeyOf(record));
+      } else {
+        this->log.insert_or_assign(KeyOf(record), record);
+      }
+    }
+    this->log_epoch = effect.epoch;
+    this->log_sequence = effect.sequence + 1;
+  }
+  if (this->appends_lose_answers) {
+    this->PostIn(node, kTimeout, appended);
+    return;
+  }
+  appended.result = WorkAppendResult::kStored;
+  this->PostIn(node, kAppendTime, appended);
+}
+
+void StoreWorld::DealLeadership() {
+  const auto before = this->members.size();
+  std::erase_if(this->members, [this](const auto& member) {
+    return member.second <= this->now;
+  });
+  if (this->members.size() != before) {
+    ++this->generation;
+  }
+  if (this->members.contains(this->leader_member)) {
+    return;
+  }
+  ++this->generation;
+  this->leader_member =
+      this->members.empty() ? "" : this->members.begin()->first;
+}
+
+StepSpec Tasks(std::uint32_t count) {
+  StepSpec step;
+  step.count = count;
+  step.demand = kDemand;
+  step.expected_run_time = milliseconds(200);
+  return step;
+}
+
+}  // namespace basilspread::test
--- /dev/null
+++ b/packages/core/tests/support/store_world.h
@@ -0,0 +1,147 @@
+#ifndef BASILSPREAD_CORE_TESTS_SUPPORT_STORE_WORLD_H_
+#define BASILSPREAD_CORE_TESTS_SUPPORT_STORE_WORLD_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "basilspread/core/reducer.h"
+#include "basilspread/core/state.h"
+
+namespace basilspread::test {
+
+/// A stand-in of a worker: runs under leases and a fence.
+struct WorldWorker {
+  struct Run {
+    Attempt run;
+    TimePoint ends_at;
+    Resources demand;
+  };
+
+  WorkerEntry entry;
+  TimePoint started;
+  /// Neither answers nor is listed.
+  bool is_gone = false;
+  /// Does not answer.
+  bool is_silent = false;
+  /// Its entry has lapsed.
+  bool is_unlisted = false;
+  bool ignores_stops = false;
+  std::uint64_t fence = 0;
+  std::optional<TimePoint> leased_until;
+  std::map<StepTask, Run> runs;
+  std::vector<ListedEnd> ends;
+  std::uint64_t acknowledged = 0;
+  std::uint64_t last_end = 0;
+};
+
+/// Entry processes with stand-ins of the store, the workers and the advisor,
+/// under virtual time. Checks what must always hold.
+class StoreWorld {
+ public:
+  /// Runs until a process leads and inherited work no longer waits.
+  StoreWorld(int nodes, const std::vector<std::string>& worker_names);
+  ~StoreWorld();
+  StoreWorld(const StoreWorld&) = delete;
+  StoreWorld& operator=(const StoreWorld&) = delete;
+
+  void AddWorker(const std::string& name);
+  WorldWorker& Worker(const std::string& name);
+  /// Its entry is back.
+  void Relist(const std::string& name);
+  /// The worker leaves for good with all that runs there.
+  void RemoveWorker(const std::string& name);
+
+  CallId Submit(int node, const std::string& id, std::vector<StepSpec> steps);
+  CallId Ask(int node, SubmissionOperation operation, const std::string& id);
+  /// Unset while the call waits.
+  std::optional<SubmissionAnswer> AnswerTo(CallId call) const;
+  /// What a status call is told, after at most a second.
+  std::optional<SubmissionState> StatusOf(int node, const std::string& id);
+
+  void Run(Duration duration);
+  void Kill(int node);
+  /// A graceful stop.
+  void Stop(int node);
+  /// The process that leads; -1 when none does.
+  int Leader() const;
+  const State& StateOf(int node) const;
+  /// Starts that a worker carried out, by task.
+  int Starts(const std::string& id, std::uint32_t step = 0,
+             std::uint32_t index = 0) const;
+
+  /// The store answers no call.
+  bool store_is_down = false;
+  /// Appends are carried out and not answered.
+  bool appends_lose_answers = false;
+  /// The store refuses appends and does nothing.
+  bool appends_are_refused = false;
+  /// Starts are carried out this much later and not answered; zero: at once.
+  Duration start_delay{};
+  /// How a run ends, and after what time.
+  std::function<RunEnd(const RunName&)> end_of;
+  Duration run_time = std::chrono::milliseconds(200);
+  /// Workers that the advisor allows.
+  std::function<bool(const HostName&)> is_allowed;
+
+  /// Broken promises, in words.
+  std::vector<std::string> faults;
+
+ private:
+  struct Node;
+  struct Deliver;
+  friend struct Deliver;
+
+  struct Pending {
+    TimePoint at;
+    std::uint64_t number = 0;
+    std::function<void()> action;
+
+    bool operator<(const Pending& other) const {
+      return at != other.at ? at < other.at : number < other.number;
+    }
+  };
+
+  void In(Duration delay, std::function<void()> action);
+  void Post(int node, EventBody body);
+  void PostIn(int node, Duration delay, EventBody body);
+  void AdvanceWorkers();
+  void End(WorldWorker& worker, const StepTask& task, RunEnd end);
+  OrderResult Start(const StartRun& effect);
+  void Look(int node, const LookAtWorker& effect, TimePoint sent,
+            TimePoint until);
+  void Append(int node, const AppendWork& effect);
+  void DealLeadership();
+  void CheckStart(const WorldWorker& worker, const RunName& name,
+                  const Resources& demand);
+
+  TimePoint now{std::chrono::hours(1)};
+  std::set<Pending> pending;
+  std::uint64_t last_pending = 0;
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::map<HostName, WorldWorker> workers;
+  std::map<CallId, SubmissionAnswer> answers;
+  std::uint64_t last_call = 0;
+
+  std::uint64_t generation = 1;
+  std::map<std::string, TimePoint> members;
+  std::string leader_member;
+
+  Epoch log_epoch;
+  std::uint64_t log_sequence = 0;
+  std::map<std::string, WorkRecord> log;
+  std::map<StepTask, int> starts;
+  std::set<StepTask> acknowledged_done;
+};
+
+/// A step of `count` tasks of one core.
+StepSpec Tasks(std::uint32_t count);
+
+}  // namespace basilspread::test
+
+#endif  // BASILSPREAD_CORE_TESTS_SUPPORT_STORE_WORLD_H_
