--- a/bench/capacity/host_list.cc
+++ b/bench/capacity/host_list.cc
@@ -3,8 +3,8 @@
 #include <memory>
 #include <string>
 
-#include "basilspread/core/reducer.h"
 #include "basilspread/clients/host_list_client.h"
+#include "basilspread/core/reducer.h"
 #include "capacity/measures.h"
 #include "capacity/usage.h"
 #include "support/cluster.h"
@@ -48,7 +48,7 @@
   for (int i = 0; i < kRepeats; ++i) {
     // A client that has read nothing reads the whole list.
     clients::HostListClient client("127.0.0.1", cluster.hosts_port,
-                                    std::chrono::seconds(5));
+                                   std::chrono::seconds(5));
     auto start = CpuTime();
     HostsListed listed = client.List();
     cost.read_microseconds += Microseconds(CpuTime() - start) / kRepeats;
--- a/packages/core/include/basilspread/core/effect.h
+++ b/packages/core/include/basilspread/core/effect.h
@@ -122,14 +122,14 @@
 /// Ends the process: everything is drained.
 struct ExitProcess {};
 
-using Effect = std::variant<AnswerCaller, SendToMinion, SendToPeer, AppendLog,
-                            ReadLog, ReadHosts, SetTimer, WriteLine, AnswerDump,
-                            RefuseCallers, ExitProcess, ConnectPeer, ReopenLink,
-                            DisconnectPeer, CallWorker, AnswerJobCaller,
-                            AnswerSubmissionCaller, SetReadiness, JoinGroup,
-                            LeaveGroup, ReadLeader, AppendWork, ListWork,
-                            ReadTables, FollowTables, ListFleet, FollowFleet,
-                            LookAtWorker, StartRun, StopRun, AskAdvice>;
+using Effect =
+    std::variant<AnswerCaller, SendToMinion, SendToPeer, AppendLog, ReadLog,
+                 ReadHosts, SetTimer, WriteLine, AnswerDump, RefuseCallers,
+                 ExitProcess, ConnectPeer, ReopenLink, DisconnectPeer,
+                 CallWorker, AnswerJobCaller, AnswerSubmissionCaller,
+                 SetReadiness, JoinGroup, LeaveGroup, ReadLeader, AppendWork,
+                 ListWork, ReadTables, FollowTables, ListFleet, FollowFleet,
+                 LookAtWorker, StartRun, StopRun, AskAdvice>;
 
 using Effects = std::vector<Effect>;
 
--- a/packages/core/include/basilspread/core/submission.h
+++ b/packages/core/include/basilspread/core/submission.h
@@ -53,8 +53,7 @@
 
 /// A submission as its caller handed it in.
 struct SubmissionSpec
-    : boost::intrusive_ref_counter<SubmissionSpec,
-                                   boost::thread_safe_counter> {
+    : boost::intrusive_ref_counter<SubmissionSpec, boost::thread_safe_counter> {
   SubmissionId id;
   RouteName route;
   /// What the tasks run; opaque to the scheduler.
@@ -66,7 +65,13 @@
 
 using SubmissionSpecPtr = boost::intrusive_ptr<const SubmissionSpec>;
 
-enum class SubmissionState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
+enum class SubmissionState {
+  kQueued,
+  kRunning,
+  kCompleted,
+  kFailed,
+  kCancelled
+};
 
 /// Whether the state is final.
 constexpr bool HasEnded(SubmissionState state) {
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -113,6 +113,8 @@
 struct Helper {
   ProcessId process;
   TimePoint heard_at;
+  /// Questions that it has not answered.
+  std::uint32_t open_questions = 0;
   /// When its questions so far will be answered, by their known costs.
   TimePoint busy_until;
 };
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -227,8 +227,8 @@
     looks::OnFailed(context, *worker, event);
     return;
   }
-  const bool is_reborn = event.incarnation != 0 &&
-                         event.incarnation != worker->entry.incarnation;
+  const bool is_reborn =
+      event.incarnation != 0 && event.incarnation != worker->entry.incarnation;
   if (is_reborn) {
     worker->entry.incarnation = event.incarnation;
     BeginNewLife(context, *worker);
@@ -282,8 +282,7 @@
 
 void HoldInherited(Context& context) {
   FleetState& fleet = StateOf(context);
-  fleet.unknown_until =
-      context.now + looks::LongestLease(context);
+  fleet.unknown_until = context.now + looks::LongestLease(context);
   context.Log(
       LogLevel::kWarning, kPart,
       fmt::format("Some workers do not answer; tasks that may run there wait. "
@@ -311,8 +310,7 @@
   const bool is_usable = worker.is_known && !worker.is_silent &&
                          !worker.unlisted && !worker.entry.draining &&
                          worker.avoided_until <= context.now;
-  return is_usable &&
-         Fits(demand, worker.entry.capacity - worker.reserved);
+  return is_usable && Fits(demand, worker.entry.capacity - worker.reserved);
 }
 
 void StartRunOn(Context& context, FleetWorker& worker, RunOrder order) {
--- a/packages/core/src/internal/fleet_looks.cc
+++ b/packages/core/src/internal/fleet_looks.cc
@@ -83,13 +83,10 @@
                  const WorkerLooked& event) {
   std::vector<RunName> missing;
   for (const auto& [name, demand] : worker.runs) {
-    const bool is_listed =
-        std::any_of(event.running.begin(), event.running.end(),
-                    [&name = name](const ListedRun& run) {
-                      return run.name == name;
-                    });
-    if (!is_listed &&
-        submission_progress::MustBeListed(context, name, event)) {
+    const bool is_listed = std::any_of(
+        event.running.begin(), event.running.end(),
+        [&name = name](const ListedRun& run) { return run.name == name; });
+    if (!is_listed && submission_progress::MustBeListed(context, name, event)) {
       missing.push_back(name);
     }
   }
--- a/packages/core/src/internal/fleet_looks.h
+++ b/packages/core/src/internal/fleet_looks.h
@@ -31,8 +31,7 @@
 
 /// Takes the list of a look in.
 void Take(Context& context, FleetWorker& worker, const WorkerLooked& event);
-void OnFailed(Context& context, FleetWorker& worker,
-              const WorkerLooked& event);
+void OnFailed(Context& context, FleetWorker& worker, const WorkerLooked& event);
 /// Nothing that was started there runs any longer.
 void LoseRuns(Context& context, FleetWorker& worker, std::string_view reason);
 
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -38,10 +38,10 @@
 
 void Enter(Context& context, LeaderPhase phase) {
   LeadershipState& state = StateOf(context);
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("Phase changed. from={} to={} epoch={}",
-                          NameOf(state.phase), NameOf(phase),
-                          state.epoch.value));
+  context.Log(
+      LogLevel::kInfo, kPart,
+      fmt::format("Phase changed. from={} to={} epoch={}", NameOf(state.phase),
+                  NameOf(phase), state.epoch.value));
   state.phase = phase;
   state.phase_began = context.now;
 }
@@ -157,10 +157,10 @@
 }
 
 void OnResumed(Context& context, const Resumed& event) {
-  context.Log(LogLevel::kWarning, kPart,
-              fmt::format("The process was suspended. seconds={:.1f}",
-                          std::chrono::duration<double>(event.suspended)
-                              .count()));
+  context.Log(
+      LogLevel::kWarning, kPart,
+      fmt::format("The process was suspended. seconds={:.1f}",
+                  std::chrono::duration<double>(event.suspended).count()));
   StateOf(context).confirmed_at.reset();
   Join(context);
 }
@@ -190,9 +190,8 @@
 bool IsConfirmed(const Context& context) {
   const LeadershipState& state = context.state.submissions.leadership;
   return state.phase == LeaderPhase::kLeading && state.confirmed_at &&
-         context.now <
-             *state.confirmed_at +
-                 context.state.settings.store.member_time_to_live;
+         context.now < *state.confirmed_at +
+                           context.state.settings.store.member_time_to_live;
 }
 
 void OnEpochRaised(Context& context) {
--- a/packages/core/src/internal/step_advice.cc
+++ b/packages/core/src/internal/step_advice.cc
@@ -17,11 +17,14 @@
 constexpr std::string_view kPart = "advice";
 /// A ticket must outlast the way of the start to its worker.
 constexpr Duration kTicketMargin = std::chrono::milliseconds(60);
-/// A question is given up this long after its answer was due.
-constexpr Duration kQuestionPatience = std::chrono::milliseconds(700);
+/// A question is given up this long after its answer was due. The advisor
+/// works on it all the same, so that giving up early only lengthens its line.
+constexpr Duration kQuestionPatience = std::chrono::milliseconds(1500);
+/// One that is answered and one on its way.
+constexpr std::uint32_t kMaxOpenQuestions = 2;
 constexpr Duration kAskAgainDelay = std::chrono::milliseconds(60);
 /// A process with a longer line of questions is not asked.
-constexpr Duration kMaxLine = std::chrono::milliseconds(500);
+constexpr Duration kMaxLine = std::chrono::milliseconds(250);
 constexpr Duration kHelperTimeout = std::chrono::seconds(3);
 /// Weight of the newest answer in the mean share of allowed workers.
 constexpr double kShareWeight = 0.05;
@@ -50,8 +53,9 @@
   std::optional<ProcessId> best;
   TimePoint best_free = context.now + kMaxLine;
   for (const auto& [node, helper] : state.helpers) {
-    const bool is_live = context.now < helper.heard_at + kHelperTimeout;
-    if (is_live && helper.busy_until < best_free) {
+    const bool is_free = context.now < helper.heard_at + kHelperTimeout &&
+                         helper.open_questions < kMaxOpenQuestions;
+    if (is_free && helper.busy_until < best_free) {
       best = helper.process;
       best_free = helper.busy_until;
     }
@@ -64,8 +68,7 @@
 std::uint64_t NextNumber(Context& context) {
   constexpr unsigned kEpochShift = 32;
   SubmissionsState& state = StateOf(context);
-  return (state.leadership.epoch.value << kEpochShift) +
-         ++state.last_question;
+  return (state.leadership.epoch.value << kEpochShift) + ++state.last_question;
 }
 
 /// The workers to name: those known to be allowed first, then those with the
@@ -75,11 +78,11 @@
                                     const StepState& step,
                                     std::vector<Candidate>& candidates,
                                     std::uint32_t needed) {
-  const auto statistics = context.state.submissions.advice.find(submission.route);
-  const double share =
-      statistics == context.state.submissions.advice.end()
-          ? AdviceStatistics{}.allowed_share
-          : statistics->second.allowed_share;
+  const auto statistics =
+      context.state.submissions.advice.find(submission.route);
+  const double share = statistics == context.state.submissions.advice.end()
+                           ? AdviceStatistics{}.allowed_share
+                           : statistics->second.allowed_share;
   const auto is_known = [&step](const Candidate& candidate) {
     return step.allowed.contains(candidate.worker->entry.name);
   };
@@ -104,8 +107,18 @@
   return workers;
 }
 
-void Finish(Context& context, std::uint64_t number) {
-  StateOf(context).questions.erase(number);
+/// The question has an answer, or none is waited for any longer.
+void Finish(Context& context, std::uint64_t number, const Question& question) {
+  SubmissionsState& state = StateOf(context);
+  state.questions.erase(number);
+  const auto helper = state.helpers.find(question.asker.node);
+  if (helper == state.helpers.end() || helper->second.open_questions == 0) {
+    return;
+  }
+  --helper->second.open_questions;
+  if (helper->second.open_questions == 0) {
+    helper->second.busy_until = context.now;
+  }
 }
 
 /// The step that a question is about, if it is still open.
@@ -160,13 +173,13 @@
     return;
   }
   AskAdvice ask;
-  ask.workers =
-      ChooseWorkers(context, submission, step, candidates, needed);
+  ask.workers = ChooseWorkers(context, submission, step, candidates, needed);
   ask.number = NextNumber(context);
   ask.submission = submission.id;
   ask.step = index;
   step.question = ask.number;
   Helper& helper = state.helpers[asker->node];
+  ++helper.open_questions;
   helper.busy_until = std::max(helper.busy_until, context.now) +
                       CostOf(*submission.policy.advice, ask.workers.size());
   state.questions[ask.number] = {submission.id, index, *asker, ask.workers,
@@ -191,7 +204,7 @@
   }
   const Question question = found->second;
   StepState* step = FindStep(context, event.number, question);
-  Finish(context, event.number);
+  Finish(context, event.number, question);
   if (step == nullptr) {
     return;
   }
@@ -200,10 +213,12 @@
     TakeTickets(context, question, *step, event);
   } else {
     step->ask_not_before = context.now + kAskAgainDelay;
-    context.Log(LogLevel::kInfo, kPart,
-                fmt::format("A question failed. submission={} step={} asker={}",
-                            question.submission.value, question.step,
-                            question.asker.node.value));
+    context.Log(
+        LogLevel::kInfo, kPart,
+        fmt::format(
+            "A question was not answered. submission={} step={} asker={}",
+            question.submission.value, question.step,
+            question.asker.node.value));
   }
   step_placement::Request(context);
 }
--- a/packages/core/src/internal/step_placement.cc
+++ b/packages/core/src/internal/step_placement.cc
@@ -48,9 +48,8 @@
   const bool is_in_pool = worker.entry.pool == round.submission.policy.pool;
   const std::string& label = round.spec.required_label;
   const auto& labels = worker.entry.labels;
-  return is_in_pool &&
-         (label.empty() ||
-          std::find(labels.begin(), labels.end(), label) != labels.end());
+  return is_in_pool && (label.empty() || std::find(labels.begin(), labels.end(),
+                                                   label) != labels.end());
 }
 
 std::uint32_t PlacedOn(const Round& round, const HostName& worker) {
@@ -212,9 +211,8 @@
       left.push_back(index);
       continue;
     }
-    const Attempt run = round.spec.gang
-                            ? gang_run
-                            : NextRun(round, round.step.tasks[index]);
+    const Attempt run =
+        round.spec.gang ? gang_run : NextRun(round, round.step.tasks[index]);
     StartTask(context, round, *worker, index, run);
   }
   if (is_new_gang) {
@@ -224,8 +222,9 @@
 }
 
 Round MakeRound(Submission& submission, std::uint32_t index) {
-  Round round{submission, index, submission.spec->steps[index],
-              submission.steps[index], {}, {}};
+  Round round{
+      submission, index, submission.spec->steps[index], submission.steps[index],
+      {},         {}};
   for (std::uint32_t i = 0; i < round.step.tasks.size(); ++i) {
     const RunState& task = round.step.tasks[i];
     if (!task.worker.value.empty()) {
@@ -237,8 +236,48 @@
   return round;
 }
 
-/// Returns whether tasks of the step still wait.
-bool PlaceStep(Context& context, Submission& submission, std::uint32_t index) {
+/// What all usable workers have free together.
+Resources TotalFree(const Context& context) {
+  Resources total;
+  for (const auto& [name, worker] : context.state.submissions.fleet.workers) {
+    if (fleet::HasRoom(context, worker, Resources{})) {
+      total += worker.entry.capacity - worker.reserved;
+    }
+  }
+  return total;
+}
+
+Resources Times(const Resources& demand, std::size_t count) {
+  const auto factor = static_cast<std::int64_t>(count);
+  return {demand.cpu_millicores * factor, demand.memory_mebibytes * factor,
+          demand.accelerators * factor};
+}
+
+/// Asks for advice if the room that the steps ahead leave is enough, and
+/// counts that room as taken. Without that, every step that waits would ask
+/// again for the same room whenever its tickets expire, and the advisor's
+/// line would grow without end.
+void AskForRoom(Context& context, Round& round, Resources& free) {
+  const bool is_new_gang = round.spec.gang && !round.step.gang_began;
+  const std::size_t needed = round.waiting.size();
+  const std::size_t least = is_new_gang ? needed : 1;
+  const bool has_room = Fits(Times(round.spec.demand, least), free);
+  free -= Times(round.spec.demand, needed);
+  if (!has_room || round.step.question != 0) {
+    return;
+  }
+  std::vector<Candidate> candidates = Candidates(context, round, false);
+  if (is_new_gang && TotalRoom(candidates) < needed) {
+    return;
+  }
+  step_advice::Ask(context, round.submission, round.index,
+                   std::move(candidates), static_cast<std::uint32_t>(needed));
+}
+
+/// Returns whether tasks of the step still wait. `free` is the room that the
+/// steps ahead in the queue leave.
+bool PlaceStep(Context& context, Submission& submission, std::uint32_t index,
+               Resources& free) {
   Round round = MakeRound(submission, index);
   if (round.waiting.empty()) {
     return false;
@@ -256,27 +295,21 @@
     Place(context, round, Candidates(context, round, needs_advice));
   }
   if (needs_advice && !round.waiting.empty()) {
-    std::vector<Candidate> candidates = Candidates(context, round, false);
-    const bool is_useful = !round.spec.gang || is_partial_gang ||
-                           TotalRoom(candidates) >= round.waiting.size();
-    if (is_useful) {
-      const auto needed = static_cast<std::uint32_t>(round.waiting.size());
-      step_advice::Ask(context, submission, index, std::move(candidates),
-                       needed);
-    }
+    AskForRoom(context, round, free);
   }
   return !round.waiting.empty();
 }
 
 /// Returns whether the submission is to stay in the queue.
-bool PlaceSubmission(Context& context, Submission& submission) {
+bool PlaceSubmission(Context& context, Submission& submission,
+                     Resources& free) {
   if (!submission.spec || HasEnded(submission.state)) {
     return false;
   }
   bool waits = false;
   for (std::uint32_t i = 0; i < submission.steps.size(); ++i) {
     if (submission_progress::IsReady(submission, i)) {
-      waits = PlaceStep(context, submission, i) || waits;
+      waits = PlaceStep(context, submission, i, free) || waits;
     }
   }
   return waits;
@@ -298,6 +331,7 @@
   if (!leadership::IsLeading(context)) {
     return;
   }
+  Resources free = TotalFree(context);
   std::vector<std::pair<TimePoint, SubmissionId>> looked;
   for (const auto& entry : state.queue) {
     if (looked.size() >= kMaxLooked) {
@@ -307,7 +341,7 @@
   }
   for (const auto& entry : looked) {
     Submission* submission = submission_progress::Find(context, entry.second);
-    if (submission == nullptr || !PlaceSubmission(context, *submission)) {
+    if (submission == nullptr || !PlaceSubmission(context, *submission, free)) {
       state.queue.erase(entry);
     }
   }
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -43,8 +43,8 @@
 }
 
 void Answer(Context& context, SubmissionAnswer answer) {
-  const bool is_refusal = answer.kind != ErrorKind::kNone &&
-                          AnswerFor(answer.kind).retryable;
+  const bool is_refusal =
+      answer.kind != ErrorKind::kNone && AnswerFor(answer.kind).retryable;
   if (is_refusal && answer.retry_after == Duration::zero()) {
     answer.retry_after = kRetryAfter;
   }
@@ -54,14 +54,14 @@
                 fmt::format("A call was refused. call={} error={}",
                             answer.call.value, AnswerFor(answer.kind).name));
   }
-  context.Emit(AnswerSubmissionCaller{std::move(answer)});
+  context.Emit(AnswerSubmissionCaller{answer});
 }
 
 void Refuse(Context& context, CallId call, ErrorKind kind) {
   SubmissionAnswer answer;
   answer.call = call;
   answer.kind = kind;
-  Answer(context, std::move(answer));
+  Answer(context, answer);
 }
 
 /// Why a submission cannot be taken at all; kNone when it can.
@@ -69,11 +69,11 @@
   // Steps that last, that fill idle room and that repeat by the clock are not
   // built yet.
   const bool is_unsupported =
-      spec.repetitions > 0 ||
-      std::any_of(spec.steps.begin(), spec.steps.end(),
-                  [](const StepSpec& step) {
-                    return step.long_running || step.fills_idle_cpu;
-                  });
+      spec.repetitions > 0 || std::any_of(spec.steps.begin(), spec.steps.end(),
+                                          [](const StepSpec& step) {
+                                            return step.long_running ||
+                                                   step.fills_idle_cpu;
+                                          });
   return is_unsupported ? ErrorKind::kNotSupported : ErrorKind::kNone;
 }
 
@@ -218,16 +218,15 @@
   }
   SubmissionAnswer told = answer;
   told.operation = found->second.message.operation;
-  const bool is_refusal =
-      answer.kind == ErrorKind::kLogUnavailable ||
-      answer.kind == ErrorKind::kOverloaded;
+  const bool is_refusal = answer.kind == ErrorKind::kLogUnavailable ||
+                          answer.kind == ErrorKind::kOverloaded;
   if (is_refusal && found->second.maybe_taken_before) {
     // An earlier leader may have stored it: only the present one's refusal
     // is certain.
     told.kind = ErrorKind::kOutcomeUnknown;
   }
   state.calls.erase(found);
-  Answer(context, std::move(told));
+  Answer(context, told);
 }
 
 void OnMessageNotSent(Context& context, const PeerMessageNotSent& event) {
@@ -288,6 +287,9 @@
   state.all.clear();
   state.queue.clear();
   state.questions.clear();
+  for (auto& [node, helper] : state.helpers) {
+    helper.open_questions = 0;
+  }
   state.fleet = FleetState{};
   state.log = WorkLogState{};
 }
--- a/packages/core/src/internal/submission_progress.cc
+++ b/packages/core/src/internal/submission_progress.cc
@@ -93,14 +93,14 @@
 }
 
 void End(Context& context, Submission& submission, SubmissionState state) {
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("A submission ended. id={} route={} state={} "
-                          "age_ms={}",
-                          submission.id.value, submission.route.value,
-                          NameOf(state),
-                          std::chrono::duration_cast<std::chrono::milliseconds>(
-                              context.now - submission.arrived)
-                              .count()));
+  context.Log(
+      LogLevel::kInfo, kPart,
+      fmt::format("A submission ended. id={} route={} state={} "
+                  "age_ms={}",
+                  submission.id.value, submission.route.value, NameOf(state),
+                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                      context.now - submission.arrived)
+                      .count()));
   Dequeue(context, submission);
   submission.state = state;
   submission.is_stored = false;
@@ -164,9 +164,9 @@
   if (!submission.spec || !IsGang(submission, index)) {
     return;
   }
-  const bool is_idle =
-      std::all_of(step.tasks.begin(), step.tasks.end(),
-                  [](const RunState& task) { return task.worker.value.empty(); });
+  const bool is_idle = std::all_of(
+      step.tasks.begin(), step.tasks.end(),
+      [](const RunState& task) { return task.worker.value.empty(); });
   if (is_idle) {
     step.gang_broken = false;
     step.gang_began.reset();
@@ -243,8 +243,7 @@
   if (submission && submission->spec) {
     return;
   }
-  SubmissionPtr made =
-      Make(accepted->spec, accepted->policy, context.now);
+  SubmissionPtr made = Make(accepted->spec, accepted->policy, context.now);
   made->accepted = true;
   made->inherited = true;
   if (submission) {
@@ -427,10 +426,10 @@
   if (task == nullptr || !submission->spec) {
     return;
   }
-  context.Log(LogLevel::kDebug, kPart,
-              fmt::format("A run ended. run={} worker={} end={}",
-                          ToString(end.name), worker.entry.name.value,
-                          NameOf(end.end)));
+  context.Log(
+      LogLevel::kDebug, kPart,
+      fmt::format("A run ended. run={} worker={} end={}", ToString(end.name),
+                  worker.entry.name.value, NameOf(end.end)));
   const bool is_present =
       IsPresent(*task, end.name) && task->worker == worker.entry.name;
   if (task->worker.value.empty()) {
--- a/packages/core/src/internal/submission_service.cc
+++ b/packages/core/src/internal/submission_service.cc
@@ -23,20 +23,20 @@
   return context.state.submissions;
 }
 
-void Reply(Context& context, const ProcessId& to, SubmissionAnswer answer) {
+void Reply(Context& context, const ProcessId& to,
+           const SubmissionAnswer& answer) {
   if (to == context.state.settings.self) {
     submission_calls::OnAnswer(context, answer);
     return;
   }
-  context.Emit(SendToPeer{to.node, std::move(answer)});
+  context.Emit(SendToPeer{to.node, answer});
 }
 
-void Reply(Context& context, const ProcessId& to, CallId call,
-           ErrorKind kind) {
+void Reply(Context& context, const ProcessId& to, CallId call, ErrorKind kind) {
   SubmissionAnswer answer;
   answer.call = call;
   answer.kind = kind;
-  Reply(context, to, std::move(answer));
+  Reply(context, to, answer);
 }
 
 void Submit(Context& context, const ProcessId& from,
@@ -58,8 +58,8 @@
   if (!work_log::IsAvailable(context)) {
     return Reply(context, from, message.call, ErrorKind::kLogUnavailable);
   }
-  const SubmissionPtr submission = submission_progress::Make(
-      message.spec, route->policy, context.now);
+  const SubmissionPtr submission =
+      submission_progress::Make(message.spec, route->policy, context.now);
   submission->submitters.emplace_back(from, message.call);
   state.all.emplace(message.id, submission);
   work_log::Accept(context, *submission);
@@ -84,8 +84,7 @@
 
 void TellStatus(Context& context, const ProcessId& from,
                 const SubmissionCall& message) {
-  const Submission* submission =
-      submission_progress::Find(context, message.id);
+  const Submission* submission = submission_progress::Find(context, message.id);
   if (submission == nullptr) {
     return TellUnknown(context, from, message.call);
   }
@@ -95,7 +94,7 @@
   SubmissionAnswer answer;
   answer.call = message.call;
   answer.state = ToldState(*submission);
-  Reply(context, from, std::move(answer));
+  Reply(context, from, answer);
 }
 
 void Cancel(Context& context, const ProcessId& from,
@@ -108,11 +107,10 @@
     return Reply(context, from, message.call, ErrorKind::kNotReady);
   }
   if (HasEnded(submission->state) && submission->is_stored) {
-    const bool is_cancelled =
-        submission->state == SubmissionState::kCancelled;
-    return Reply(context, from, message.call,
-                 is_cancelled ? ErrorKind::kNone
-                              : ErrorKind::kUnknownSubmission);
+    const bool is_cancelled = submission->state == SubmissionState::kCancelled;
+    return Reply(
+        context, from, message.call,
+        is_cancelled ? ErrorKind::kNone : ErrorKind::kUnknownSubmission);
   }
   submission->cancellers.emplace_back(from, message.call);
   if (!HasEnded(submission->state)) {
@@ -131,7 +129,7 @@
         return submission.route == message.route && submission.accepted &&
                !submission.began && !HasEnded(submission.state);
       }));
-  Reply(context, from, std::move(answer));
+  Reply(context, from, answer);
 }
 
 }  // namespace
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -83,9 +83,9 @@
   WorkLogState& log = StateOf(context).log;
   if (log.failing_since) {
     const std::chrono::duration<double> away = context.now - *log.failing_since;
-    context.Log(LogLevel::kInfo, kPart,
-                fmt::format("The store appends again. seconds={:.2f}",
-                            away.count()));
+    context.Log(
+        LogLevel::kInfo, kPart,
+        fmt::format("The store appends again. seconds={:.2f}", away.count()));
   }
   log.failing_since.reset();
   log.retry_delay = Duration::zero();
@@ -96,10 +96,10 @@
   WorkLogState& log = StateOf(context).log;
   if (leadership::IsLeading(context) && !log.in_flight && !log.is_due) {
     log.is_due = true;
-    context.Emit(SetTimer{TimerKind::kWorkLog,
-                          std::max({context.now + kGatherTime,
-                                    log.last_sent + kAppendSpacing,
-                                    log.not_before})});
+    context.Emit(
+        SetTimer{TimerKind::kWorkLog,
+                 std::max({context.now + kGatherTime,
+                           log.last_sent + kAppendSpacing, log.not_before})});
   }
 }
 
@@ -148,9 +148,8 @@
   for (const auto& [name, number] : state.log.settling_ends) {
     const auto worker = state.fleet.workers.find(name);
     if (worker != state.fleet.workers.end()) {
-      worker->second.stored_end =
-          std::max(worker->second.stored_end,
-                   std::min(number, worker->second.seen_end));
+      worker->second.stored_end = std::max(
+          worker->second.stored_end, std::min(number, worker->second.seen_end));
     }
   }
   state.log.settling_ends.clear();
@@ -248,7 +247,8 @@
   if (!leadership::IsLeading(context) || log.in_flight || is_idle) {
     return;
   }
-  const TimePoint due = std::max(log.last_sent + kAppendSpacing, log.not_before);
+  const TimePoint due =
+      std::max(log.last_sent + kAppendSpacing, log.not_before);
   if (context.now < due) {
     context.Emit(SetTimer{TimerKind::kWorkLog, due});
     return;
@@ -317,7 +317,8 @@
 
 bool IsAvailable(const Context& context) {
   const WorkLogState& log = context.state.submissions.log;
-  return !log.failing_since || (!log.in_flight && context.now >= log.not_before);
+  return !log.failing_since ||
+         (!log.in_flight && context.now >= log.not_before);
 }
 
 void DeclineQueued(Context& context) {
--- a/packages/core/tests/fleet_test.cc
+++ b/packages/core/tests/fleet_test.cc
@@ -43,8 +43,7 @@
   CHECK(world.faults.empty());
 }
 
-TEST_CASE("An order that is carried out late starts nothing twice",
-          "[fleet]") {
+TEST_CASE("An order that is carried out late starts nothing twice", "[fleet]") {
   World world;
   world.run_time = seconds(3);
   world.start_delay = seconds(2);
--- a/packages/core/tests/leadership_test.cc
+++ b/packages/core/tests/leadership_test.cc
@@ -16,7 +16,9 @@
 const std::string kSecond = "00000000000000b2";
 
 struct World : StoreWorld {
-  World() : StoreWorld(3, {"w1", "w2", "w3", "w4"}) { REQUIRE(this->Leader() >= 0); }
+  World() : StoreWorld(3, {"w1", "w2", "w3", "w4"}) {
+    REQUIRE(this->Leader() >= 0);
+  }
 };
 
 /// Kills the leader and waits for the next one.
--- a/packages/core/tests/submissions_test.cc
+++ b/packages/core/tests/submissions_test.cc
@@ -14,7 +14,9 @@
 const std::string kSecond = "00000000000000a2";
 
 struct World : StoreWorld {
-  World() : StoreWorld(3, {"w1", "w2", "w3", "w4"}) { REQUIRE(this->Leader() >= 0); }
+  World() : StoreWorld(3, {"w1", "w2", "w3", "w4"}) {
+    REQUIRE(this->Leader() >= 0);
+  }
 };
 
 int Follower(const StoreWorld& world) { return world.Leader() == 0 ? 1 : 0; }
@@ -28,12 +30,10 @@
   World world;
   StepSpec second = Tasks(3);
   second.after = {0};
-  const CallId call =
-      world.Submit(Follower(world), kFirst, {Tasks(5), second});
+  const CallId call = world.Submit(Follower(world), kFirst, {Tasks(5), second});
   world.Run(seconds(2));
   CHECK(IsOk(world, call));
-  CHECK(world.StatusOf(Follower(world), kFirst) ==
-        SubmissionState::kCompleted);
+  CHECK(world.StatusOf(Follower(world), kFirst) == SubmissionState::kCompleted);
   for (std::uint32_t i = 0; i < 5; ++i) {
     CHECK(world.Starts(kFirst, 0, i) == 1);
   }
@@ -96,6 +96,21 @@
   CHECK(world.Worker("w3").runs.size() == 4);
 }
 
+TEST_CASE("Steps that find no room do not ask for advice again and again",
+          "[submissions]") {
+  World world;
+  world.run_time = seconds(20);
+  world.Submit(0, kFirst, {Tasks(12)});
+  world.Run(milliseconds(500));
+  const int before = world.Questions();
+  for (int i = 0; i < 40; ++i) {
+    world.Submit(0, "00000000000001" + std::to_string(10 + i), {Tasks(4)});
+  }
+  world.Run(seconds(5));
+  // There is room for one of them.
+  CHECK(world.Questions() <= before + 2);
+}
+
 TEST_CASE("Parts that are not built are refused, not accepted",
           "[submissions]") {
   World world;
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -107,8 +107,7 @@
       return;
     }
     const bool is_new = !this->world.members.contains(effect.member);
-    this->world.members[effect.member] =
-        this->world.now + effect.time_to_live;
+    this->world.members[effect.member] = this->world.now + effect.time_to_live;
     this->world.generation += is_new ? 1 : 0;
     this->world.DealLeadership();
     joined.ok = true;
@@ -186,13 +185,14 @@
     const auto run = worker.runs.find(effect.name.task);
     const bool is_heard =
         !worker.is_gone && !worker.is_silent && !worker.ignores_stops;
-    if (is_heard && effect.fence >= worker.fence &&
-        run != worker.runs.end() && run->second.run == effect.name.run) {
+    if (is_heard && effect.fence >= worker.fence && run != worker.runs.end() &&
+        run->second.run == effect.name.run) {
       this->world.End(worker, effect.name.task, RunEnd::kStopped);
     }
   }
 
   void operator()(const AskAdvice& effect) const {
+    ++this->world.questions;
     AdviceGiven given{effect.number, true, {}, milliseconds(1500)};
     for (const HostName& worker : effect.workers) {
       if (!this->world.is_allowed || this->world.is_allowed(worker)) {
@@ -381,9 +381,8 @@
 }
 
 void StoreWorld::PostIn(int node, Duration delay, EventBody body) {
-  this->In(delay, [this, node, body = std::move(body)] {
-    this->Post(node, body);
-  });
+  this->In(delay,
+           [this, node, body = std::move(body)] { this->Post(node, body); });
 }
 
 void StoreWorld::AdvanceWorkers() {
@@ -396,8 +395,8 @@
         ends.emplace_back(task, RunEnd::kLeaseLapsed);
       } else if (this->now >= run.ends_at) {
         const RunName run_name{task, run.run};
-        ends.emplace_back(task, this->end_of ? this->end_of(run_name)
-                                             : RunEnd::kSucceeded);
+        ends.emplace_back(
+            task, this->end_of ? this->end_of(run_name) : RunEnd::kSucceeded);
       }
     }
     for (const auto& [task, end] : ends) {
@@ -444,12 +443,11 @@
   if (worker.started + effect.lease_until <= this->now) {
     return OrderResult::kLate;
   }
-  const Resources demand =
-      effect.spec->steps.at(effect.name.task.step).demand;
+  const Resources demand = effect.spec->steps.at(effect.name.task.step).demand;
   this->CheckStart(worker, effect.name, demand);
   worker.leased_until = worker.started + effect.lease_until;
-  worker.runs[effect.name.task] = {effect.name.run,
-                                   this->now + this->run_time, demand};
+  worker.runs[effect.name.task] = {effect.name.run, this->now + this->run_time,
+                                   demand};
   ++this->starts[effect.name.task];
   return OrderResult::kDone;
 }
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -71,6 +71,8 @@
   /// The process that leads; -1 when none does.
   int Leader() const;
   const State& StateOf(int node) const;
+  /// Questions that the advisor was asked.
+  int Questions() const { return this->questions; }
   /// Starts that a worker carried out, by task.
   int Starts(const std::string& id, std::uint32_t step = 0,
              std::uint32_t index = 0) const;
@@ -135,6 +137,7 @@
   Epoch log_epoch;
   std::uint64_t log_sequence = 0;
   std::map<std::string, WorkRecord> log;
+  int questions = 0;
   std::map<StepTask, int> starts;
   std::set<StepTask> acknowledged_done;
 };
--- a/packages/ctl/src/draft_check.cc
+++ b/packages/ctl/src/draft_check.cc
@@ -2,10 +2,10 @@
 
 #include <fmt/format.h>
 
+#include "basilspread/clients/host_list_client.h"
 #include "basilspread/config/table_warnings.h"
 #include "basilspread/config/tables.h"
 #include "basilspread/core/configuration.h"
-#include "basilspread/clients/host_list_client.h"
 #include "entry_dump.h"
 
 namespace basilspread::ctl {
--- a/packages/ctl/src/tables_log.h
+++ b/packages/ctl/src/tables_log.h
@@ -5,10 +5,10 @@
 #include <vector>
 
 #include "arguments.h"
+#include "basilspread/clients/log_client.h"
 #include "basilspread/core/record.h"
 #include "basilspread/core/result.h"
 #include "basilspread/core/tables_history.h"
-#include "basilspread/clients/log_client.h"
 
 namespace basilspread::ctl {
 
--- a/packages/node/src/http_exchange.h
+++ b/packages/node/src/http_exchange.h
@@ -49,8 +49,9 @@
 
 /// The calls of one lane and their connection. Used by the loop's thread
 /// only; no call blocks.
-class HttpExchange : public boost::intrusive_ref_counter<
-                         HttpExchange, boost::thread_unsafe_counter> {
+class HttpExchange
+    : public boost::intrusive_ref_counter<HttpExchange,
+                                          boost::thread_unsafe_counter> {
  public:
   explicit HttpExchange(std::string server_address);
 
--- a/packages/node/src/interpreter.h
+++ b/packages/node/src/interpreter.h
@@ -5,12 +5,12 @@
 #include <string_view>
 
 #include "admin.h"
-#include "basilspread/core/effect.h"
-#include "basilspread/core/event.h"
 #include "basilspread/clients/host_list_client.h"
 #include "basilspread/clients/log_client.h"
 #include "basilspread/clients/minion_client.h"
 #include "basilspread/clients/worker_client.h"
+#include "basilspread/core/effect.h"
+#include "basilspread/core/event.h"
 #include "executor.h"
 #include "front_end.h"
 #include "metrics.h"
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -4,12 +4,12 @@
 #include <functional>
 
 #include "admin.h"
-#include "basilspread/config/node_settings.h"
-#include "basilspread/core/effect.h"
-#include "basilspread/core/state.h"
 #include "basilspread/clients/host_list_client.h"
 #include "basilspread/clients/log_client.h"
 #include "basilspread/clients/minion_client.h"
+#include "basilspread/config/node_settings.h"
+#include "basilspread/core/effect.h"
+#include "basilspread/core/state.h"
 #include "control_loop.h"
 #include "executor.h"
 #include "front_end.h"
--- a/packages/node/src/store_node.cc
+++ b/packages/node/src/store_node.cc
@@ -62,13 +62,11 @@
   this->admin.Start();
   this->outside.start();
   Log(LogLevel::kInfo, "process",
-      fmt::format("Serving. node={} zone={} http={} admin={} peer={} store={}",
-                  this->settings.core.self.node.value,
-                  this->settings.core.zone.value,
-                  this->settings.http.ToString(),
-                  this->settings.admin.ToString(),
-                  this->settings.peer.ToString(),
-                  this->settings.store.ToString()));
+      fmt::format(
+          "Serving. node={} zone={} http={} admin={} peer={} store={}",
+          this->settings.core.self.node.value, this->settings.core.zone.value,
+          this->settings.http.ToString(), this->settings.admin.ToString(),
+          this->settings.peer.ToString(), this->settings.store.ToString()));
   this->loop.Run();
   this->outside.stop(kAnswerTimeout);
   this->admin.Stop();
--- a/packages/wire/src/submission_codec.cc
+++ b/packages/wire/src/submission_codec.cc
@@ -123,21 +123,21 @@
   const auto spec = message.spec ? PackSpec(builder, *message.spec)
                                  : flatbuffers::Offset<fb::SubmissionSpec>();
   return {fb::PeerBody::SubmissionCall,
-          fb::CreateSubmissionCall(
-              builder, message.call.value,
-              static_cast<std::uint8_t>(message.operation), route, id, spec)
+          fb::CreateSubmissionCall(builder, message.call.value,
+                                   static_cast<std::uint8_t>(message.operation),
+                                   route, id, spec)
               .Union()};
 }
 
 PackedBody Pack(Builder& builder, const SubmissionAnswer& message) {
   const auto error =
       builder.CreateString(std::string(AnswerFor(message.kind).name));
-  return {fb::PeerBody::SubmissionAnswer,
-          fb::CreateSubmissionAnswer(builder, message.call.value, error,
-                                     static_cast<std::uint8_t>(message.state),
-                                     message.waiting,
-                                     message.retry_after.count())
-              .Union()};
+  return {
+      fb::PeerBody::SubmissionAnswer,
+      fb::CreateSubmissionAnswer(builder, message.call.value, error,
+                                 static_cast<std::uint8_t>(message.state),
+                                 message.waiting, message.retry_after.count())
+          .Union()};
 }
 
 PackedBody Pack(Builder& builder, const HelperReport& message) {
@@ -167,11 +167,11 @@
     tickets.push_back(fb::CreateAdviceTicket(builder, worker, text));
   }
   const auto packed = builder.CreateVector(tickets);
-  return {fb::PeerBody::AdviceAnswer,
-          fb::CreateAdviceAnswer(builder, message.given.number,
-                                 message.given.ok, packed,
-                                 message.given.validity.count())
-              .Union()};
+  return {
+      fb::PeerBody::AdviceAnswer,
+      fb::CreateAdviceAnswer(builder, message.given.number, message.given.ok,
+                             packed, message.given.validity.count())
+          .Union()};
 }
 
 Result<PeerMessage> UnpackMessage(const fb::Frame& frame) {
@@ -216,10 +216,9 @@
     spec->steps.push_back(UnpackStep(*step));
     const auto& after = spec->steps.back().after;
     const std::size_t index = spec->steps.size() - 1;
-    if (std::any_of(after.begin(), after.end(),
-                    [index](std::uint32_t earlier) {
-                      return earlier >= index;
-                    })) {
+    if (std::any_of(after.begin(), after.end(), [index](std::uint32_t earlier) {
+          return earlier >= index;
+        })) {
       return Error{ErrorKind::kBadRequest, "a step waits for a later one"};
     }
   }
--- a/packages/wire/src/work_codec.cc
+++ b/packages/wire/src/work_codec.cc
@@ -36,10 +36,10 @@
                                           const QueuePolicy& policy) {
   flatbuffers::Offset<fb::AdvicePolicy> advice;
   if (policy.advice) {
-    advice = fb::CreateAdvicePolicy(builder,
-                                    policy.advice->decision_time.count(),
-                                    policy.advice->time_per_worker.count(),
-                                    policy.advice->ticket_validity.count());
+    advice =
+        fb::CreateAdvicePolicy(builder, policy.advice->decision_time.count(),
+                               policy.advice->time_per_worker.count(),
+                               policy.advice->ticket_validity.count());
   }
   const auto pool = builder.CreateString(policy.pool.value);
   return fb::CreateQueuePolicy(builder, pool, policy.priority,
