--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -275,19 +275,18 @@
     return;
   }
   const bool is_raise = log.in_flight->records.empty();
-  if (event.result == WorkAppendResult::kOutOfSequence) {
-    const bool was_stored =
-        log.may_be_stored && event.expected_sequence == event.sequence + 1;
-    if (was_stored) {
-      OnStored(context);
-      return;
-    }
+  const bool is_out_of_sequence =
+      event.result == WorkAppendResult::kOutOfSequence;
+  // The store expects what follows an earlier try whose answer was lost.
+  const bool was_stored = is_out_of_sequence && log.may_be_stored &&
+                          event.expected_sequence == event.sequence + 1;
+  if (is_out_of_sequence && !was_stored) {
     log.sequence = event.expected_sequence;
     log.in_flight->sequence = event.expected_sequence;
     Send(context);
     return;
   }
-  if (event.result == WorkAppendResult::kStored) {
+  if (event.result == WorkAppendResult::kStored || was_stored) {
     OnStored(context);
     if (is_raise) {
       leadership::OnEpochRaised(context);
--- a/packages/core/tests/leadership_test.cc
+++ b/packages/core/tests/leadership_test.cc
@@ -101,6 +101,17 @@
   CHECK(world.StatusOf(world.Leader(), kFirst) == SubmissionState::kCompleted);
 }
 
+TEST_CASE("A new leader whose first append is not answered leads all the same",
+          "[leadership]") {
+  World world;
+  world.Kill(world.Leader());
+  world.appends_lose_answers = true;
+  world.Run(milliseconds(2200));
+  world.appends_lose_answers = false;
+  world.Run(seconds(1));
+  CHECK(world.Leader() >= 0);
+}
+
 TEST_CASE("A run that nobody knows occupies room until it has ended",
           "[leadership]") {
   World world;
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -516,6 +516,13 @@
   }
   const bool is_repeat = effect.epoch == this->log_epoch &&
                          effect.sequence + 1 == this->log_sequence;
+  if (is_repeat && effect.records.empty()) {
+    // An append of nothing is not remembered.
+    appended.result = WorkAppendResult::kOutOfSequence;
+    appended.expected_sequence = this->log_sequence;
+    this->PostIn(node, kCallTime, appended);
+    return;
+  }
   if (!is_repeat) {
     for (const WorkRecord& record : effect.records) {
       if (IsDrop(record)) {
