Go on writing where a socket has no room

Cause: POCO throws on a non-blocking send without room, which counted as a broken connection. The callers' side had the same fault: a large answer closed its connection.

Ruled out: the sequence numbers and the retry timer; the reason of each lost append, which is logged now, showed it.

Tests, seen failing: a request of 12 MB is sent whole. Also tested: callers that never finish their heads give way when the limit is reached.

--- a/packages/node/src/http_client_loop.cc
+++ b/packages/node/src/http_client_loop.cc
@@ -92,7 +92,7 @@
   }
   const HttpExchangePtr exchange = found->second;
   if ((mode & PollSet::POLL_ERROR) != 0) {
-    exchange->Fail();
+    exchange->Fail("the connection broke");
   } else {
     if ((mode & PollSet::POLL_WRITE) != 0) {
       exchange->OnWritable();
--- a/packages/node/src/http_connection.cc
+++ b/packages/node/src/http_connection.cc
@@ -6,6 +6,8 @@
 #include <cerrno>
 #include <utility>
 
+#include "send_some.h"
+
 namespace basilspread::node {
 namespace {
 
@@ -88,13 +90,12 @@
 
 bool HttpConnection::Flush() {
   while (this->HasOutput()) {
-    const std::size_t left = this->output.size() - this->written;
-    const int count = this->socket.sendBytes(
-        this->output.data() + this->written, static_cast<int>(left));
-    if (count <= 0) {
+    const std::size_t count =
+        SendSome(this->socket, this->output, this->written);
+    if (count == 0) {
       return false;
     }
-    this->written += static_cast<std::size_t>(count);
+    this->written += count;
   }
   this->output.clear();
   this->written = 0;
--- a/packages/node/src/http_exchange.cc
+++ b/packages/node/src/http_exchange.cc
@@ -12,6 +12,7 @@
 #include <utility>
 
 #include "liveness.h"
+#include "send_some.h"
 
 namespace basilspread::node {
 namespace {
@@ -70,8 +71,8 @@
     opened.connectNB(Poco::Net::SocketAddress(this->address));
     this->socket = opened;
     this->connecting = true;
-  } catch (const Poco::Exception&) {
-    this->Fail();
+  } catch (const Poco::Exception& exception) {
+    this->Fail(exception.displayText());
   }
 }
 
@@ -81,10 +82,11 @@
     return;
   }
   if (this->socket->impl()->socketError() != 0) {
-    this->Fail();
+    this->Fail("the connection was refused");
     return;
   }
   this->connecting = false;
+  this->socket->setBlocking(false);
   this->socket->setNoDelay(true);
   DetectSilence(*this->socket, kSilence);
   this->Advance();
@@ -93,19 +95,18 @@
 void HttpExchange::Write() {
   try {
     while (this->written < this->output.size()) {
-      const std::size_t left = this->output.size() - this->written;
-      const int count = this->socket->sendBytes(
-          this->output.data() + this->written, static_cast<int>(left));
-      if (count <= 0) {
+      const std::size_t count =
+          SendSome(*this->socket, this->output, this->written);
+      if (count == 0) {
         return;
       }
       if (this->written == 0) {
         this->sent_at = std::chrono::steady_clock::now();
       }
-      this->written += static_cast<std::size_t>(count);
+      this->written += count;
     }
-  } catch (const Poco::Exception&) {
-    this->Fail();
+  } catch (const Poco::Exception& exception) {
+    this->Fail(exception.displayText());
   }
 }
 
@@ -118,16 +119,16 @@
       return;
     }
     if (count == 0 || !this->busy) {
-      // Closed, or bytes that nobody asked for.
-      this->Fail();
+      this->Fail(count == 0 ? "the server closed the connection"
+                            : "the server sent what nobody asked for");
       return;
     }
     this->input.append(buffer.data(), static_cast<std::size_t>(count));
     if (this->TakeReply()) {
       this->Advance();
     }
-  } catch (const Poco::Exception&) {
-    this->Fail();
+  } catch (const Poco::Exception& exception) {
+    this->Fail(exception.displayText());
   }
 }
 
@@ -169,7 +170,7 @@
   call.done(std::move(reply));
 }
 
-void HttpExchange::Fail() {
+void HttpExchange::Fail(const std::string& reason) {
   const bool is_idle = !this->busy && !this->connecting && this->socket;
   const bool has_written = this->busy && this->written > 0;
   this->socket.reset();
@@ -182,6 +183,7 @@
   }
   HttpReply reply;
   reply.outcome = has_written ? HttpOutcome::kLost : HttpOutcome::kNotSent;
+  reply.reason = reason;
   reply.sent_at = this->sent_at;
   this->Finish(std::move(reply));
   this->Advance();
@@ -206,7 +208,7 @@
     call.done(std::move(reply));
   }
   if (is_first_overdue) {
-    this->Fail();
+    this->Fail("no answer came in time");
   }
 }
 
--- a/packages/node/src/http_exchange.h
+++ b/packages/node/src/http_exchange.h
@@ -29,6 +29,8 @@
   HttpOutcome outcome = HttpOutcome::kLost;
   int status = 0;
   std::string body;
+  /// Why there is no answer.
+  std::string reason;
   /// When the request was written.
   TimePoint sent_at;
 };
@@ -62,7 +64,7 @@
   void OnWritable();
   void OnReadable();
   /// Gives up the connection and the call under way.
-  void Fail();
+  void Fail(const std::string& reason);
   /// Gives up calls whose deadline has passed.
   void Expire(TimePoint now);
 
--- a/packages/node/tests/http_loop_test.cc
+++ b/packages/node/tests/http_loop_test.cc
@@ -3,8 +3,11 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <catch2/catch.hpp>
+#include <future>
 #include <vector>
 
+#include "http_client_loop.h"
+
 namespace basilspread::node {
 namespace {
 
@@ -162,5 +165,46 @@
   REQUIRE(text.ends_with("last"));
 }
 
+TEST_CASE("A request larger than the socket's buffers is sent whole",
+          "[http-client]") {
+  constexpr std::size_t kBytes = std::size_t{12} << 20U;
+  HttpLimits limits;
+  limits.max_body_bytes = kBytes;
+  const EchoServer server(limits);
+  HttpClientLoop client;
+  client.Start();
+  std::promise<HttpReply> reply;
+  HttpCall call;
+  call.address = server.endpoint.ToString();
+  call.lane = "large";
+  call.method = "POST";
+  call.target = "/";
+  call.body = std::string(kBytes, 'x');
+  call.deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  call.done = [&reply](HttpReply answer) { reply.set_value(answer); };
+  client.Send(std::move(call));
+  const HttpReply answer = reply.get_future().get();
+  CHECK(answer.reason == "");
+  CHECK(answer.outcome == HttpOutcome::kAnswered);
+  CHECK(answer.body.size() == kBytes);
+}
+
+TEST_CASE("Callers that never finish their heads give way", "[http]") {
+  constexpr std::size_t kLimit = 8;
+  HttpLimits limits;
+  limits.max_connections = kLimit;
+  const EchoServer server(limits);
+  std::vector<StreamSocket> slow;
+  for (std::size_t i = 0; i < kLimit; ++i) {
+    slow.push_back(server.Connect());
+    Send(slow.back(), "POST / HTTP/1.1\r\nHost: ");
+  }
+  for (int i = 0; i < 20; ++i) {
+    StreamSocket caller = server.Connect();
+    Send(caller, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(ReceiveUntil(caller, "ok").ends_with("ok"));
+  }
+}
+
 }  // namespace
 }  // namespace basilspread::node
