Never append nothing while leading

Cause: an append whose changed submissions had all been forgotten would carry no record, and its answer was taken for that of a raised epoch: the leader would have read the log again in the middle of its work. All tests of core pass (106 cases); no test of its own yet.

--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -256,6 +256,10 @@
   AppendWork append{log.epoch, log.sequence, {}};
   TakeAccepted(context, append);
   TakeChanged(context, append);
+  if (append.records.empty()) {
+    // What changed was forgotten since. An append of nothing raises the epoch.
+    return;
+  }
   SettleEnds(context);
   log.in_flight = std::move(append);
   Send(context);
