--- a/packages/node/tests/http_loop_test.cc
+++ b/packages/node/tests/http_loop_test.cc
@@ -181,10 +181,10 @@
   call.target = "/";
   call.body = std::string(kBytes, 'x');
   call.deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
-  call.done = [&reply](HttpReply answer) { reply.set_value(answer); };
+  call.done = [&reply](const HttpReply& answer) { reply.set_value(answer); };
   client.Send(std::move(call));
   const HttpReply answer = reply.get_future().get();
-  CHECK(answer.reason == "");
+  CHECK(answer.reason.empty());
   CHECK(answer.outcome == HttpOutcome::kAnswered);
   CHECK(answer.body.size() == kBytes);
 }
