Find the next leader through peers when the store is out of reach

Change: the leader names the live members to those who report to it; a process that knows no leader, cannot connect to it, or leads without proof asks the members, and follows whoever they know of a later generation. A leader that hears of one stops leading.

Two tests with cut processes, both seen failing before.

--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -60,6 +60,11 @@
   /// The generation that `leader` was read at.
   std::uint64_t leader_generation = 0;
   bool reading_leader = false;
+  TimePoint leader_adopted_at;
+  /// Peers to which the connection stands.
+  std::set<NodeName> linked;
+  /// The other live members, as the leader last named them.
+  std::map<NodeName, GroupMember> peers;
   /// When the store last failed this process, or the process started: until
   /// then the store may have been away.
   TimePoint store_failed_at;
--- a/packages/core/include/basilspread/core/peer_message.h
+++ b/packages/core/include/basilspread/core/peer_message.h
@@ -98,7 +98,8 @@
     std::variant<Heartbeat, ForwardRequest, ForwardAnswer, JobCall, JobAnswer,
                  ReserveTasks, ReserveAnswer, ConfirmTasks, ReleaseHold,
                  StopTasks, TaskReports, TaskReportsAck, SubmissionCall,
-                 SubmissionAnswer, HelperReport, AdviceCall, AdviceAnswer>;
+                 SubmissionAnswer, HelperReport, AdviceCall, AdviceAnswer,
+                 LeaderReport>;
 
 }  // namespace basilspread
 
--- a/packages/core/include/basilspread/core/submission_message.h
+++ b/packages/core/include/basilspread/core/submission_message.h
@@ -42,6 +42,17 @@
   std::string address;
 };
 
+/// Who leads, as far as the sender knows. The leader's own report names the
+/// group's live members, so that a process that is cut off from the store can
+/// ask them.
+struct LeaderReport {
+  /// Texts of group members; see ToString(GroupMember).
+  std::string leader;
+  std::vector<std::string> members;
+  /// The group's generation at which the sender knew it.
+  std::uint64_t generation = 0;
+};
+
 /// The leader has a process ask the advisor.
 struct AdviceCall {
   AskAdvice ask;
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -112,7 +112,10 @@
 /// A process that asks for advice on the leader's behalf.
 struct Helper {
   ProcessId process;
+  std::string address;
   TimePoint heard_at;
+  /// The number of helpers' changes that it was told of.
+  std::uint64_t told_change = 0;
   /// Questions that it has not answered.
   std::uint32_t open_questions = 0;
   /// When its questions so far will be answered, by their known costs.
@@ -142,6 +145,8 @@
   std::set<std::pair<TimePoint, SubmissionId>> queue;
   std::map<CallId, OpenCall> calls;
   std::map<NodeName, Helper> helpers;
+  /// Counts the changes of `helpers`.
+  std::uint64_t helper_changes = 0;
   std::map<std::uint64_t, Question> questions;
   std::map<RouteName, AdviceStatistics> advice;
   std::uint64_t last_question = 0;
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr std::string_view kPart = "leadership";
+/// A leader that this process could not connect to for so long may be gone:
+/// the others are asked again.
+constexpr Duration kLinkPatience = std::chrono::seconds(1);
 /// A new leader waits this long for workers that do not answer its first
 /// look; what may run on them is then waited for task by task.
 constexpr Duration kLookPatience = std::chrono::milliseconds(900);
@@ -56,8 +59,19 @@
   work_log::RaiseEpoch(context);
 }
 
+/// What the helpers are to the leader, the peers are to all others.
+void RememberHelpers(Context& context) {
+  LeadershipState& state = StateOf(context);
+  for (const auto& [node, helper] : context.state.submissions.helpers) {
+    if (!helper.address.empty()) {
+      state.peers[node] = {helper.process, helper.address};
+    }
+  }
+}
+
 void StepDown(Context& context, std::string_view reason) {
   LeadershipState& state = StateOf(context);
+  RememberHelpers(context);
   state.holds = false;
   state.confirmed_at.reset();
   state.leader.reset();
@@ -72,6 +86,22 @@
   submission_calls::DropLeaderState(context);
 }
 
+void Adopt(Context& context, const GroupMember& member,
+           std::uint64_t generation) {
+  LeadershipState& state = StateOf(context);
+  state.leader_generation = generation;
+  if (state.leader == member) {
+    return;
+  }
+  state.leader = member;
+  state.leader_adopted_at = context.now;
+  context.Log(LogLevel::kInfo, kPart,
+              fmt::format("Follows a leader. leader={} generation={}",
+                          member.process.node.value, generation));
+  context.Emit(ConnectPeer{member.process.node, member.address});
+  submission_calls::OnLeaderChanged(context);
+}
+
 void AskForLeader(Context& context) {
   LeadershipState& state = StateOf(context);
   if (state.reading_leader || state.holds) {
@@ -94,6 +124,14 @@
   if (!state.leader || state.leader_generation != state.generation) {
     AskForLeader(context);
   }
+  const bool is_unlinked = state.leader && !state.holds &&
+                           !state.linked.contains(state.leader->process.node);
+  if (is_unlinked && context.now >= state.leader_adopted_at + kLinkPatience) {
+    OnLeaderLost(context);
+  }
+  if (state.holds && !IsConfirmed(context)) {
+    AskPeers(context);
+  }
   if (context.now >= context.state.submissions.next_report) {
     submission_calls::Report(context);
   }
@@ -135,7 +173,13 @@
 void OnLeaderRead(Context& context, const LeaderRead& event) {
   LeadershipState& state = StateOf(context);
   state.reading_leader = false;
-  if (!event.ok || state.holds) {
+  if (state.holds) {
+    return;
+  }
+  if (!event.ok) {
+    if (!state.leader) {
+      AskPeers(context);
+    }
     return;
   }
   const std::optional<GroupMember> member = ParseGroupMember(event.member);
@@ -144,16 +188,49 @@
     state.leader.reset();
     return;
   }
-  state.leader_generation = state.generation;
-  if (state.leader == member) {
-    return;
+  Adopt(context, *member, state.generation);
+}
+
+void OnReport(Context& context, const LeaderReport& report) {
+  LeadershipState& state = StateOf(context);
+  const ProcessId& self = context.state.settings.self;
+  if (!report.members.empty()) {
+    state.peers.clear();
+  }
+  for (const std::string& text : report.members) {
+    const std::optional<GroupMember> member = ParseGroupMember(text);
+    if (member && member->process.node != self.node) {
+      state.peers[member->process.node] = *member;
+    }
+  }
+  const std::optional<GroupMember> leader = ParseGroupMember(report.leader);
+  const bool is_news =
+      report.generation > state.leader_generation ||
+      (!state.leader && report.generation == state.leader_generation);
+  if (leader && is_news && leader->process != self) {
+    if (state.holds) {
+      // This process is cut off from the store, which gave its place away.
+      StepDown(context, "a peer follows a later leader");
+    }
+    Adopt(context, *leader, report.generation);
+  }
+}
+
+void OnLeaderLost(Context& context) {
+  LeadershipState& state = StateOf(context);
+  if (!state.holds) {
+    state.leader.reset();
+    AskForLeader(context);
+  }
+}
+
+void AskPeers(Context& context) {
+  RememberHelpers(context);
+  for (const auto& [node, member] : StateOf(context).peers) {
+    context.Emit(ConnectPeer{node, member.address});
+    context.Emit(
+        SendToPeer{node, HelperReport{context.state.settings.peer_address}});
   }
-  state.leader = member;
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("Follows a leader. leader={} generation={}",
-                          member->process.node.value, state.generation));
-  context.Emit(ConnectPeer{member->process.node, member->address});
-  submission_calls::OnLeaderChanged(context);
 }
 
 void OnResumed(Context& context, const Resumed& event) {
--- a/packages/core/src/internal/leadership.h
+++ b/packages/core/src/internal/leadership.h
@@ -11,6 +11,12 @@
 void OnTimer(Context& context);
 void OnJoined(Context& context, const GroupJoined& event);
 void OnLeaderRead(Context& context, const LeaderRead& event);
+/// A peer says who leads.
+void OnReport(Context& context, const LeaderReport& report);
+/// The connection to the leader broke.
+void OnLeaderLost(Context& context);
+/// Asks the other members who leads.
+void AskPeers(Context& context);
 void OnResumed(Context& context, const Resumed& event);
 /// Hands the leadership back.
 void Leave(Context& context);
--- a/packages/core/src/internal/step_advice.cc
+++ b/packages/core/src/internal/step_advice.cc
@@ -71,6 +71,33 @@
   return (state.leadership.epoch.value << kEpochShift) + ++state.last_question;
 }
 
+/// Answers a helper's report: the leader when its list of members has
+/// changed, others when they know who leads.
+void TellLeader(Context& context, Helper& helper) {
+  SubmissionsState& state = StateOf(context);
+  const LeadershipState& leadership = state.leadership;
+  if (!leadership.leader || leadership.leader->process == helper.process) {
+    return;
+  }
+  LeaderReport report;
+  report.leader = ToString(*leadership.leader);
+  report.generation = leadership.leader_generation;
+  if (leadership.holds) {
+    if (helper.told_change == state.helper_changes) {
+      return;
+    }
+    helper.told_change = state.helper_changes;
+    for (const auto& [node, member] : state.helpers) {
+      if (member.address.empty()) {
+        // This process itself, which asks for advice too.
+        continue;
+      }
+      report.members.push_back(ToString({member.process, member.address}));
+    }
+  }
+  context.Emit(SendToPeer{helper.process.node, std::move(report)});
+}
+
 /// The workers to name: those known to be allowed first, then those with the
 /// most room, as many as will likely hold what is needed.
 std::vector<HostName> ChooseWorkers(const Context& context,
@@ -237,13 +264,17 @@
 
 void OnHelper(Context& context, const ProcessId& from,
               const HelperReport& report) {
-  Helper& helper = StateOf(context).helpers[from.node];
+  SubmissionsState& state = StateOf(context);
+  Helper& helper = state.helpers[from.node];
   if (helper.process != from) {
     helper = Helper{};
     helper.process = from;
+    helper.address = report.address;
+    ++state.helper_changes;
     context.Emit(ConnectPeer{from.node, report.address});
   }
   helper.heard_at = context.now;
+  TellLeader(context, helper);
 }
 
 void OnCall(Context& context, const ProcessId& from, const AdviceCall& call) {
@@ -261,6 +292,7 @@
     return;
   }
   state.helpers.erase(node);
+  ++state.helper_changes;
   std::vector<std::uint64_t> lost;
   for (const auto& [number, question] : state.questions) {
     if (question.asker.node == node) {
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -242,19 +242,30 @@
 
 void OnLinkChanged(Context& context, const PeerLinkChanged& event) {
   SubmissionsState& state = StateOf(context);
+  if (event.connected) {
+    state.leadership.linked.insert(event.peer);
+  } else {
+    state.leadership.linked.erase(event.peer);
+  }
   const auto& leader = state.leadership.leader;
+  if (!leader && event.connected &&
+      state.leadership.peers.contains(event.peer)) {
+    // Opened to ask who leads.
+    context.Emit(SendToPeer{event.peer,
+                            HelperReport{context.state.settings.peer_address}});
+  }
   if (!leader || leader->process.node != event.peer) {
     return;
   }
-  if (event.connected) {
-    Report(context);
+  if (!event.connected) {
+    leadership::OnLeaderLost(context);
+    return;
   }
+  Report(context);
   // What was sent on the old connection may be lost.
   ForEachOpen(context, [&](CallId /*id*/, OpenCall& call) {
     call.send_not_before = context.now;
-    if (event.connected) {
-      Send(context, call);
-    }
+    Send(context, call);
   });
 }
 
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -241,6 +241,9 @@
     void operator()(const AdviceCall& message) const {
       internal::step_advice::OnCall(this->context, this->from, message);
     }
+    void operator()(const LeaderReport& message) const {
+      internal::leadership::OnReport(this->context, message);
+    }
     void operator()(const AdviceAnswer& message) const {
       internal::step_advice::OnAnswer(this->context, message);
     }
--- a/packages/core/tests/leadership_test.cc
+++ b/packages/core/tests/leadership_test.cc
@@ -112,6 +112,39 @@
   CHECK(world.Leader() >= 0);
 }
 
+TEST_CASE("Processes that are cut off from the store follow the next leader",
+          "[leadership]") {
+  World world;
+  const int old_leader = world.Leader();
+  const int follower = old_leader == 0 ? 1 : 0;
+  world.cut_from_store = {old_leader, follower};
+  world.Run(seconds(4));
+  for (const int node : {old_leader, follower}) {
+    const std::string id = node == follower ? kFirst : kSecond;
+    const CallId call = world.Submit(node, id, {Tasks(1)});
+    world.Run(seconds(2));
+    REQUIRE(world.AnswerTo(call));
+    CHECK(world.AnswerTo(call)->kind == ErrorKind::kNone);
+  }
+  CHECK(world.faults.empty());
+}
+
+TEST_CASE(
+    "A process that is cut off from the store finds a new leader when "
+    "its own dies",
+    "[leadership]") {
+  World world;
+  const int follower = world.Leader() == 0 ? 1 : 0;
+  world.cut_from_store = {follower};
+  world.Run(seconds(1));
+  world.Kill(world.Leader());
+  world.Run(seconds(4));
+  const CallId call = world.Submit(follower, kFirst, {Tasks(1)});
+  world.Run(seconds(2));
+  REQUIRE(world.AnswerTo(call));
+  CHECK(world.AnswerTo(call)->kind == ErrorKind::kNone);
+}
+
 TEST_CASE("A run that nobody knows occupies room until it has ended",
           "[leadership]") {
   World world;
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -79,6 +79,7 @@
   State state;
   bool is_up = true;
   std::map<TimerKind, TimePoint> timers;
+  std::set<NodeName> links;
 };
 
 /// Carries out the effects of one node.
@@ -102,7 +103,7 @@
   void operator()(const JoinGroup& effect) const {
     GroupJoined joined;
     joined.sent_at = this->world.now;
-    if (this->world.store_is_down) {
+    if (!this->world.ReachesStore(this->node.index)) {
       this->world.PostIn(this->node.index, kTimeout, joined);
       return;
     }
@@ -122,7 +123,7 @@
   }
 
   void operator()(const ReadLeader& /*effect*/) const {
-    const bool ok = !this->world.store_is_down;
+    const bool ok = this->world.ReachesStore(this->node.index);
     this->world.PostIn(this->node.index, ok ? kCallTime : kTimeout,
                        LeaderRead{ok, this->world.leader_member});
   }
@@ -207,6 +208,11 @@
   }
 
   void operator()(const SendToPeer& effect) const {
+    if (!this->node.links.contains(effect.peer)) {
+      this->world.PostIn(this->node.index, kCallTime,
+                         PeerMessageNotSent{effect.peer, effect.message});
+      return;
+    }
     for (const auto& peer : this->world.nodes) {
       if (peer->state.settings.self.node == effect.peer && peer->is_up) {
         this->world.PostIn(
@@ -217,6 +223,14 @@
   }
 
   void operator()(const ConnectPeer& effect) const {
+    const auto& nodes = this->world.nodes;
+    const bool is_up =
+        std::any_of(nodes.begin(), nodes.end(), [&effect](const auto& peer) {
+          return peer->is_up && peer->state.settings.self.node == effect.peer;
+        });
+    if (!is_up || !this->node.links.insert(effect.peer).second) {
+      return;
+    }
     this->world.PostIn(this->node.index, kCallTime,
                        PeerLinkChanged{effect.peer, true});
   }
@@ -339,7 +353,14 @@
 }
 
 void StoreWorld::Kill(int node) {
-  this->nodes.at(static_cast<std::size_t>(node))->is_up = false;
+  Node& killed = *this->nodes.at(static_cast<std::size_t>(node));
+  killed.is_up = false;
+  const NodeName name = killed.state.settings.self.node;
+  for (const auto& other : this->nodes) {
+    if (other->links.erase(name) > 0) {
+      this->PostIn(other->index, kCallTime, PeerLinkChanged{name, false});
+    }
+  }
 }
 
 void StoreWorld::Stop(int node) { this->Post(node, StopRequested{}); }
@@ -364,6 +385,10 @@
   return count == this->starts.end() ? 0 : count->second;
 }
 
+bool StoreWorld::ReachesStore(int node) const {
+  return !this->store_is_down && !this->cut_from_store.contains(node);
+}
+
 void StoreWorld::In(Duration delay, std::function<void()> action) {
   this->pending.insert(
       {this->now + delay, ++this->last_pending, std::move(action)});
@@ -499,7 +524,7 @@
   WorkAppended appended;
   appended.epoch = effect.epoch;
   appended.sequence = effect.sequence;
-  if (this->store_is_down) {
+  if (!this->ReachesStore(node)) {
     this->PostIn(node, kTimeout, appended);
     return;
   }
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -79,6 +79,8 @@
 
   /// The store answers no call.
   bool store_is_down = false;
+  /// Processes that the store answers no call of.
+  std::set<int> cut_from_store;
   /// Appends are carried out and not answered.
   bool appends_lose_answers = false;
   /// The store refuses appends and does nothing.
@@ -109,6 +111,7 @@
     }
   };
 
+  bool ReachesStore(int node) const;
   void In(Duration delay, std::function<void()> action);
   void Post(int node, EventBody body);
   void PostIn(int node, Duration delay, EventBody body);
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -81,6 +81,7 @@
     case fb::PeerBody::HelperReport:
     case fb::PeerBody::AdviceCall:
     case fb::PeerBody::AdviceAnswer:
+    case fb::PeerBody::LeaderReport:
       return submission_codec::UnpackMessage(frame);
     default:
       return job_codec::UnpackMessage(frame);
--- a/packages/wire/src/submission_codec.cc
+++ b/packages/wire/src/submission_codec.cc
@@ -90,6 +90,18 @@
   return message;
 }
 
+PeerMessage Unpack(const fb::LeaderReport& packed) {
+  LeaderReport message;
+  message.leader = packed.leader()->str();
+  message.generation = packed.generation();
+  if (packed.members() != nullptr) {
+    for (const auto* member : *packed.members()) {
+      message.members.push_back(member->str());
+    }
+  }
+  return message;
+}
+
 PeerMessage Unpack(const fb::AdviceCall& packed) {
   AdviceCall message;
   message.ask.number = packed.number();
@@ -146,6 +158,14 @@
           fb::CreateHelperReport(builder, address).Union()};
 }
 
+PackedBody Pack(Builder& builder, const LeaderReport& message) {
+  const auto members = builder.CreateVectorOfStrings(message.members);
+  const auto leader = builder.CreateString(message.leader);
+  return {fb::PeerBody::LeaderReport,
+          fb::CreateLeaderReport(builder, leader, members, message.generation)
+              .Union()};
+}
+
 PackedBody Pack(Builder& builder, const AdviceCall& message) {
   std::vector<flatbuffers::Offset<flatbuffers::String>> workers;
   for (const HostName& worker : message.ask.workers) {
@@ -183,6 +203,8 @@
     case fb::PeerBody::HelperReport:
       return PeerMessage(
           HelperReport{frame.body_as_HelperReport()->address()->str()});
+    case fb::PeerBody::LeaderReport:
+      return Unpack(*frame.body_as_LeaderReport());
     case fb::PeerBody::AdviceCall:
       return Unpack(*frame.body_as_AdviceCall());
     case fb::PeerBody::AdviceAnswer:
--- a/packages/wire/src/submission_codec.h
+++ b/packages/wire/src/submission_codec.h
@@ -15,6 +15,7 @@
 PackedBody Pack(Builder& builder, const SubmissionCall& message);
 PackedBody Pack(Builder& builder, const SubmissionAnswer& message);
 PackedBody Pack(Builder& builder, const HelperReport& message);
+PackedBody Pack(Builder& builder, const LeaderReport& message);
 PackedBody Pack(Builder& builder, const AdviceCall& message);
 PackedBody Pack(Builder& builder, const AdviceAnswer& message);
 
