--- a/packages/core/src/internal/step_placement.cc
+++ b/packages/core/src/internal/step_placement.cc
@@ -10,6 +10,7 @@
 #include "internal/leadership.h"
 #include "internal/step_advice.h"
 #include "internal/submission_progress.h"
+#include "internal/submission_runs.h"
 
 namespace basilspread::internal::step_placement {
 namespace {
@@ -168,7 +169,7 @@
                std::uint32_t index, Attempt run) {
   RunState& task = round.step.tasks[index];
   const RunName name{{round.submission.id, round.index, index}, run};
-  submission_progress::BeginRun(round.submission, name, worker.entry.name);
+  submission_runs::BeginRun(round.submission, name, worker.entry.name);
   ++round.placed[worker.entry.name];
   const auto ticket = round.step.allowed.find(worker.entry.name);
   fleet::RunOrder order;
@@ -308,7 +309,7 @@
   }
   bool waits = false;
   for (std::uint32_t i = 0; i < submission.steps.size(); ++i) {
-    if (submission_progress::IsReady(submission, i)) {
+    if (submission_runs::IsReady(submission, i)) {
       waits = PlaceStep(context, submission, i, free) || waits;
     }
   }
--- /dev/null
+++ b/packages/core/src/internal/submission_loading.cc
@@ -0,0 +1,98 @@
+#include "internal/submission_loading.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "internal/submission_progress.h"
+#include "internal/submission_runs.h"
+
+namespace basilspread::internal::submission_loading {
+namespace {
+
+constexpr std::string_view kPart = "submissions";
+
+void LoadProgress(Context& context, const ProgressRecord& record) {
+  SubmissionsState& state = context.state.submissions;
+  SubmissionPtr& submission = state.all[record.id];
+  if (!submission) {
+    submission.reset(new Submission);
+    submission->id = record.id;
+    submission->accepted = true;
+    submission->arrived = context.now;
+  }
+  submission->state = record.state;
+  submission->is_stored = true;
+  submission->ended_at = context.now;
+  submission->loaded = record.tasks;
+}
+
+/// Puts what was read of tasks on the submission.
+void ApplyProgress(Submission& submission) {
+  for (const TaskProgress& progress : submission.loaded) {
+    if (progress.step >= submission.steps.size() ||
+        progress.index >= submission.steps[progress.step].tasks.size()) {
+      continue;
+    }
+    StepState& step = submission.steps[progress.step];
+    RunState& task = step.tasks[progress.index];
+    task.run = progress.run;
+    task.failed_runs.insert(progress.failed_runs.begin(),
+                            progress.failed_runs.end());
+    if (progress.succeeded) {
+      submission_runs::MarkSucceeded(step, task);
+    }
+  }
+  submission.loaded.clear();
+}
+
+}  // namespace
+
+void Load(Context& context, const WorkRecord& record) {
+  SubmissionsState& state = context.state.submissions;
+  if (const auto* progress = std::get_if<ProgressRecord>(&record)) {
+    LoadProgress(context, *progress);
+    return;
+  }
+  const auto* accepted = std::get_if<AcceptedRecord>(&record);
+  if (accepted == nullptr) {
+    return;
+  }
+  SubmissionPtr& submission = state.all[accepted->spec->id];
+  if (submission && submission->spec) {
+    return;
+  }
+  SubmissionPtr made =
+      submission_runs::Make(accepted->spec, accepted->policy, context.now);
+  made->accepted = true;
+  made->inherited = true;
+  if (submission) {
+    made->state = submission->state;
+    made->is_stored = submission->is_stored;
+    made->ended_at = submission->ended_at;
+    made->loaded = std::move(submission->loaded);
+  }
+  submission = std::move(made);
+}
+
+void FinishLoading(Context& context) {
+  std::size_t live = 0;
+  for (const auto& [id, submission] : context.state.submissions.all) {
+    if (HasEnded(submission->state) || !submission->spec) {
+      continue;
+    }
+    ++live;
+    ApplyProgress(*submission);
+    submission->began =
+        std::any_of(submission->steps.begin(), submission->steps.end(),
+                    [](const StepState& step) { return step.succeeded > 0; });
+    submission_progress::GoOn(context, *submission, 0);
+  }
+  context.Log(LogLevel::kInfo, kPart,
+              fmt::format("The work log was read. submissions={} live={}",
+                          context.state.submissions.all.size(), live));
+}
+
+}  // namespace basilspread::internal::submission_loading
--- a/packages/core/src/internal/submission_progress.h
+++ b/packages/core/src/internal/submission_progress.h
@@ -2,30 +2,20 @@
 #define BASILSPREAD_CORE_INTERNAL_SUBMISSION_PROGRESS_H_
 
 #include "basilspread/core/fleet_call.h"
-#include "basilspread/core/submission_record.h"
 #include "basilspread/core/submissions.h"
 #include "internal/context.h"
 
 /// What becomes of submissions, their steps and the runs of their tasks.
 namespace basilspread::internal::submission_progress {
 
-/// Takes a record of the work log in, at a takeover.
-void Load(Context& context, const WorkRecord& record);
-void FinishLoading(Context& context);
-
-/// A new submission with all of its steps waiting.
-SubmissionPtr Make(const SubmissionSpecPtr& spec, const QueuePolicy& policy,
-                   TimePoint arrived);
 Submission* Find(Context& context, const SubmissionId& id);
-/// Whether all steps that the step waits for have succeeded.
-bool IsReady(const Submission& submission, std::uint32_t step);
 /// Puts it in the queue if tasks of it are to be placed.
 void Enqueue(Context& context, Submission& submission);
+/// After a run of the step has ended: ends the submission if all has
+/// succeeded, else queues what waits.
+void GoOn(Context& context, Submission& submission, std::uint32_t step);
 void Cancel(Context& context, Submission& submission);
 
-/// Notes that a run is being started.
-void BeginRun(Submission& submission, const RunName& name,
-              const HostName& worker);
 void OnStarted(Context& context, const RunName& name);
 void OnNotStarted(Context& context, const RunOrdered& event);
 /// The answer to a start that was sent under `fence` is lost.
--- /dev/null
+++ b/packages/core/src/internal/submission_runs.cc
@@ -0,0 +1,148 @@
+#include "internal/submission_runs.h"
+
+#include <algorithm>
+
+namespace basilspread::internal::submission_runs {
+namespace {
+
+/// Length of the longest chain of steps, by the caller's estimates.
+Duration LongestChain(const SubmissionSpec& spec) {
+  std::vector<Duration> ends(spec.steps.size());
+  Duration longest{};
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    Duration begin{};
+    for (const std::uint32_t earlier : spec.steps[i].after) {
+      begin = std::max(begin, ends[earlier]);
+    }
+    ends[i] = begin + spec.steps[i].expected_run_time;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+}  // namespace
+
+SubmissionPtr Make(const SubmissionSpecPtr& spec, const QueuePolicy& policy,
+                   TimePoint arrived) {
+  SubmissionPtr submission(new Submission);
+  submission->id = spec->id;
+  submission->spec = spec;
+  submission->policy = policy;
+  submission->route = spec->route;
+  submission->arrived = arrived;
+  for (const StepSpec& step : spec->steps) {
+    StepState state;
+    state.tasks.resize(step.count);
+    submission->steps.push_back(std::move(state));
+  }
+  return submission;
+}
+
+bool IsReady(const Submission& submission, std::uint32_t step) {
+  const auto& after = submission.spec->steps[step].after;
+  return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+    const StepState& state = submission.steps[earlier];
+    return state.succeeded == state.tasks.size();
+  });
+}
+
+TimePoint LatestStart(const Submission& submission) {
+  const std::chrono::duration<double> chain = LongestChain(*submission.spec);
+  const auto slack = std::chrono::duration_cast<Duration>(
+      chain * std::max(0.0, submission.policy.stretch - 1.0));
+  return submission.arrived + submission.policy.target_latency + slack;
+}
+
+RunState* FindRun(Submission& submission, const RunName& name) {
+  if (name.task.step >= submission.steps.size()) {
+    return nullptr;
+  }
+  auto& tasks = submission.steps[name.task.step].tasks;
+  return name.task.index < tasks.size() ? &tasks[name.task.index] : nullptr;
+}
+
+bool IsPresent(const RunState& task, const RunName& name) {
+  return !task.worker.value.empty() && task.run == name.run;
+}
+
+void Clear(RunState& task) {
+  task.worker = HostName{};
+  task.certain_at.reset();
+  task.lost_under_fence.reset();
+  task.stopping = false;
+  if (task.phase != RunPhase::kSucceeded) {
+    task.phase = RunPhase::kWaiting;
+  }
+}
+
+void BeginRun(Submission& submission, const RunName& name,
+              const HostName& worker) {
+  RunState& task = submission.steps[name.task.step].tasks[name.task.index];
+  task.phase = RunPhase::kStarting;
+  task.run = name.run;
+  task.worker = worker;
+  task.certain_at.reset();
+  task.lost_under_fence.reset();
+  task.stopping = false;
+}
+
+bool IsGang(const Submission& submission, std::uint32_t step) {
+  return submission.spec->steps[step].gang;
+}
+
+bool HasSucceeded(const Submission& submission) {
+  return std::all_of(submission.steps.begin(), submission.steps.end(),
+                     [](const StepState& step) {
+                       return step.succeeded == step.tasks.size();
+                     });
+}
+
+void MarkSucceeded(StepState& step, RunState& task) {
+  if (task.phase != RunPhase::kSucceeded) {
+    task.phase = RunPhase::kSucceeded;
+    ++step.succeeded;
+  }
+}
+
+void Succeed(Submission& submission, const RunName& name) {
+  StepState& step = submission.steps[name.task.step];
+  if (!IsGang(submission, name.task.step)) {
+    MarkSucceeded(step, step.tasks[name.task.index]);
+    return;
+  }
+  for (RunState& task : step.tasks) {
+    MarkSucceeded(step, task);
+  }
+}
+
+std::size_t CountFailure(Submission& submission, const RunName& name) {
+  StepState& step = submission.steps[name.task.step];
+  RunState& task = IsGang(submission, name.task.step)
+                       ? step.tasks.front()
+                       : step.tasks[name.task.index];
+  task.failed_runs.insert(name.run);
+  return task.failed_runs.size();
+}
+
+bool IsGangPresent(const StepState& step, Attempt run) {
+  return std::any_of(step.tasks.begin(), step.tasks.end(),
+                     [run](const RunState& task) {
+                       return !task.worker.value.empty() && task.run == run;
+                     });
+}
+
+void ResetGang(Submission& submission, std::uint32_t index) {
+  StepState& step = submission.steps[index];
+  if (!submission.spec || !IsGang(submission, index)) {
+    return;
+  }
+  const bool is_idle = std::all_of(
+      step.tasks.begin(), step.tasks.end(),
+      [](const RunState& task) { return task.worker.value.empty(); });
+  if (is_idle) {
+    step.gang_broken = false;
+    step.gang_began.reset();
+  }
+}
+
+}  // namespace basilspread::internal::submission_runs
--- a/packages/core/src/internal/submission_service.cc
+++ b/packages/core/src/internal/submission_service.cc
@@ -11,6 +11,7 @@
 #include "internal/step_advice.h"
 #include "internal/submission_calls.h"
 #include "internal/submission_progress.h"
+#include "internal/submission_runs.h"
 #include "internal/work_log.h"
 
 namespace basilspread::internal::service {
@@ -59,7 +60,7 @@
     return Reply(context, from, message.call, ErrorKind::kLogUnavailable);
   }
   const SubmissionPtr submission =
-      submission_progress::Make(message.spec, route->policy, context.now);
+      submission_runs::Make(message.spec, route->policy, context.now);
   submission->submitters.emplace_back(from, message.call);
   state.all.emplace(message.id, submission);
   work_log::Accept(context, *submission);
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "internal/leadership.h"
-#include "internal/submission_progress.h"
+#include "internal/submission_loading.h"
 #include "internal/submission_service.h"
 
 namespace basilspread::internal::work_log {
@@ -207,13 +207,13 @@
     return;
   }
   for (const WorkRecord& record : event.records) {
-    submission_progress::Load(context, record);
+    submission_loading::Load(context, record);
   }
   if (!event.next.empty()) {
     context.Emit(ListWork{event.next});
     return;
   }
-  submission_progress::FinishLoading(context);
+  submission_loading::FinishLoading(context);
   leadership::OnLoaded(context);
 }
 
