Repeat store calls on other connections, and decline what waits behind silence

Ruled out: the workers (starts went on) and the advisor.

Change: up to three connections for joins and for appends; an append is sent again after 250 ms, and the store carries out one of the copies; the group's answers are ordered by generation. After 1 s of silence what was never sent is refused as not run. An entry process counts which processes may have taken a call up, so that sending it again to the same leader does not turn a certain refusal into an unknown outcome.

--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -46,7 +46,7 @@
   LeaderPhase phase = LeaderPhase::kFollowing;
   /// Last generation of the group that was received.
   std::uint64_t generation = 0;
-  bool joining = false;
+  CallChannels join_channels;
   /// Whether the last answered join says that this process leads.
   bool holds = false;
   /// When that join was sent; unset while nothing proves the leadership.
@@ -77,7 +77,9 @@
   std::uint64_t sequence = 0;
   /// The append that is not settled yet; repeated until it is.
   std::optional<AppendWork> in_flight;
-  bool is_waiting = false;
+  /// When it was first to be sent.
+  TimePoint in_flight_since;
+  CallChannels channels;
   /// A timer is armed for the next append; later events do not put it off.
   bool is_due = false;
   /// An earlier try of it may have been carried out.
@@ -90,7 +92,6 @@
   /// What the next append carries.
   std::vector<WorkRecord> accepted;
   std::set<SubmissionId> changed;
-  std::vector<WorkRecord> dropped;
   /// What the append in flight settles.
   std::vector<SubmissionId> settling_accepted;
   /// With the state that each record tells: it may have changed since.
--- a/packages/core/include/basilspread/core/store_call.h
+++ b/packages/core/include/basilspread/core/store_call.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "basilspread/core/call_channels.h"
 #include "basilspread/core/fleet_call.h"
 #include "basilspread/core/ids.h"
 #include "basilspread/core/queue_tables.h"
@@ -20,6 +21,7 @@
   Duration time_to_live{};
   /// The last generation received; 0 at first.
   std::uint64_t generation = 0;
+  CallChannel channel = 0;
 };
 
 /// Hands everything held back at once. Nothing is reported.
@@ -28,6 +30,7 @@
 };
 
 struct GroupJoined {
+  CallChannel channel = 0;
   bool ok = false;
   TimePoint sent_at;
   std::uint64_t generation = 0;
@@ -50,6 +53,8 @@
   Epoch epoch;
   std::uint64_t sequence = 0;
   std::vector<WorkRecord> records;
+  /// Repeats of an append may be under way on several at once.
+  CallChannel channel = 0;
 };
 
 enum class WorkAppendResult {
@@ -65,6 +70,7 @@
 };
 
 struct WorkAppended {
+  CallChannel channel = 0;
   Epoch epoch;
   std::uint64_t sequence = 0;
   WorkAppendResult result = WorkAppendResult::kUnknown;
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -100,13 +100,11 @@
 struct OpenCall {
   SubmissionCall message;
   TimePoint deadline;
-  /// The leader it was sent to and that has not declined it.
-  std::optional<ProcessId> sent_to;
   /// Not sent again before then.
   TimePoint send_not_before;
-  /// Some leader may have taken it up.
-  bool maybe_taken = false;
-  bool maybe_taken_before = false;
+  /// Processes that may have taken it up, with the number of times that it was
+  /// sent there and not declined.
+  std::map<NodeName, std::uint32_t> takers;
 };
 
 /// A process that asks for advice on the leader's behalf.
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -30,13 +30,16 @@
 
 void Join(Context& context) {
   LeadershipState& state = StateOf(context);
-  if (state.joining || context.state.stopping) {
+  if (context.state.stopping) {
+    return;
+  }
+  const std::optional<CallChannel> channel = state.join_channels.Take();
+  if (!channel) {
     return;
   }
-  state.joining = true;
   context.Emit(JoinGroup{ToString(Self(context)),
                          context.state.settings.store.member_time_to_live,
-                         state.generation});
+                         state.generation, *channel});
 }
 
 void Enter(Context& context, LeaderPhase phase) {
@@ -81,7 +84,7 @@
   context.Log(LogLevel::kWarning, kPart,
               fmt::format("Stopped leading. epoch={} reason=\"{}\"",
                           state.epoch.value, reason));
-  work_log::DeclineQueued(context);
+  work_log::DeclineQueued(context, ErrorKind::kNotOwner);
   Enter(context, LeaderPhase::kFollowing);
   submission_calls::DropLeaderState(context);
 }
@@ -142,12 +145,14 @@
 
 void OnJoined(Context& context, const GroupJoined& event) {
   LeadershipState& state = StateOf(context);
-  state.joining = false;
+  state.join_channels.Release(event.channel);
   if (!event.ok) {
     state.store_failed_at = context.now;
     return;
   }
-  if (context.state.stopping) {
+  // Joins on several channels overtake each other; what the group says of
+  // itself is ordered by its generation.
+  if (context.state.stopping || event.generation < state.generation) {
     return;
   }
   const bool has_changed = state.generation != event.generation;
@@ -156,7 +161,8 @@
     StepDown(context, "the group gave the leadership to another member");
   }
   if (event.leads) {
-    state.confirmed_at = event.sent_at;
+    state.confirmed_at =
+        std::max(state.confirmed_at.value_or(event.sent_at), event.sent_at);
     if (!state.holds) {
       state.holds = true;
       TakeOver(context, std::max(Epoch{event.generation}, state.epoch));
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -82,10 +82,8 @@
   if (!leader || context.now < call.send_not_before) {
     return;
   }
-  call.sent_to = leader->process;
   call.send_not_before = context.now + kUnansweredDelay;
-  call.maybe_taken_before = call.maybe_taken;
-  call.maybe_taken = true;
+  ++call.takers[leader->process.node];
   const SubmissionCall message = call.message;
   if (leader->process == context.state.settings.self) {
     service::OnCall(context, leader->process, message);
@@ -111,11 +109,21 @@
   }
 }
 
-/// The leader did nothing with the call.
-void TakeBack(Context& context, OpenCall& call, Duration delay) {
-  call.sent_to.reset();
-  call.maybe_taken = call.maybe_taken_before;
-  call.send_not_before = context.now + delay;
+/// The process did nothing with what it was sent.
+void TakeBack(Context& context, OpenCall& call, const NodeName& taker) {
+  const auto found = call.takers.find(taker);
+  if (found != call.takers.end() && --found->second == 0) {
+    call.takers.erase(found);
+  }
+  call.send_not_before = context.now + kDeclinedDelay;
+}
+
+/// A leader knows of all that earlier ones stored, so its refusal is certain
+/// unless a later one may have taken the call up.
+bool IsCertain(const OpenCall& call, const NodeName& refuser) {
+  return std::all_of(
+      call.takers.begin(), call.takers.end(),
+      [&refuser](const auto& taker) { return taker.first == refuser; });
 }
 
 void Expire(Context& context, CallId id, bool maybe_taken) {
@@ -195,7 +203,7 @@
 void OnTimer(Context& context) {
   ForEachOpen(context, [&context](CallId id, OpenCall& call) {
     if (context.now >= call.deadline) {
-      Expire(context, id, call.maybe_taken);
+      Expire(context, id, !call.takers.empty());
     } else {
       Send(context, call);
     }
@@ -204,7 +212,8 @@
   context.ArmIn(TimerKind::kCalls, kCheckInterval);
 }
 
-void OnAnswer(Context& context, const SubmissionAnswer& answer) {
+void OnAnswer(Context& context, const NodeName& from,
+              const SubmissionAnswer& answer) {
   SubmissionsState& state = StateOf(context);
   const auto found = state.calls.find(answer.call);
   if (found == state.calls.end()) {
@@ -213,16 +222,14 @@
   const bool is_declined = answer.kind == ErrorKind::kNotOwner ||
                            answer.kind == ErrorKind::kNotReady;
   if (is_declined) {
-    TakeBack(context, found->second, kDeclinedDelay);
+    TakeBack(context, found->second, from);
     return;
   }
   SubmissionAnswer told = answer;
   told.operation = found->second.message.operation;
   const bool is_refusal = answer.kind == ErrorKind::kLogUnavailable ||
                           answer.kind == ErrorKind::kOverloaded;
-  if (is_refusal && found->second.maybe_taken_before) {
-    // An earlier leader may have stored it: only the present one's refusal
-    // is certain.
+  if (is_refusal && !IsCertain(found->second, from)) {
     told.kind = ErrorKind::kOutcomeUnknown;
   }
   state.calls.erase(found);
@@ -236,7 +243,7 @@
   }
   const auto found = StateOf(context).calls.find(message->call);
   if (found != StateOf(context).calls.end()) {
-    TakeBack(context, found->second, kDeclinedDelay);
+    TakeBack(context, found->second, event.peer);
   }
 }
 
@@ -272,7 +279,6 @@
 void OnLeaderChanged(Context& context) {
   Report(context);
   ForEachOpen(context, [&context](CallId /*id*/, OpenCall& call) {
-    call.sent_to.reset();
     call.send_not_before = context.now;
     Send(context, call);
   });
--- a/packages/core/src/internal/submission_calls.h
+++ b/packages/core/src/internal/submission_calls.h
@@ -13,8 +13,9 @@
 void OnArrived(Context& context, const SubmissionCallArrived& event);
 void OnCallerGone(Context& context, const CallerGone& event);
 void OnTimer(Context& context);
-/// Answers that came from the leader.
-void OnAnswer(Context& context, const SubmissionAnswer& answer);
+/// `from`: the process that answers.
+void OnAnswer(Context& context, const NodeName& from,
+              const SubmissionAnswer& answer);
 void OnMessageNotSent(Context& context, const PeerMessageNotSent& event);
 void OnLinkChanged(Context& context, const PeerLinkChanged& event);
 /// Another process leads, or none.
--- a/packages/core/src/internal/submission_service.cc
+++ b/packages/core/src/internal/submission_service.cc
@@ -27,7 +27,7 @@
 void Reply(Context& context, const ProcessId& to,
            const SubmissionAnswer& answer) {
   if (to == context.state.settings.self) {
-    submission_calls::OnAnswer(context, answer);
+    submission_calls::OnAnswer(context, to.node, answer);
     return;
   }
   context.Emit(SendToPeer{to.node, answer});
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -18,7 +18,13 @@
 constexpr Duration kAppendSpacing = std::chrono::milliseconds(15);
 /// Events of one look or one burst come within this time.
 constexpr Duration kGatherTime = std::chrono::milliseconds(2);
-/// Delay before an append that was refused or lost is repeated; doubles.
+/// An append without an answer is sent again on another connection: ten times
+/// what the store needs on a calm day. The store carries out one of them.
+constexpr Duration kRepeatAfter = std::chrono::milliseconds(250);
+/// After a silence of this length what waits behind the append is declined: a
+/// third of the 3 s that callers wait, so that they can come again.
+constexpr Duration kSilenceLimit = std::chrono::seconds(1);
+/// Delay before an append that was refused is repeated; doubles.
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(40);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(640);
 constexpr Duration kLoadRetryDelay = std::chrono::milliseconds(100);
@@ -55,11 +61,24 @@
   return record;
 }
 
+/// Sends the append, once more if it is under way. Without an answer the
+/// timer repeats it.
 void Send(Context& context) {
   WorkLogState& log = StateOf(context).log;
-  log.is_waiting = true;
-  log.last_sent = context.now;
-  context.Emit(*log.in_flight);
+  const std::optional<CallChannel> channel = log.channels.Take();
+  if (channel) {
+    log.last_sent = context.now;
+    log.in_flight->channel = *channel;
+    context.Emit(*log.in_flight);
+  }
+  context.ArmIn(TimerKind::kWorkLog, kRepeatAfter);
+}
+
+void Begin(Context& context, AppendWork append) {
+  WorkLogState& log = StateOf(context).log;
+  log.in_flight = std::move(append);
+  log.in_flight_since = context.now;
+  Send(context);
 }
 
 void Retry(Context& context) {
@@ -194,8 +213,7 @@
   SubmissionsState& state = StateOf(context);
   state.log = WorkLogState{};
   state.log.epoch = state.leadership.epoch;
-  state.log.in_flight = AppendWork{state.log.epoch, 0, {}};
-  Send(context);
+  Begin(context, AppendWork{state.log.epoch, 0, {}});
 }
 
 void OnListed(Context& context, const WorkListed& event) {
@@ -261,19 +279,17 @@
     return;
   }
   SettleEnds(context);
-  log.in_flight = std::move(append);
-  Send(context);
+  Begin(context, std::move(append));
 }
 
 void OnAppended(Context& context, const WorkAppended& event) {
   WorkLogState& log = StateOf(context).log;
-  const bool is_expected = log.is_waiting && log.in_flight &&
-                           event.epoch == log.epoch &&
+  log.channels.Release(event.channel);
+  const bool is_expected = log.in_flight && event.epoch == log.epoch &&
                            event.sequence == log.in_flight->sequence;
   if (!is_expected) {
     return;
   }
-  log.is_waiting = false;
   if (event.result == WorkAppendResult::kFenced) {
     leadership::OnFenced(context, event.epoch_in_force);
     return;
@@ -281,8 +297,9 @@
   const bool is_raise = log.in_flight->records.empty();
   const bool is_out_of_sequence =
       event.result == WorkAppendResult::kOutOfSequence;
-  // The store expects what follows an earlier try whose answer was lost.
-  const bool was_stored = is_out_of_sequence && log.may_be_stored &&
+  const bool others_count = log.may_be_stored || !log.channels.IsIdle();
+  // The store expects what follows another try that it carried out.
+  const bool was_stored = is_out_of_sequence && others_count &&
                           event.expected_sequence == event.sequence + 1;
   if (is_out_of_sequence && !was_stored) {
     log.sequence = event.expected_sequence;
@@ -297,11 +314,12 @@
     }
     return;
   }
-  const bool is_unknown = event.result == WorkAppendResult::kUnknown;
-  NoteFailure(context, is_unknown ? "no answer" : "refused");
-  if (is_unknown) {
+  if (event.result == WorkAppendResult::kUnknown) {
     log.may_be_stored = true;
-  } else if (!log.may_be_stored && !is_raise) {
+    return;
+  }
+  NoteFailure(context, "refused");
+  if (!others_count && !is_raise) {
     OnRefused(context);
     return;
   }
@@ -311,11 +329,15 @@
 void OnTimer(Context& context) {
   WorkLogState& log = StateOf(context).log;
   log.is_due = false;
-  if (log.in_flight && !log.is_waiting && context.now >= log.not_before) {
-    Send(context);
+  if (!log.in_flight) {
+    Pump(context);
     return;
   }
-  Pump(context);
+  if (context.now >= log.in_flight_since + kSilenceLimit) {
+    NoteFailure(context, "no answer");
+    DeclineQueued(context, ErrorKind::kLogUnavailable);
+  }
+  Send(context);
 }
 
 bool IsAvailable(const Context& context) {
@@ -324,16 +346,19 @@
          (!log.in_flight && context.now >= log.not_before);
 }
 
-void DeclineQueued(Context& context) {
-  WorkLogState& log = StateOf(context).log;
+void DeclineQueued(Context& context, ErrorKind kind) {
+  std::vector<WorkRecord> kept;
   std::vector<SubmissionId> declined;
-  for (const WorkRecord& record : log.accepted) {
+  for (WorkRecord& record : StateOf(context).log.accepted) {
     if (const auto* accepted = std::get_if<AcceptedRecord>(&record)) {
       declined.push_back(accepted->spec->id);
+    } else {
+      kept.push_back(std::move(record));
     }
   }
+  StateOf(context).log.accepted = std::move(kept);
   for (const SubmissionId& id : declined) {
-    service::OnNotAccepted(context, id, ErrorKind::kNotOwner);
+    service::OnNotAccepted(context, id, kind);
   }
 }
 
--- a/packages/core/src/internal/work_log.h
+++ b/packages/core/src/internal/work_log.h
@@ -27,8 +27,8 @@
 
 /// Whether a new record can be expected to be stored soon.
 bool IsAvailable(const Context& context);
-/// Tells the callers whose records were never sent that nothing was done.
-void DeclineQueued(Context& context);
+/// Tells the callers whose records were never sent why nothing was done.
+void DeclineQueued(Context& context, ErrorKind kind);
 
 }  // namespace basilspread::internal::work_log
 
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -233,7 +233,8 @@
       internal::service::OnCall(this->context, this->from, message);
     }
     void operator()(const SubmissionAnswer& message) const {
-      internal::submission_calls::OnAnswer(this->context, message);
+      internal::submission_calls::OnAnswer(this->context, this->from.node,
+                                           message);
     }
     void operator()(const HelperReport& message) const {
       internal::step_advice::OnHelper(this->context, this->from, message);
--- a/packages/core/tests/leadership_test.cc
+++ b/packages/core/tests/leadership_test.cc
@@ -45,6 +45,17 @@
   CHECK(world.Leader() != before);
 }
 
+TEST_CASE("Two lost answers of joins do not end a leadership", "[leadership]") {
+  World world;
+  const int leader = world.Leader();
+  world.lost_joins = 2;
+  for (int i = 0; i < 30; ++i) {
+    world.Run(milliseconds(100));
+    CHECK(world.Leader() == leader);
+  }
+  CHECK(world.lost_joins == 0);
+}
+
 TEST_CASE("A new leader takes over what runs, and starts nothing twice",
           "[leadership]") {
   World world;
--- a/packages/core/tests/submissions_test.cc
+++ b/packages/core/tests/submissions_test.cc
@@ -158,6 +158,38 @@
   CHECK(world.Starts(kFirst) == 1);
 }
 
+TEST_CASE("A submission waits little for an append whose answer is lost",
+          "[submissions]") {
+  World world;
+  world.lost_appends = 1;
+  const CallId call = world.Submit(Follower(world), kFirst, {Tasks(1)});
+  // A tenth of the time in which a caller gives up.
+  world.Run(milliseconds(300));
+  REQUIRE(world.AnswerTo(call));
+  CHECK(world.AnswerTo(call)->kind == ErrorKind::kNone);
+  world.Run(seconds(2));
+  CHECK(world.Starts(kFirst) == 1);
+  CHECK(world.faults.empty());
+}
+
+TEST_CASE("Submissions behind a lasting silence of the store are not run",
+          "[submissions]") {
+  World world;
+  world.store_is_down = true;
+  const int node = Follower(world);
+  world.Submit(node, kFirst, {Tasks(1)});
+  world.Run(milliseconds(100));
+  const CallId behind = world.Submit(node, kSecond, {Tasks(1)});
+  world.Run(milliseconds(1200));
+  // In time for the caller to come again.
+  REQUIRE(world.AnswerTo(behind));
+  CHECK(world.AnswerTo(behind)->kind == ErrorKind::kLogUnavailable);
+  world.store_is_down = false;
+  world.Run(seconds(5));
+  CHECK(world.Starts(kSecond) == 0);
+  CHECK(world.faults.empty());
+}
+
 TEST_CASE("What the store refused is told as not run", "[submissions]") {
   World world;
   world.appends_are_refused = true;
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -102,8 +102,12 @@
 
   void operator()(const JoinGroup& effect) const {
     GroupJoined joined;
+    joined.channel = effect.channel;
     joined.sent_at = this->world.now;
-    if (!this->world.ReachesStore(this->node.index)) {
+    const bool is_lost =
+        this->world.lost_joins > 0 && this->world.Leader() == this->node.index;
+    this->world.lost_joins -= is_lost ? 1 : 0;
+    if (is_lost || !this->world.ReachesStore(this->node.index)) {
       this->world.PostIn(this->node.index, kTimeout, joined);
       return;
     }
@@ -522,6 +526,7 @@
 
 void StoreWorld::Append(int node, const AppendWork& effect) {
   WorkAppended appended;
+  appended.channel = effect.channel;
   appended.epoch = effect.epoch;
   appended.sequence = effect.sequence;
   if (!this->ReachesStore(node)) {
@@ -559,7 +564,9 @@
     this->log_epoch = effect.epoch;
     this->log_sequence = effect.sequence + 1;
   }
-  if (this->appends_lose_answers) {
+  const bool is_lost = this->appends_lose_answers || this->lost_appends > 0;
+  this->lost_appends -= this->lost_appends > 0 ? 1 : 0;
+  if (is_lost) {
     this->PostIn(node, kTimeout, appended);
     return;
   }
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -83,6 +83,10 @@
   std::set<int> cut_from_store;
   /// Appends are carried out and not answered.
   bool appends_lose_answers = false;
+  /// So many of the next appends are carried out and not answered.
+  int lost_appends = 0;
+  /// So many of the leader's next joins are neither carried out nor answered.
+  int lost_joins = 0;
   /// The store refuses appends and does nothing.
   bool appends_are_refused = false;
   /// Starts are carried out this much later and not answered; zero: at once.
