Let calls overtake one that a worker or the store does not answer

Change: calls behind one that was not answered for 250 ms take a new connection; the slow one keeps its own until its answer or time-out. Six instead of three connections for repeats, as many as fit into a time-out.

--- a/packages/core/include/basilspread/core/call_channels.h
+++ b/packages/core/include/basilspread/core/call_channels.h
@@ -21,8 +21,9 @@
   bool IsIdle() const { return this->busy.none(); }
 
  private:
-  /// Two answers in a row may be lost without a wait for a connection.
-  static constexpr std::size_t kCount = 3;
+  /// As many repeats, 250 ms or more apart, as begin before the first call's
+  /// time-out of 1.5 s frees its connection.
+  static constexpr std::size_t kCount = 6;
 
   std::bitset<kCount> busy;
 };
--- a/packages/node/src/http_client_loop.cc
+++ b/packages/node/src/http_client_loop.cc
@@ -61,6 +61,8 @@
     }
     this->TakeCalls();
     this->CheckDeadlines();
+    this->OvertakeSlowCalls();
+    this->DropIdleStragglers();
   }
 }
 
@@ -138,24 +140,65 @@
 void HttpClientLoop::CheckDeadlines() {
   const TimePoint now = Now();
   for (const auto& [lane, exchange] : this->lanes) {
-    const auto deadline = exchange->NextDeadline();
-    if (deadline && *deadline <= now) {
-      exchange->Expire(now);
-      this->Watch(exchange);
+    this->Expire(exchange, now);
+  }
+  for (const HttpExchangePtr& exchange : this->stragglers) {
+    this->Expire(exchange, now);
+  }
+}
+
+void HttpClientLoop::Expire(const HttpExchangePtr& exchange, TimePoint now) {
+  const auto deadline = exchange->NextDeadline();
+  if (deadline && *deadline <= now) {
+    exchange->Expire(now);
+    this->Watch(exchange);
+  }
+}
+
+void HttpClientLoop::OvertakeSlowCalls() {
+  const TimePoint now = Now();
+  for (auto& [lane, exchange] : this->lanes) {
+    const auto overtake_at = exchange->OvertakeAt();
+    if (!overtake_at || *overtake_at > now) {
+      continue;
     }
+    const HttpExchangePtr slow = exchange;
+    this->stragglers.push_back(slow);
+    exchange.reset(new HttpExchange(lane.first));
+    for (HttpCall& call : slow->TakeWaiting()) {
+      exchange->Add(std::move(call));
+    }
+    exchange->Advance();
+    this->Watch(exchange);
   }
 }
 
+void HttpClientLoop::DropIdleStragglers() {
+  std::erase_if(this->stragglers, [this](const HttpExchangePtr& exchange) {
+    if (exchange->IsIdle() && exchange->watched) {
+      this->Unwatch(exchange);
+    }
+    return exchange->IsIdle();
+  });
+}
+
 Poco::Timespan HttpClientLoop::UntilNextDeadline() const {
   Poco::Timespan wait = kLongestWait;
   const TimePoint now = Now();
-  for (const auto& [lane, exchange] : this->lanes) {
-    if (const auto deadline = exchange->NextDeadline()) {
+  const auto wake_by = [&wait, now](std::optional<TimePoint> at) {
+    if (at) {
       const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
-          std::max(*deadline - now, Duration::zero()));
+          std::max(*at - now, Duration::zero()));
       // Rounded up, so that the thread does not wake just before.
       wait = std::min(wait, Poco::Timespan(left.count() + 1000));
     }
+  };
+  for (const auto& [lane, exchange] : this->lanes) {
+    wake_by(exchange->NextDeadline());
+    wake_by(exchange->OvertakeAt());
+  }
+  for (const HttpExchangePtr& exchange : this->stragglers) {
+    wake_by(exchange->NextDeadline());
   }
   return wait;
 }
--- a/packages/node/src/http_client_loop.h
+++ b/packages/node/src/http_client_loop.h
@@ -19,7 +19,8 @@
 namespace basilspread::node {
 
 /// An HTTP client for many servers on one thread. Calls of one lane share a
-/// kept-open connection, one after another.
+/// kept-open connection, one after another; those behind a slow call may take
+/// another one.
 class HttpClientLoop {
  public:
   HttpClientLoop() = default;
@@ -45,11 +46,16 @@
   void Watch(const HttpExchangePtr& exchange);
   void Unwatch(const HttpExchangePtr& exchange);
   void CheckDeadlines();
+  void Expire(const HttpExchangePtr& exchange, TimePoint now);
+  void OvertakeSlowCalls();
+  void DropIdleStragglers();
   Poco::Timespan UntilNextDeadline() const;
 
   Poco::Net::PollSet poll_set;
   WakeSocket wake_socket;
   std::map<Lane, HttpExchangePtr> lanes;
+  /// Connections with one slow call each, which their lanes have left.
+  std::vector<HttpExchangePtr> stragglers;
   std::map<Poco::Net::Socket, HttpExchangePtr> by_socket;
   std::mutex mutex;
   std::vector<HttpCall> incoming;
--- a/packages/node/src/http_exchange.cc
+++ b/packages/node/src/http_exchange.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <sstream>
 #include <utility>
 
@@ -212,6 +213,21 @@
   }
 }
 
+std::optional<TimePoint> HttpExchange::OvertakeAt() const {
+  const bool has_waiting = this->written > 0 && this->calls.size() > 1;
+  if (!has_waiting || this->calls.front().slow_after == Duration::zero()) {
+    return std::nullopt;
+  }
+  return this->sent_at + this->calls.front().slow_after;
+}
+
+std::deque<HttpCall> HttpExchange::TakeWaiting() {
+  std::deque<HttpCall> waiting(std::make_move_iterator(this->calls.begin() + 1),
+                               std::make_move_iterator(this->calls.end()));
+  this->calls.erase(this->calls.begin() + 1, this->calls.end());
+  return waiting;
+}
+
 std::optional<TimePoint> HttpExchange::NextDeadline() const {
   std::optional<TimePoint> next;
   for (const HttpCall& call : this->calls) {
--- a/packages/node/src/http_exchange.h
+++ b/packages/node/src/http_exchange.h
@@ -46,6 +46,9 @@
   std::string body;
   /// The call is given up at this point.
   TimePoint deadline;
+  /// Without an answer after this time, what waits behind the call takes
+  /// another connection; zero: it waits.
+  Duration slow_after{};
   std::function<void(HttpReply)> done;
 };
 
@@ -69,6 +72,12 @@
   void Expire(TimePoint now);
 
   std::optional<TimePoint> NextDeadline() const;
+  /// When the calls that wait are to take another connection; unset while
+  /// none waits behind one under way.
+  std::optional<TimePoint> OvertakeAt() const;
+  /// All calls but the first.
+  std::deque<HttpCall> TakeWaiting();
+  bool IsIdle() const { return this->calls.empty(); }
   bool IsConnected() const { return this->socket.has_value(); }
   bool WantsToWrite() const {
     return this->connecting || this->written < this->output.size();
