Keep the workers in the work log, so that a takeover misses none

A leader that takes over then knew only the list, and started the tasks anew while they ran. Ruled out: letting all inherited tasks wait for the longest lease (6.6 s at every takeover), and telling followers (an entry may lapse during the takeover itself).

Change: the leader notes a worker in the work log before the first start there, again when it moved or began anew, and drops it once it is gone with its leases. A new leader looks at the noted workers too, and holds inherited tasks for those that do not answer, as for listed ones.

--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -17,6 +17,9 @@
   WorkerEntry entry;
   /// The store no longer lists it.
   bool unlisted = false;
+  /// The work log names it, so that the next leader looks at it even if it is
+  /// not listed; nothing is started there before.
+  bool is_noted = false;
   /// Looked at under the present fence, so that all its runs are known.
   bool is_known = false;
   /// Number of the fence within the leader's epoch.
--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -92,11 +92,13 @@
   /// What the next append carries.
   std::vector<WorkRecord> accepted;
   std::set<SubmissionId> changed;
+  std::set<HostName> workers;
   /// What the append in flight settles.
   std::vector<SubmissionId> settling_accepted;
   /// With the state that each record tells: it may have changed since.
   std::map<SubmissionId, SubmissionState> settling_changed;
   std::map<HostName, std::uint64_t> settling_ends;
+  std::set<HostName> settling_workers;
 
   /// Since when the store has refused or not answered; unset: it answers.
   std::optional<TimePoint> failing_since;
--- a/packages/core/include/basilspread/core/submission_record.h
+++ b/packages/core/include/basilspread/core/submission_record.h
@@ -2,6 +2,7 @@
 #define BASILSPREAD_CORE_SUBMISSION_RECORD_H_
 
 #include <cstdint>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -48,10 +49,25 @@
   SubmissionId id;
 };
 
-/// A record of the work that must last. Records of one kind and submission
-/// replace each other.
-using WorkRecord = std::variant<AcceptedRecord, ProgressRecord, ForgottenRecord,
-                                SpecDroppedRecord>;
+/// A worker on which tasks may be started from now on. Its own entry in the
+/// store may lapse while it runs them.
+struct WorkerRecord {
+  HostName worker;
+  std::string address;
+  /// Tells the lives of a worker under one name apart.
+  std::uint64_t incarnation = 0;
+};
+
+/// The worker is gone, and all that ran there.
+struct WorkerGoneRecord {
+  HostName worker;
+};
+
+/// A record of the work that must last. Records of one kind and submission, or
+/// worker, replace each other.
+using WorkRecord =
+    std::variant<AcceptedRecord, ProgressRecord, ForgottenRecord,
+                 SpecDroppedRecord, WorkerRecord, WorkerGoneRecord>;
 
 }  // namespace basilspread
 
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -138,6 +138,8 @@
   QueueTablesState tables;
   WorkLogState log;
   FleetState fleet;
+  /// Workers on which earlier leaders may have started tasks.
+  std::vector<WorkerRecord> inherited_workers;
   std::map<SubmissionId, SubmissionPtr> all;
   /// Those with tasks that are to be placed, the most urgent first.
   std::set<std::pair<TimePoint, SubmissionId>> queue;
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -10,6 +10,7 @@
 #include "internal/leadership.h"
 #include "internal/step_placement.h"
 #include "internal/submission_progress.h"
+#include "internal/work_log.h"
 
 namespace basilspread::internal::fleet {
 namespace {
@@ -30,6 +31,12 @@
   return context.state.submissions.fleet;
 }
 
+/// Nothing is started on the worker until the work log names it.
+void Note(Context& context, FleetWorker& worker) {
+  worker.is_noted = false;
+  work_log::Note(context, worker.entry.name);
+}
+
 /// Another life of the worker, which runs nothing of before.
 void BeginNewLife(Context& context, FleetWorker& worker) {
   context.Log(LogLevel::kWarning, kPart,
@@ -40,6 +47,7 @@
   worker.seen_end = 0;
   worker.stored_end = 0;
   worker.told_end = 0;
+  Note(context, worker);
   looks::LookNow(context, worker);
 }
 
@@ -49,9 +57,13 @@
   FleetWorker& worker = found->second;
   const bool is_reborn =
       !is_new && worker.entry.incarnation != entry.incarnation;
+  const bool has_moved = !is_new && worker.entry.address != entry.address;
   const bool was_draining = worker.entry.draining;
   worker.entry = entry;
   worker.unlisted = false;
+  if (is_new || has_moved) {
+    Note(context, worker);
+  }
   if (is_new) {
     looks::LookNow(context, worker);
   } else if (is_reborn) {
@@ -67,7 +79,7 @@
 void Unlist(Context& context, const HostName& name) {
   FleetState& fleet = StateOf(context);
   const auto found = fleet.workers.find(name);
-  if (found == fleet.workers.end()) {
+  if (found == fleet.workers.end() || found->second.unlisted) {
     return;
   }
   context.Log(LogLevel::kInfo, kPart,
@@ -139,15 +151,41 @@
   }
 }
 
+/// A worker of an earlier leader, until the list says more.
+void Inherit(Context& context, const WorkerRecord& record) {
+  FleetWorker& worker = StateOf(context).workers[record.worker];
+  worker.entry.name = record.worker;
+  worker.entry.address = record.address;
+  worker.entry.incarnation = record.incarnation;
+  worker.unlisted = true;
+  worker.is_noted = true;
+  worker.leased_until = context.now + looks::LongestLease(context);
+  looks::LookNow(context, worker);
+}
+
 }  // namespace
 
 void Start(Context& context) {
   StateOf(context) = FleetState{};
   StateOf(context).settled_at =
       context.state.submissions.leadership.store_failed_at + kSettleTime;
+  for (const WorkerRecord& record :
+       context.state.submissions.inherited_workers) {
+    Inherit(context, record);
+  }
+  context.state.submissions.inherited_workers.clear();
   context.Emit(ListFleet{});
 }
 
+void OnNoted(Context& context, const std::set<HostName>& names) {
+  for (const HostName& name : names) {
+    if (FleetWorker* worker = Find(context, name)) {
+      worker->is_noted = true;
+    }
+  }
+  step_placement::Request(context);
+}
+
 void OnRead(Context& context, const FleetRead& event) {
   FleetState& fleet = StateOf(context);
   if (!IsLeader(context)) {
@@ -206,6 +244,7 @@
     FleetWorker& worker = fleet.workers.at(name);
     looks::LoseRuns(context, worker, "the worker is gone");
     fleet.workers.erase(name);
+    work_log::Note(context, name);
   }
   leadership::CheckLooks(context);
   looks::ArmTimer(context);
@@ -307,8 +346,9 @@
 
 bool HasRoom(const Context& context, const FleetWorker& worker,
              const Resources& demand) {
-  const bool is_usable = worker.is_known && !worker.is_silent &&
-                         !worker.unlisted && !worker.entry.draining &&
+  const bool is_usable = worker.is_known && worker.is_noted &&
+                         !worker.is_silent && !worker.unlisted &&
+                         !worker.entry.draining &&
                          worker.avoided_until <= context.now;
   return is_usable && Fits(demand, worker.entry.capacity - worker.reserved);
 }
--- a/packages/core/src/internal/fleet.h
+++ b/packages/core/src/internal/fleet.h
@@ -2,6 +2,7 @@
 #define BASILSPREAD_CORE_INTERNAL_FLEET_H_
 
 #include <cstddef>
+#include <set>
 
 #include "basilspread/core/fleet.h"
 #include "basilspread/core/fleet_call.h"
@@ -11,8 +12,10 @@
 /// The leader's view of the workers: what runs there, and under which lease.
 namespace basilspread::internal::fleet {
 
-/// Reads the list of workers.
+/// Reads the list of workers, and looks at those of earlier leaders.
 void Start(Context& context);
+/// The work log names these workers as they are now.
+void OnNoted(Context& context, const std::set<HostName>& names);
 void OnRead(Context& context, const FleetRead& event);
 void OnRetryTimer(Context& context);
 void OnTimer(Context& context);
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -308,6 +308,7 @@
     helper.open_questions = 0;
   }
   state.fleet = FleetState{};
+  state.inherited_workers.clear();
   state.log = WorkLogState{};
 }
 
--- a/packages/core/src/internal/submission_loading.cc
+++ b/packages/core/src/internal/submission_loading.cc
@@ -56,6 +56,10 @@
     LoadProgress(context, *progress);
     return;
   }
+  if (const auto* worker = std::get_if<WorkerRecord>(&record)) {
+    state.inherited_workers.push_back(*worker);
+    return;
+  }
   const auto* accepted = std::get_if<AcceptedRecord>(&record);
   if (accepted == nullptr) {
     return;
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "internal/fleet.h"
 #include "internal/leadership.h"
 #include "internal/submission_loading.h"
 #include "internal/submission_service.h"
@@ -162,6 +163,33 @@
   state.log.changed.clear();
 }
 
+void TakeWorkers(Context& context, AppendWork& append) {
+  SubmissionsState& state = StateOf(context);
+  for (const HostName& name : state.log.workers) {
+    const auto found = state.fleet.workers.find(name);
+    if (found == state.fleet.workers.end()) {
+      append.records.emplace_back(WorkerGoneRecord{name});
+      continue;
+    }
+    const WorkerEntry& entry = found->second.entry;
+    append.records.emplace_back(
+        WorkerRecord{name, entry.address, entry.incarnation});
+  }
+  state.log.settling_workers = std::exchange(state.log.workers, {});
+}
+
+/// But for those that have changed since.
+void MarkWorkersStored(Context& context) {
+  WorkLogState& log = StateOf(context).log;
+  std::set<HostName> stored = std::exchange(log.settling_workers, {});
+  std::erase_if(stored, [&log](const HostName& name) {
+    return log.workers.contains(name);
+  });
+  if (!stored.empty()) {
+    fleet::OnNoted(context, stored);
+  }
+}
+
 void MarkEndsStored(Context& context) {
   SubmissionsState& state = StateOf(context);
   for (const auto& [name, number] : state.log.settling_ends) {
@@ -181,6 +209,7 @@
   log.may_be_stored = false;
   ++log.sequence;
   MarkEndsStored(context);
+  MarkWorkersStored(context);
   const auto accepted = std::exchange(log.settling_accepted, {});
   const auto changed = std::exchange(log.settling_changed, {});
   for (const SubmissionId& id : accepted) {
@@ -198,6 +227,7 @@
   WorkLogState& log = StateOf(context).log;
   log.in_flight.reset();
   log.settling_ends.clear();
+  log.workers.merge(std::exchange(log.settling_workers, {}));
   for (const auto& [id, state] : std::exchange(log.settling_changed, {})) {
     log.changed.insert(id);
   }
@@ -258,10 +288,16 @@
   PumpSoon(context);
 }
 
+void Note(Context& context, const HostName& worker) {
+  StateOf(context).log.workers.insert(worker);
+  PumpSoon(context);
+}
+
 void Pump(Context& context) {
   SubmissionsState& state = StateOf(context);
   WorkLogState& log = state.log;
-  const bool is_idle = log.accepted.empty() && log.changed.empty();
+  const bool is_idle =
+      log.accepted.empty() && log.changed.empty() && log.workers.empty();
   if (!leadership::IsLeading(context) || log.in_flight || is_idle) {
     return;
   }
@@ -274,6 +310,7 @@
   AppendWork append{log.epoch, log.sequence, {}};
   TakeAccepted(context, append);
   TakeChanged(context, append);
+  TakeWorkers(context, append);
   if (append.records.empty()) {
     // What changed was forgotten since. An append of nothing raises the epoch.
     return;
--- a/packages/core/tests/leadership_test.cc
+++ b/packages/core/tests/leadership_test.cc
@@ -112,6 +112,27 @@
   CHECK(world.StatusOf(world.Leader(), kFirst) == SubmissionState::kCompleted);
 }
 
+TEST_CASE("A worker that is not listed at a takeover goes on with its runs",
+          "[leadership]") {
+  World world;
+  world.run_time = seconds(5);
+  world.Submit(0, kFirst, {Tasks(4)});
+  world.Run(milliseconds(500));
+  // It is cut off from the store, and both leaders reach it.
+  std::string holder;
+  for (const char* name : {"w1", "w2", "w3", "w4"}) {
+    holder = world.Worker(name).runs.empty() ? holder : name;
+  }
+  world.Worker(holder).is_unlisted = true;
+  ReplaceLeader(world);
+  world.Run(seconds(8));
+  CHECK(world.faults.empty());
+  CHECK(world.StatusOf(world.Leader(), kFirst) == SubmissionState::kCompleted);
+  for (std::uint32_t i = 0; i < 4; ++i) {
+    CHECK(world.Starts(kFirst, 0, i) == 1);
+  }
+}
+
 TEST_CASE("A new leader whose first append is not answered leads all the same",
           "[leadership]") {
   World world;
--- a/packages/wire/src/work_codec.cc
+++ b/packages/wire/src/work_codec.cc
@@ -16,14 +16,16 @@
 constexpr std::uint32_t kWorkVersion = 1;
 constexpr std::string_view kSpecPrefix = "s/";
 constexpr std::string_view kProgressPrefix = "p/";
+constexpr std::string_view kWorkerPrefix = "w/";
 
 Error Malformed(std::string_view key) {
   return Error{ErrorKind::kBadRequest,
                "the record of " + std::string(key) + " is malformed"};
 }
 
-std::string KeyOf(std::string_view prefix, const SubmissionId& id) {
-  return std::string(prefix) + id.value;
+template <typename Name>
+std::string KeyOf(std::string_view prefix, const Name& name) {
+  return std::string(prefix) + name.value;
 }
 
 std::string Finish(Builder& builder, fb::WorkBody type,
@@ -102,6 +104,19 @@
   KeyedRecord operator()(const SpecDroppedRecord& record) const {
     return {KeyOf(kSpecPrefix, record.id), std::nullopt};
   }
+
+  KeyedRecord operator()(const WorkerRecord& record) const {
+    Builder builder;
+    const auto address = builder.CreateString(record.address);
+    const auto body =
+        fb::CreateWorkerRecord(builder, address, record.incarnation).Union();
+    return {KeyOf(kWorkerPrefix, record.worker),
+            Finish(builder, fb::WorkBody::WorkerRecord, body)};
+  }
+
+  KeyedRecord operator()(const WorkerGoneRecord& record) const {
+    return {KeyOf(kWorkerPrefix, record.worker), std::nullopt};
+  }
 };
 
 Result<WorkRecord> DecodeAccepted(const fb::AcceptedRecord& packed) {
@@ -158,6 +173,12 @@
         SubmissionId{std::string(key.substr(kProgressPrefix.size()))},
         *progress);
   }
+  const auto* worker = record->body_as_WorkerRecord();
+  if (worker != nullptr && key.starts_with(kWorkerPrefix)) {
+    return WorkRecord(
+        WorkerRecord{HostName{std::string(key.substr(kWorkerPrefix.size()))},
+                     worker->address()->str(), worker->incarnation()});
+  }
   return Malformed(key);
 }
 
