Drop an idle worker as soon as it is no longer listed

Ruled out: the store (took 30 ms) and workers with runs, for which the wait is due. Now an unlisted worker is gone once a look under the present fence has shown that nothing runs there; a start without an answer still counts as running.

--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -87,6 +87,7 @@
                           name.value, found->second.runs.size()));
   found->second.unlisted = true;
   looks::LookNow(context, found->second);
+  looks::ArmTimer(context);
 }
 
 void Follow(Context& context) {
@@ -234,9 +235,8 @@
   std::vector<HostName> gone;
   for (auto& [name, worker] : fleet.workers) {
     looks::LookIfDue(context, worker);
-    const bool has_lapsed =
-        !worker.leased_until || context.now >= *worker.leased_until;
-    if (worker.unlisted && has_lapsed) {
+    const auto gone_at = looks::GoneAt(context, worker);
+    if (gone_at && context.now >= *gone_at) {
       gone.push_back(name);
     }
   }
--- a/packages/core/src/internal/fleet_looks.cc
+++ b/packages/core/src/internal/fleet_looks.cc
@@ -161,9 +161,9 @@
     if (worker.next_look && (!next || *worker.next_look < *next)) {
       next = worker.next_look;
     }
-    if (worker.unlisted && worker.leased_until &&
-        (!next || *worker.leased_until < *next)) {
-      next = worker.leased_until;
+    const auto gone_at = GoneAt(context, worker);
+    if (gone_at && (!next || *gone_at < *next)) {
+      next = gone_at;
     }
   }
   if (next) {
@@ -171,6 +171,16 @@
   }
 }
 
+std::optional<TimePoint> GoneAt(const Context& context,
+                                const FleetWorker& worker) {
+  if (!worker.unlisted) {
+    return std::nullopt;
+  }
+  // A start without an answer stays among the runs until a look settled it.
+  const bool is_empty = worker.is_known && worker.runs.empty();
+  return is_empty ? context.now : worker.leased_until.value_or(context.now);
+}
+
 void Take(Context& context, FleetWorker& worker, const WorkerLooked& event) {
   const bool is_present = event.fence == FenceOf(context, worker);
   TakeClock(context, worker, event);
@@ -186,6 +196,9 @@
              worker.seen_end > worker.stored_end) {
     Schedule(context, worker, context.now + kAcknowledgeDelay);
   }
+  if (worker.unlisted) {
+    ArmTimer(context);
+  }
   step_placement::Request(context);
 }
 
--- a/packages/core/src/internal/fleet_looks.h
+++ b/packages/core/src/internal/fleet_looks.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPREAD_CORE_INTERNAL_FLEET_LOOKS_H_
 #define BASILSPREAD_CORE_INTERNAL_FLEET_LOOKS_H_
 
+#include <optional>
 #include <string_view>
 
 #include "basilspread/core/fleet.h"
@@ -29,6 +30,11 @@
 void LookIfDue(Context& context, FleetWorker& worker);
 void ArmTimer(Context& context);
 
+/// When nothing runs any longer on a worker that the store does not list;
+/// unset for one that it lists.
+std::optional<TimePoint> GoneAt(const Context& context,
+                                const FleetWorker& worker);
+
 /// Takes the list of a look in.
 void Take(Context& context, FleetWorker& worker, const WorkerLooked& event);
 void OnFailed(Context& context, FleetWorker& worker, const WorkerLooked& event);
--- a/packages/core/tests/leadership_test.cc
+++ b/packages/core/tests/leadership_test.cc
@@ -133,6 +133,24 @@
   }
 }
 
+TEST_CASE("A worker that left with nothing to do holds no takeover up",
+          "[leadership]") {
+  World world;
+  // All workers come by leases.
+  world.Submit(0, kFirst, {Tasks(16)});
+  world.Run(seconds(1));
+  world.RemoveWorker("w1");
+  world.Run(milliseconds(100));
+  world.run_time = seconds(2);
+  // Twice the room of the three that stay.
+  world.Submit(world.Leader(), kSecond, {Tasks(24)});
+  world.Run(milliseconds(500));
+  ReplaceLeader(world);
+  world.Run(seconds(4));
+  CHECK(world.StatusOf(world.Leader(), kSecond) == SubmissionState::kCompleted);
+  CHECK(world.faults.empty());
+}
+
 TEST_CASE("A new leader whose first append is not answered leads all the same",
           "[leadership]") {
   World world;
