Part the stand-in of the workers, and test the store's settings

The workers of the virtual world stand in a file of their own, and what was written twice there once. The settings' tests found no fault: a section without an address, bad addresses and times, unknown keys and a membership that no lost join survives are refused with their lines.

--- /dev/null
+++ b/packages/config/tests/store_settings_test.cc
@@ -0,0 +1,68 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+#include "basilspread/config/node_settings.h"
+
+namespace basilspread::config {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kHead =
+    "[node]\nname = glasgow-1\nzone = glasgow\n"
+    "[listen]\nhttp = 10.0.0.1:80\nadmin = 10.0.0.1:81\npeer = 10.0.0.1:82\n";
+const std::string kAddresses =
+    "[store]\naddress = 10.0.9.1:90\nready = 10.0.0.1:83\n";
+
+std::string FaultsOf(const std::string& store_section) {
+  const auto parsed = ParseNodeSettings(kHead + store_section, "node.ini");
+  return parsed ? "" : parsed.error().detail;
+}
+
+TEST_CASE("A store in the settings takes the platform's place",
+          "[config][settings]") {
+  const auto parsed = ParseNodeSettings(
+      kHead + kAddresses +
+          "advisor = 10.0.9.2:91\nmax_lease = 4s\nstop_grace = 5s\n",
+      "node.ini");
+  REQUIRE(parsed);
+  const NodeSettings& settings = parsed.value();
+  CHECK(settings.core.store.enabled);
+  CHECK(settings.store.ToString() == "10.0.9.1:90");
+  CHECK(settings.ready.ToString() == "10.0.0.1:83");
+  CHECK(settings.advisor.ToString() == "10.0.9.2:91");
+  CHECK(settings.core.store.max_lease == seconds(4));
+  CHECK(settings.core.store.stop_grace == seconds(5));
+  CHECK(settings.core.store.join_interval == milliseconds(300));
+}
+
+TEST_CASE("A store needs no advisor", "[config][settings]") {
+  const auto parsed = ParseNodeSettings(kHead + kAddresses, "node.ini");
+  REQUIRE(parsed);
+  CHECK(parsed.value().advisor.host.empty());
+}
+
+TEST_CASE("Faults in the store's section are told with their lines",
+          "[config][settings]") {
+  CHECK(FaultsOf("[store]\nready = 10.0.0.1:83\n").find("address") !=
+        std::string::npos);
+  CHECK(FaultsOf("[store]\naddress = nowhere\nready = 10.0.0.1:83\n")
+            .find("node.ini:9: [store] address") != std::string::npos);
+  CHECK(FaultsOf(kAddresses + "max_lease = 1\n").find("max_lease") !=
+        std::string::npos);
+  CHECK(FaultsOf(kAddresses + "max_lease = 1ms\n").find("max_lease") !=
+        std::string::npos);
+  CHECK(FaultsOf(kAddresses + "lease = 1s\n").find("lease") !=
+        std::string::npos);
+}
+
+TEST_CASE("A membership outlasts a lost join", "[config][settings]") {
+  CHECK(FaultsOf(kAddresses +
+                 "member_time_to_live = 500ms\njoin_interval = 300ms\n")
+            .find("twice join_interval") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace basilspread::config
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "basilspread/core/hooks.h"
+#include "support/store_world_times.h"
 
 namespace basilspread::test {
 namespace {
@@ -11,13 +12,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Duration kCallTime = milliseconds(2);
 constexpr Duration kAppendTime = milliseconds(9);
-constexpr Duration kTimeout = milliseconds(800);
 /// A process that has just started places no inherited work for 2.5 s.
 constexpr Duration kSettleTime = seconds(5);
-constexpr Duration kTick = milliseconds(5);
-const Resources kCapacity{4000, 4096, 0};
 const Resources kDemand{1000, 256, 0};
 
 QueueTables MakeTables() {
@@ -71,11 +68,6 @@
          std::holds_alternative<SpecDroppedRecord>(record);
 }
 
-std::string Describe(const StepTask& task) {
-  return task.submission.value + "." + std::to_string(task.step) + "." +
-         std::to_string(task.index);
-}
-
 }  // namespace
 
 struct StoreWorld::Node {
@@ -266,43 +258,6 @@
 
 StoreWorld::~StoreWorld() = default;
 
-void StoreWorld::AddWorker(const std::string& name) {
-  WorldWorker& worker = this->workers[HostName{name}];
-  worker.entry.name = HostName{name};
-  worker.entry.pool = PoolName{"pool"};
-  worker.entry.address = "127.0.0.1:1";
-  worker.entry.capacity = kCapacity;
-  worker.entry.incarnation = 1;
-  worker.started = this->now;
-}
-
-WorldWorker& StoreWorld::Worker(const std::string& name) {
-  return this->workers.at(HostName{name});
-}
-
-void StoreWorld::Relist(const std::string& name) {
-  WorldWorker& worker = this->Worker(name);
-  worker.is_unlisted = false;
-  FleetRead read;
-  read.ok = true;
-  read.entries = {worker.entry};
-  for (const auto& node : this->nodes) {
-    this->PostIn(node->index, kCallTime, read);
-  }
-}
-
-void StoreWorld::RemoveWorker(const std::string& name) {
-  WorldWorker& worker = this->Worker(name);
-  worker.is_gone = true;
-  worker.runs.clear();
-  FleetRead read;
-  read.ok = true;
-  read.removed = {HostName{name}};
-  for (const auto& node : this->nodes) {
-    this->PostIn(node->index, kCallTime, read);
-  }
-}
-
 CallId StoreWorld::Submit(int node, const std::string& id,
                           std::vector<StepSpec> steps) {
   SubmissionCallArrived call;
@@ -421,114 +376,10 @@
            [this, node, body = std::move(body)] { this->Post(node, body); });
 }
 
-void StoreWorld::AdvanceWorkers() {
-  for (auto& [name, worker] : this->workers) {
-    std::vector<std::pair<StepTask, RunEnd>> ends;
-    const bool has_lapsed =
-        worker.leased_until && this->now >= *worker.leased_until;
-    for (const auto& [task, run] : worker.runs) {
-      if (has_lapsed) {
-        ends.emplace_back(task, RunEnd::kLeaseLapsed);
-      } else if (this->now >= run.ends_at) {
-        const RunName run_name{task, run.run};
-        ends.emplace_back(
-            task, this->end_of ? this->end_of(run_name) : RunEnd::kSucceeded);
-      }
-    }
-    for (const auto& [task, end] : ends) {
-      this->End(worker, task, end);
-    }
-  }
-}
-
-void StoreWorld::End(WorldWorker& worker, const StepTask& task, RunEnd end) {
-  const Attempt run = worker.runs.at(task).run;
-  worker.runs.erase(task);
-  worker.ends.push_back({++worker.last_end, {task, run}, end, ""});
-}
-
-void StoreWorld::CheckStart(const WorldWorker& worker, const RunName& name,
-                            const Resources& demand) {
-  Resources used = demand;
-  for (const auto& [task, run] : worker.runs) {
-    used += run.demand;
-  }
-  if (!Fits(used, worker.entry.capacity)) {
-    this->faults.push_back("over capacity: " + worker.entry.name.value);
-  }
-  for (const auto& [other_name, other] : this->workers) {
-    if (other.runs.contains(name.task)) {
-      this->faults.push_back("runs twice: " + Describe(name.task));
-    }
-  }
-  if (this->acknowledged_done.contains(name.task)) {
-    this->faults.push_back("started after its end was taken note of: " +
-                           Describe(name.task));
-  }
-}
-
-OrderResult StoreWorld::Start(const StartRun& effect) {
-  WorldWorker& worker = this->workers.at(effect.worker);
-  if (worker.is_gone || worker.is_silent) {
-    return OrderResult::kUnknown;
-  }
-  if (effect.fence < worker.fence) {
-    return OrderResult::kFenced;
-  }
-  worker.fence = effect.fence;
-  if (worker.started + effect.lease_until <= this->now) {
-    return OrderResult::kLate;
-  }
-  const Resources demand = effect.spec->steps.at(effect.name.task.step).demand;
-  this->CheckStart(worker, effect.name, demand);
-  worker.leased_until = worker.started + effect.lease_until;
-  worker.runs[effect.name.task] = {effect.name.run, this->now + this->run_time,
-                                   demand};
-  ++this->starts[effect.name.task];
-  return OrderResult::kDone;
-}
-
-void StoreWorld::Look(int node, const LookAtWorker& effect, TimePoint sent,
-                      TimePoint until) {
-  WorldWorker& worker = this->workers.at(effect.worker);
-  WorkerLooked looked;
-  looked.worker = effect.worker;
-  looked.fence = effect.fence;
-  looked.sent_at = sent;
-  if (worker.is_gone || worker.is_silent) {
-    this->PostIn(node, kTimeout, std::move(looked));
-    return;
-  }
-  if (effect.fence < worker.fence) {
-    looked.result = OrderResult::kFenced;
-    this->PostIn(node, kCallTime, std::move(looked));
-    return;
-  }
-  worker.fence = effect.fence;
-  worker.acknowledged = std::max(worker.acknowledged, effect.acknowledged);
-  if (effect.lease_until > WorkerTime::zero()) {
-    worker.leased_until = worker.started + effect.lease_until;
-  }
-  for (const ListedEnd& end : worker.ends) {
-    if (end.number > worker.acknowledged) {
-      looked.ended.push_back(end);
-    } else if (end.end == RunEnd::kSucceeded) {
-      this->acknowledged_done.insert(end.name.task);
-    }
-  }
-  if (looked.ended.empty() && this->now < until) {
-    this->In(kTick, [this, node, effect, sent, until] {
-      this->Look(node, effect, sent, until);
-    });
-    return;
-  }
-  for (const auto& [task, run] : worker.runs) {
-    looked.running.push_back({{task, run.run}, "", 0});
+void StoreWorld::PostToAll(const FleetRead& read) {
+  for (const auto& node : this->nodes) {
+    this->PostIn(node->index, kCallTime, read);
   }
-  looked.result = OrderResult::kDone;
-  looked.clock = this->now - worker.started;
-  looked.incarnation = worker.entry.incarnation;
-  this->PostIn(node, kCallTime, std::move(looked));
 }
 
 void StoreWorld::Append(int node, const AppendWork& effect) {
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -119,6 +119,8 @@
   void In(Duration delay, std::function<void()> action);
   void Post(int node, EventBody body);
   void PostIn(int node, Duration delay, EventBody body);
+  /// What every process that follows the list reads next.
+  void PostToAll(const FleetRead& read);
   void AdvanceWorkers();
   void End(WorldWorker& worker, const StepTask& task, RunEnd end);
   OrderResult Start(const StartRun& effect);
--- /dev/null
+++ b/packages/core/tests/support/store_world_workers.cc
@@ -0,0 +1,164 @@
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "support/store_world.h"
+#include "support/store_world_times.h"
+
+namespace basilspread::test {
+namespace {
+
+const Resources kCapacity{4000, 4096, 0};
+
+std::string Describe(const StepTask& task) {
+  return task.submission.value + "." + std::to_string(task.step) + "." +
+         std::to_string(task.index);
+}
+
+}  // namespace
+
+void StoreWorld::AddWorker(const std::string& name) {
+  WorldWorker& worker = this->workers[HostName{name}];
+  worker.entry.name = HostName{name};
+  worker.entry.pool = PoolName{"pool"};
+  worker.entry.address = "127.0.0.1:1";
+  worker.entry.capacity = kCapacity;
+  worker.entry.incarnation = 1;
+  worker.started = this->now;
+}
+
+WorldWorker& StoreWorld::Worker(const std::string& name) {
+  return this->workers.at(HostName{name});
+}
+
+void StoreWorld::Relist(const std::string& name) {
+  WorldWorker& worker = this->Worker(name);
+  worker.is_unlisted = false;
+  FleetRead read;
+  read.ok = true;
+  read.entries = {worker.entry};
+  this->PostToAll(read);
+}
+
+void StoreWorld::RemoveWorker(const std::string& name) {
+  WorldWorker& worker = this->Worker(name);
+  worker.is_gone = true;
+  worker.runs.clear();
+  FleetRead read;
+  read.ok = true;
+  read.removed = {HostName{name}};
+  this->PostToAll(read);
+}
+
+void StoreWorld::AdvanceWorkers() {
+  for (auto& [name, worker] : this->workers) {
+    std::vector<std::pair<StepTask, RunEnd>> ends;
+    const bool has_lapsed =
+        worker.leased_until && this->now >= *worker.leased_until;
+    for (const auto& [task, run] : worker.runs) {
+      if (has_lapsed) {
+        ends.emplace_back(task, RunEnd::kLeaseLapsed);
+      } else if (this->now >= run.ends_at) {
+        const RunName run_name{task, run.run};
+        ends.emplace_back(
+            task, this->end_of ? this->end_of(run_name) : RunEnd::kSucceeded);
+      }
+    }
+    for (const auto& [task, end] : ends) {
+      this->End(worker, task, end);
+    }
+  }
+}
+
+void StoreWorld::End(WorldWorker& worker, const StepTask& task, RunEnd end) {
+  const Attempt run = worker.runs.at(task).run;
+  worker.runs.erase(task);
+  worker.ends.push_back({++worker.last_end, {task, run}, end, ""});
+}
+
+void StoreWorld::CheckStart(const WorldWorker& worker, const RunName& name,
+                            const Resources& demand) {
+  Resources used = demand;
+  for (const auto& [task, run] : worker.runs) {
+    used += run.demand;
+  }
+  if (!Fits(used, worker.entry.capacity)) {
+    this->faults.push_back("over capacity: " + worker.entry.name.value);
+  }
+  for (const auto& [other_name, other] : this->workers) {
+    if (other.runs.contains(name.task)) {
+      this->faults.push_back("runs twice: " + Describe(name.task));
+    }
+  }
+  if (this->acknowledged_done.contains(name.task)) {
+    this->faults.push_back("started after its end was taken note of: " +
+                           Describe(name.task));
+  }
+}
+
+OrderResult StoreWorld::Start(const StartRun& effect) {
+  WorldWorker& worker = this->workers.at(effect.worker);
+  if (worker.is_gone || worker.is_silent) {
+    return OrderResult::kUnknown;
+  }
+  if (effect.fence < worker.fence) {
+    return OrderResult::kFenced;
+  }
+  worker.fence = effect.fence;
+  if (worker.started + effect.lease_until <= this->now) {
+    return OrderResult::kLate;
+  }
+  const Resources demand = effect.spec->steps.at(effect.name.task.step).demand;
+  this->CheckStart(worker, effect.name, demand);
+  worker.leased_until = worker.started + effect.lease_until;
+  worker.runs[effect.name.task] = {effect.name.run, this->now + this->run_time,
+                                   demand};
+  ++this->starts[effect.name.task];
+  return OrderResult::kDone;
+}
+
+void StoreWorld::Look(int node, const LookAtWorker& effect, TimePoint sent,
+                      TimePoint until) {
+  WorldWorker& worker = this->workers.at(effect.worker);
+  WorkerLooked looked;
+  looked.worker = effect.worker;
+  looked.fence = effect.fence;
+  looked.sent_at = sent;
+  if (worker.is_gone || worker.is_silent) {
+    this->PostIn(node, kTimeout, std::move(looked));
+    return;
+  }
+  if (effect.fence < worker.fence) {
+    looked.result = OrderResult::kFenced;
+    this->PostIn(node, kCallTime, std::move(looked));
+    return;
+  }
+  worker.fence = effect.fence;
+  worker.acknowledged = std::max(worker.acknowledged, effect.acknowledged);
+  if (effect.lease_until > WorkerTime::zero()) {
+    worker.leased_until = worker.started + effect.lease_until;
+  }
+  for (const ListedEnd& end : worker.ends) {
+    if (end.number > worker.acknowledged) {
+      looked.ended.push_back(end);
+    } else if (end.end == RunEnd::kSucceeded) {
+      this->acknowledged_done.insert(end.name.task);
+    }
+  }
+  if (looked.ended.empty() && this->now < until) {
+    this->In(kTick, [this, node, effect, sent, until] {
+      this->Look(node, effect, sent, until);
+    });
+    return;
+  }
+  for (const auto& [task, run] : worker.runs) {
+    looked.running.push_back({{task, run.run}, "", 0});
+  }
+  looked.result = OrderResult::kDone;
+  looked.clock = this->now - worker.started;
+  looked.incarnation = worker.entry.incarnation;
+  this->PostIn(node, kCallTime, std::move(looked));
+}
+
+}  // namespace basilspread::test
