Hand back a leadership that a late join brings to a stopping process

A join that the store carried out seconds late made a process a member again that had left on SIGTERM; the group gave it the leadership, which it ignored until the membership ended after 1.2 s, and the next late join began that anew. Ruled out: the takeovers themselves (60 ms each) and the peers' reports. Now a process that stops asks on who leads, and leaves again when it is itself.

--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -124,7 +124,10 @@
 void OnTimer(Context& context) {
   Join(context);
   const LeadershipState& state = StateOf(context);
-  if (!state.leader || state.leader_generation != state.generation) {
+  const bool is_outdated =
+      !state.leader || state.leader_generation != state.generation;
+  // A join that is carried out late makes a process that stops a member again.
+  if (is_outdated || context.state.stopping) {
     AskForLeader(context);
   }
   const bool is_unlinked = state.leader && !state.holds &&
@@ -192,6 +195,9 @@
   if (!member || member->process == context.state.settings.self) {
     // Nobody leads, or this process is about to learn that it does.
     state.leader.reset();
+    if (member && context.state.stopping) {
+      context.Emit(LeaveGroup{event.member});
+    }
     return;
   }
   Adopt(context, *member, state.generation);
--- a/packages/core/tests/leadership_test.cc
+++ b/packages/core/tests/leadership_test.cc
@@ -112,6 +112,20 @@
   CHECK(world.StatusOf(world.Leader(), kFirst) == SubmissionState::kCompleted);
 }
 
+TEST_CASE("A process that stops hands back a leadership that comes late",
+          "[leadership]") {
+  World world;
+  const int leaver = world.Leader();
+  world.Stop(leaver);
+  world.Run(seconds(1));
+  REQUIRE(world.Leader() >= 0);
+  world.JoinLate(leaver);
+  // Well before the late membership ends by itself, after 1.2 s.
+  world.Run(milliseconds(900));
+  CHECK(world.Leader() >= 0);
+  CHECK(world.Leader() != leaver);
+}
+
 TEST_CASE("A worker that is not listed at a takeover goes on with its runs",
           "[leadership]") {
   World world;
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -331,6 +331,15 @@
 
 void StoreWorld::Stop(int node) { this->Post(node, StopRequested{}); }
 
+void StoreWorld::JoinLate(int node) {
+  const Settings& settings = this->nodes.at(node)->state.settings;
+  this->leader_member =
+      ToString(GroupMember{settings.self, settings.peer_address});
+  this->members[this->leader_member] =
+      this->now + settings.store.member_time_to_live;
+  ++this->generation;
+}
+
 int StoreWorld::Leader() const {
   for (const auto& node : this->nodes) {
     const LeaderPhase phase = node->state.submissions.leadership.phase;
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -68,6 +68,9 @@
   void Kill(int node);
   /// A graceful stop.
   void Stop(int node);
+  /// A join that the node sent long ago is carried out, and it gets the
+  /// leadership; the answer is lost.
+  void JoinLate(int node);
   /// The process that leads; -1 when none does.
   int Leader() const;
   const State& StateOf(int node) const;
