Start nothing beside a run that nobody knows

A run of no known submission is stopped and reserved the whole worker, by the capacity in its entry. Since workers are kept in the work log, a new leader looks at them before it has read the list, so that the entry was empty, nothing was reserved, and the worker was filled up once its entry came. Ruled out: a late answer of a repeated first look (the fault stands without one in the test). Such runs are now marked, and nothing starts on their worker until they have ended.

The new test failed before (a worker over its room) and passes now; core_tests 116 cases pass.

--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -38,6 +38,9 @@
   /// Runs that occupy room, with what each reserves.
   std::map<RunName, Resources> runs;
   Resources reserved;
+  /// Those of the runs that no submission wants, and whose room is therefore
+  /// unknown: nothing is started beside them.
+  std::set<RunName> strangers;
   /// Highest end that was seen, and the highest that is stored.
   std::uint64_t seen_end = 0;
   std::uint64_t stored_end = 0;
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -347,8 +347,8 @@
 bool HasRoom(const Context& context, const FleetWorker& worker,
              const Resources& demand) {
   const bool is_usable = worker.is_known && worker.is_noted &&
-                         !worker.is_silent && !worker.unlisted &&
-                         !worker.entry.draining &&
+                         worker.strangers.empty() && !worker.is_silent &&
+                         !worker.unlisted && !worker.entry.draining &&
                          worker.avoided_until <= context.now;
   return is_usable && Fits(demand, worker.entry.capacity - worker.reserved);
 }
@@ -379,7 +379,8 @@
 
 void StopStranger(Context& context, FleetWorker& worker, const RunName& name) {
   if (!worker.runs.contains(name)) {
-    Adopt(context, worker, name, worker.entry.capacity);
+    Adopt(context, worker, name, Resources{});
+    worker.strangers.insert(name);
   }
   StopRunOn(context, worker, name);
 }
@@ -389,6 +390,7 @@
   if (found == worker.runs.end()) {
     return;
   }
+  worker.strangers.erase(name);
   worker.reserved -= found->second;
   worker.runs.erase(found);
 }
--- a/packages/core/tests/leadership_test.cc
+++ b/packages/core/tests/leadership_test.cc
@@ -223,6 +223,30 @@
   CHECK(world.AnswerTo(call)->kind == ErrorKind::kNone);
 }
 
+TEST_CASE("Nothing starts beside a run that nobody knows", "[leadership]") {
+  World world;
+  world.run_time = seconds(5);
+  world.Submit(0, kFirst, {Tasks(12)});
+  world.Run(milliseconds(500));
+  for (const char* name : {"w1", "w2", "w3", "w4"}) {
+    world.Worker(name).ignores_stops = true;
+    // The look at what the log names is answered before the list is.
+    world.Worker(name).is_unlisted = true;
+  }
+  const CallId cancel =
+      world.Ask(world.Leader(), SubmissionOperation::kCancel, kFirst);
+  world.Run(milliseconds(200));
+  REQUIRE(world.AnswerTo(cancel));
+  ReplaceLeader(world);
+  for (const char* name : {"w1", "w2", "w3", "w4"}) {
+    world.Relist(name);
+  }
+  world.Submit(world.Leader(), kSecond, {Tasks(16)});
+  world.Run(seconds(1));
+  // No worker was given more than it has room for.
+  CHECK(world.faults.empty());
+}
+
 TEST_CASE("A run that nobody knows occupies room until it has ended",
           "[leadership]") {
   World world;
