--- a/cmake/workspace.cmake
+++ b/cmake/workspace.cmake
@@ -11,7 +11,11 @@
 
 find_program(CCACHE_PROGRAM ccache)
 if(CCACHE_PROGRAM)
-  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+  # Paths below the tree count as relative, so that another clone of the same
+  # sources finds what this one compiled.
+  set(CMAKE_CXX_COMPILER_LAUNCHER
+      ${CMAKE_COMMAND} -E env CCACHE_BASEDIR=${CMAKE_SOURCE_DIR}
+      CCACHE_NOHASHDIR=true ${CCACHE_PROGRAM})
 endif()
 
 find_package(Threads REQUIRED)
--- a/packages/core/include/basilspread/core/effect.h
+++ b/packages/core/include/basilspread/core/effect.h
@@ -8,6 +8,8 @@
 
 #include "basilspread/core/error.h"
 #include "basilspread/core/ids.h"
+#include "basilspread/core/log_line.h"
+#include "basilspread/core/metric.h"
 #include "basilspread/core/payload.h"
 #include "basilspread/core/peer_message.h"
 #include "basilspread/core/record.h"
@@ -84,15 +86,28 @@
   TimePoint at;
 };
 
-enum class LogLevel { kDebug, kInfo, kWarning, kError };
-
 /// Writes one line to the process's log.
 struct WriteLine {
-  LogLevel level = LogLevel::kInfo;
-  /// The part that speaks; the fixed prefix of its lines.
-  std::string_view part;
-  /// A short sentence, then key=value fields.
-  std::string text;
+  LogLine line;
+};
+
+/// Adds to a counter.
+struct CountMetric {
+  Metric metric;
+  std::string label;
+  double amount = 1;
+};
+
+/// Adds one duration to a histogram.
+struct ObserveTime {
+  Metric metric;
+  std::string label;
+  Duration time{};
+};
+
+struct SetGauge {
+  Metric metric;
+  double value = 0;
 };
 
 /// Answers DumpRequested.
@@ -129,7 +144,8 @@
                  CallWorker, AnswerJobCaller, AnswerSubmissionCaller,
                  SetReadiness, JoinGroup, LeaveGroup, ReadLeader, AppendWork,
                  ListWork, ReadTables, FollowTables, ListFleet, FollowFleet,
-                 LookAtWorker, StartRun, StopRun, AskAdvice>;
+                 LookAtWorker, StartRun, StopRun, AskAdvice, CountMetric,
+                 ObserveTime, SetGauge>;
 
 using Effects = std::vector<Effect>;
 
--- a/packages/core/include/basilspread/core/event.h
+++ b/packages/core/include/basilspread/core/event.h
@@ -73,6 +73,11 @@
   bool connected = false;
 };
 
+/// A peer's host refused a connection: no process listens at its address.
+struct PeerRefused {
+  NodeName peer;
+};
+
 /// A process sent a frame of another protocol version.
 struct PeerMismatched {
   NodeName node;
@@ -164,7 +169,7 @@
                  JobArrived, WorkerAnswered, PeerMismatched,
                  SubmissionCallArrived, Resumed, GroupJoined, LeaderRead,
                  WorkAppended, WorkListed, TablesRead, FleetRead, WorkerLooked,
-                 RunOrdered, AdviceGiven>;
+                 RunOrdered, AdviceGiven, PeerRefused>;
 
 /// Everything that can change the state of a process.
 struct Event {
--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -45,9 +45,15 @@
   std::uint64_t seen_end = 0;
   std::uint64_t stored_end = 0;
   std::uint64_t told_end = 0;
-  /// Starts and runs that failed one after another.
-  std::uint32_t failures = 0;
+  /// Submissions whose runs failed there since the last success.
+  std::set<SubmissionId> failed_for;
+  /// Starts that it refused since the last success.
+  std::uint32_t refusals = 0;
+  /// How often it was left out since the last success, and until when it is.
+  std::uint32_t avoidances = 0;
   TimePoint avoided_until;
+  /// It was left out, and no run has succeeded there since.
+  bool on_probation = false;
 };
 
 struct FleetState {
--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -68,6 +68,10 @@
   /// When the store last failed this process, or the process started: until
   /// then the store may have been away.
   TimePoint store_failed_at;
+  /// Since when joins have failed; unset while they succeed.
+  std::optional<TimePoint> joins_fail_since;
+  /// When this process last gained the leadership.
+  TimePoint gained_at;
 };
 
 /// The leader's writer of the work log: one append at a time.
--- /dev/null
+++ b/packages/core/include/basilspread/core/log_line.h
@@ -0,0 +1,47 @@
+#ifndef BASILSPREAD_CORE_LOG_LINE_H_
+#define BASILSPREAD_CORE_LOG_LINE_H_
+
+#include <concepts>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "basilspread/core/time.h"
+
+namespace basilspread {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+/// One named value of a log line.
+struct LogField {
+  LogField(std::string_view field_key, std::string text);
+  LogField(std::string_view field_key, std::string_view text);
+  LogField(std::string_view field_key, const char* text);
+  LogField(std::string_view field_key, bool value);
+  LogField(std::string_view field_key, double value);
+  /// Written in milliseconds; the key says so by its ending.
+  LogField(std::string_view field_key, Duration value);
+  template <std::integral Number>
+  LogField(std::string_view field_key, Number number)
+      : key(field_key), value(std::to_string(number)), is_literal(true) {}
+
+  /// Must outlive the line; usually a literal.
+  std::string_view key;
+  std::string value;
+  /// A number or truth value, which is written without quotes.
+  bool is_literal = false;
+};
+
+/// One line of a process's log.
+struct LogLine {
+  LogLevel level = LogLevel::kInfo;
+  /// The part that speaks.
+  std::string_view part;
+  /// A sentence that names the kind of event; outlives the line.
+  std::string_view message;
+  std::vector<LogField> fields;
+};
+
+}  // namespace basilspread
+
+#endif  // BASILSPREAD_CORE_LOG_LINE_H_
--- /dev/null
+++ b/packages/core/include/basilspread/core/metric.h
@@ -0,0 +1,52 @@
+#ifndef BASILSPREAD_CORE_METRIC_H_
+#define BASILSPREAD_CORE_METRIC_H_
+
+#include <cstddef>
+#include <string_view>
+
+namespace basilspread {
+
+/// Everything that a process with a shared store counts and measures.
+enum class Metric {
+  kCalls,
+  kCallTime,
+  kSubmissionsEnded,
+  kSubmissionTime,
+  kFirstStartWait,
+  kAcceptTime,
+  kRunsStarted,
+  kRunsEnded,
+  kRunsLost,
+  kPreemptions,
+  kWorkThrownAway,
+  kTakeovers,
+  kTakeoverTime,
+  kAdviceTime,
+  kWorkersAvoided,
+  kQueueLength,
+  kWorkersUsable,
+  kTablesVersion,
+  kIsLeading,
+};
+
+constexpr std::size_t kMetricCount =
+    static_cast<std::size_t>(Metric::kIsLeading) + 1;
+
+enum class MetricType { kCounter, kGauge, kHistogram };
+
+/// How a metric is exposed.
+struct MetricInfo {
+  Metric metric;
+  MetricType type;
+  std::string_view name;
+  /// Name of the label that tells its series apart; empty: one series.
+  std::string_view label;
+  std::string_view help;
+};
+
+/// The row of the table of metrics; every metric has one.
+const MetricInfo& InfoOf(Metric metric);
+
+}  // namespace basilspread
+
+#endif  // BASILSPREAD_CORE_METRIC_H_
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -44,6 +44,19 @@
   std::optional<std::uint64_t> lost_under_fence;
   std::string checkpoint;
   bool stopping = false;
+  /// When its worker was first known to run it.
+  TimePoint started_at;
+  /// Whether its worker has told how far it is: first, last, and when that
+  /// last changed.
+  bool is_watched = false;
+  std::uint32_t first_percent = 0;
+  std::uint32_t percent = 0;
+  TimePoint progressed_at;
+  /// The run resumes from a checkpoint, so that its time tells nothing of
+  /// others.
+  bool resumed = false;
+  /// Where runs of the task failed: others are tried first.
+  std::set<HostName> failed_on;
 };
 
 /// What an advisor said of a worker for one step.
@@ -69,6 +82,18 @@
   std::optional<TimePoint> gang_began;
 };
 
+/// In the order that they are served in.
+enum class QueueTier { kInTime, kLate, kUseless };
+
+/// Where a submission stands in the queue; the lowest goes first.
+struct QueueRank {
+  QueueTier tier = QueueTier::kInTime;
+  /// Until when it may go on and still meet its target.
+  TimePoint latest_start;
+
+  friend auto operator<=>(const QueueRank&, const QueueRank&) = default;
+};
+
 /// A submission at the leader.
 struct Submission
     : boost::intrusive_ref_counter<Submission, boost::thread_unsafe_counter> {
@@ -85,6 +110,8 @@
   /// Came from the log: an earlier leader may have started tasks of it.
   bool inherited = false;
   TimePoint arrived;
+  /// Set while it is in the queue.
+  std::optional<QueueRank> queued_as;
   std::vector<StepState> steps;
   /// Callers that wait for the acceptance or the cancellation to be stored.
   std::vector<std::pair<ProcessId, CallId>> submitters;
@@ -99,6 +126,7 @@
 /// A call of this process's callers that is not answered yet.
 struct OpenCall {
   SubmissionCall message;
+  TimePoint arrived;
   TimePoint deadline;
   /// Not sent again before then.
   TimePoint send_not_before;
@@ -133,6 +161,13 @@
   double allowed_share = 0.5;
 };
 
+/// How long tasks of a kind run, against what their callers expect.
+struct RunTimeStatistics {
+  /// Mean of measured by expected time.
+  double ratio = 1;
+  std::uint64_t samples = 0;
+};
+
 struct SubmissionsState {
   LeadershipState leadership;
   QueueTablesState tables;
@@ -142,13 +177,15 @@
   std::vector<WorkerRecord> inherited_workers;
   std::map<SubmissionId, SubmissionPtr> all;
   /// Those with tasks that are to be placed, the most urgent first.
-  std::set<std::pair<TimePoint, SubmissionId>> queue;
+  std::set<std::pair<QueueRank, SubmissionId>> queue;
   std::map<CallId, OpenCall> calls;
   std::map<NodeName, Helper> helpers;
   /// Counts the changes of `helpers`.
   std::uint64_t helper_changes = 0;
   std::map<std::uint64_t, Question> questions;
   std::map<RouteName, AdviceStatistics> advice;
+  /// By route and image.
+  std::map<std::pair<RouteName, std::string>, RunTimeStatistics> run_times;
   std::uint64_t last_question = 0;
   /// Questions that this process asks for the leader, by their numbers.
   std::map<std::uint64_t, ProcessId> asked_for;
@@ -159,6 +196,9 @@
   TimePoint refuse_from;
   TimePoint stop_by;
   TimePoint next_forget;
+  TimePoint next_gauges;
+  /// When the queue is next ranked anew.
+  TimePoint next_ranking;
 };
 
 }  // namespace basilspread
--- a/packages/core/src/internal/configuration.cc
+++ b/packages/core/src/internal/configuration.cc
@@ -40,10 +40,10 @@
     // their place in the order of versions and this process says that it lags.
     configuration.fault = parsed.error().detail;
     context.Log(LogLevel::kError, kPart,
-                fmt::format("Accepted tables cannot be read; the old stay in "
-                            "force. version={} author={} reason=\"{}\"",
-                            decision.version.value, decision.record.author,
-                            parsed.error().detail));
+                "Accepted tables cannot be read; the old stay in force.",
+                {{"version", decision.version.value},
+                 {"author", decision.record.author},
+                 {"reason", parsed.error().detail}});
     return;
   }
   configuration.fault.clear();
@@ -52,9 +52,9 @@
   draining::KeepRemoved(context, configuration.tables, next);
   configuration.tables = std::move(next);
   configuration.source = decision.record;
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("Tables are in force. version={} author={}",
-                          decision.version.value, decision.record.author));
+  context.Log(LogLevel::kInfo, kPart, "Tables are in force.",
+              {{"version", decision.version.value},
+               {"author", decision.record.author}});
   ownership::OnTablesChanged(context);
 }
 
@@ -62,12 +62,11 @@
   ConfigurationState& configuration = context.state.configuration;
   for (const TablesDecision& decision : decisions) {
     if (!decision.accepted) {
-      context.Log(
-          LogLevel::kInfo, kPart,
-          fmt::format("Edit lost the race. author={} base={} winner={} "
-                      "version={}",
-                      decision.record.author, decision.record.base.value,
-                      configuration.source.author, decision.version.value));
+      context.Log(LogLevel::kInfo, kPart, "Edit lost the race.",
+                  {{"author", decision.record.author},
+                   {"base", decision.record.base.value},
+                   {"winner", configuration.source.author},
+                   {"version", decision.version.value}});
       continue;
     }
     configuration.newest_read = context.now;
@@ -149,9 +148,8 @@
   configuration.history.BeginRead(from, first_kept);
   if (was_decided && !configuration.history.decided()) {
     context.Log(LogLevel::kWarning, kPart,
-                fmt::format("Records expired unread; edits wait for a "
-                            "checkpoint. from={} first_kept={}",
-                            from.value, first_kept.value));
+                "Records expired unread; edits wait for a checkpoint.",
+                {{"from", from.value}, {"first_kept", first_kept.value}});
   }
 }
 
--- a/packages/core/src/internal/context.h
+++ b/packages/core/src/internal/context.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "basilspread/core/effect.h"
 #include "basilspread/core/state.h"
@@ -18,14 +19,13 @@
   Effects& effects;
 
   void Emit(Effect effect) { this->effects.push_back(std::move(effect)); }
+  void ArmIn(TimerKind kind, Duration delay);
 
-  void ArmIn(TimerKind kind, Duration delay) {
-    this->Emit(SetTimer{kind, this->now + delay});
-  }
+  void Log(LogLevel level, std::string_view part, std::string_view message,
+           std::vector<LogField> fields = {});
 
-  void Log(LogLevel level, std::string_view part, std::string text) {
-    this->Emit(WriteLine{level, part, std::move(text)});
-  }
+  void Count(Metric metric, std::string_view label = "", double amount = 1);
+  void Observe(Metric metric, Duration time, std::string_view label = "");
 };
 
 }  // namespace basilspread::internal
--- a/packages/core/src/internal/draining.cc
+++ b/packages/core/src/internal/draining.cc
@@ -66,8 +66,8 @@
   for (const Name& name : drained) {
     points.erase(name);
     rows.erase(name);
-    context.Log(LogLevel::kInfo, kPart,
-                fmt::format("Removed row has drained. name={}", name.value));
+    context.Log(LogLevel::kInfo, kPart, "Removed row has drained.",
+                {{"name", name.value}});
   }
   return !drained.empty();
 }
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -11,6 +11,7 @@
 #include "internal/step_placement.h"
 #include "internal/submission_progress.h"
 #include "internal/work_log.h"
+#include "internal/worker_trust.h"
 
 namespace basilspread::internal::fleet {
 namespace {
@@ -20,12 +21,6 @@
 /// back in the list within this time.
 constexpr Duration kSettleTime = std::chrono::milliseconds(2500);
 constexpr Duration kListRetryDelay = std::chrono::milliseconds(150);
-/// A worker is avoided after so many failures in a row, for a time that
-/// doubles with each further one. A task that always fails seldom meets the
-/// same worker so often.
-constexpr std::uint32_t kFailuresToAvoid = 4;
-constexpr Duration kFirstAvoidance = std::chrono::seconds(1);
-constexpr std::uint32_t kMaxAvoidanceDoublings = 3;
 
 FleetState& StateOf(Context& context) {
   return context.state.submissions.fleet;
@@ -39,9 +34,9 @@
 
 /// Another life of the worker, which runs nothing of before.
 void BeginNewLife(Context& context, FleetWorker& worker) {
-  context.Log(LogLevel::kWarning, kPart,
-              fmt::format("A worker started anew. worker={} runs_lost={}",
-                          worker.entry.name.value, worker.runs.size()));
+  context.Log(
+      LogLevel::kWarning, kPart, "A worker started anew.",
+      {{"worker", worker.entry.name.value}, {"runs_lost", worker.runs.size()}});
   worker.is_known = false;
   worker.clock_read_at.reset();
   worker.seen_end = 0;
@@ -70,9 +65,8 @@
     BeginNewLife(context, worker);
   }
   if (entry.draining != was_draining) {
-    context.Log(LogLevel::kInfo, kPart,
-                fmt::format("A worker drains. worker={} draining={}",
-                            entry.name.value, entry.draining));
+    context.Log(LogLevel::kInfo, kPart, "A worker drains.",
+                {{"worker", entry.name.value}, {"draining", entry.draining}});
   }
 }
 
@@ -82,9 +76,8 @@
   if (found == fleet.workers.end() || found->second.unlisted) {
     return;
   }
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("A worker is no longer listed. worker={} runs={}",
-                          name.value, found->second.runs.size()));
+  context.Log(LogLevel::kInfo, kPart, "A worker is no longer listed.",
+              {{"worker", name.value}, {"runs", found->second.runs.size()}});
   found->second.unlisted = true;
   looks::LookNow(context, found->second);
   looks::ArmTimer(context);
@@ -118,30 +111,17 @@
 
 void Bump(FleetWorker& worker) { ++worker.fence_step; }
 
-void NoteFailure(Context& context, FleetWorker& worker) {
-  ++worker.failures;
-  if (worker.failures < kFailuresToAvoid) {
-    return;
-  }
-  const std::uint32_t doublings =
-      std::min(worker.failures - kFailuresToAvoid, kMaxAvoidanceDoublings);
-  worker.avoided_until = context.now + kFirstAvoidance * (1U << doublings);
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("A worker is avoided. worker={} failures={}",
-                          worker.entry.name.value, worker.failures));
-}
-
 /// The start did not happen and never will.
 void OnNotStarted(Context& context, FleetWorker& worker,
                   const RunOrdered& event) {
-  context.Log(LogLevel::kDebug, kPart,
-              fmt::format("A start was refused. run={} worker={} reason={}",
-                          ToString(event.name), event.worker.value,
-                          NameOf(event.result)));
+  context.Log(LogLevel::kDebug, kPart, "A start was refused.",
+              {{"run", ToString(event.name)},
+               {"worker", event.worker.value},
+               {"reason", NameOf(event.result)}});
   Release(worker, event.name);
   submission_progress::OnNotStarted(context, event);
   if (event.result == OrderResult::kRefused) {
-    NoteFailure(context, worker);
+    worker_trust::OnStartRefused(context, worker);
   }
   const bool is_mistaken = event.result == OrderResult::kNoRoom ||
                            event.result == OrderResult::kLate ||
@@ -322,11 +302,9 @@
 void HoldInherited(Context& context) {
   FleetState& fleet = StateOf(context);
   fleet.unknown_until = context.now + looks::LongestLease(context);
-  context.Log(
-      LogLevel::kWarning, kPart,
-      fmt::format("Some workers do not answer; tasks that may run there wait. "
-                  "workers={}",
-                  CountUnknown(context)));
+  context.Log(LogLevel::kWarning, kPart,
+              "Some workers do not answer; tasks that may run there wait.",
+              {{"workers", CountUnknown(context)}});
 }
 
 bool MayStartInherited(const Context& context) {
@@ -349,7 +327,7 @@
   const bool is_usable = worker.is_known && worker.is_noted &&
                          worker.strangers.empty() && !worker.is_silent &&
                          !worker.unlisted && !worker.entry.draining &&
-                         worker.avoided_until <= context.now;
+                         worker_trust::IsTrusted(context, worker);
   return is_usable && Fits(demand, worker.entry.capacity - worker.reserved);
 }
 
--- a/packages/core/src/internal/fleet_looks.cc
+++ b/packages/core/src/internal/fleet_looks.cc
@@ -104,9 +104,9 @@
     }
   }
   for (const RunName& name : missing) {
-    context.Log(LogLevel::kInfo, kPart,
-                fmt::format("A run is not on its worker. run={} worker={}",
-                            ToString(name), worker.entry.name.value));
+    context.Log(LogLevel::kInfo, kPart, "A run is not on its worker.",
+                {{"run", ToString(name)}, {"worker", worker.entry.name.value}});
+    context.Count(Metric::kRunsLost, "not on its worker");
     Release(worker, name);
     submission_progress::OnLost(context, name);
   }
@@ -199,6 +199,12 @@
 void Take(Context& context, FleetWorker& worker, const WorkerLooked& event) {
   const bool is_present = event.fence == FenceOf(context, worker);
   TakeClock(context, worker, event);
+  if (worker.is_silent) {
+    context.Log(LogLevel::kInfo, kPart, "A worker answers again.",
+                {{"worker", worker.entry.name.value},
+                 {"runs", worker.runs.size()},
+                 {"fence", event.fence}});
+  }
   worker.is_silent = false;
   worker.is_known = worker.is_known || is_present;
   TakeEnds(context, worker, event);
@@ -219,6 +225,13 @@
 
 void OnFailed(Context& context, FleetWorker& worker,
               const WorkerLooked& event) {
+  if (!worker.is_silent) {
+    context.Log(LogLevel::kWarning, kPart, "A worker does not answer.",
+                {{"worker", worker.entry.name.value},
+                 {"result", NameOf(event.result)},
+                 {"runs", worker.runs.size()},
+                 {"fence", event.fence}});
+  }
   worker.is_silent = true;
   if (event.result == OrderResult::kOtherIncarnation) {
     LoseRuns(context, worker, "another worker has its address");
@@ -238,9 +251,11 @@
 void LoseRuns(Context& context, FleetWorker& worker, std::string_view reason) {
   const auto runs = worker.runs;
   for (const auto& [name, demand] : runs) {
-    context.Log(LogLevel::kInfo, kPart,
-                fmt::format("A run is lost. run={} worker={} reason=\"{}\"",
-                            ToString(name), worker.entry.name.value, reason));
+    context.Log(LogLevel::kInfo, kPart, "A run is lost.",
+                {{"run", ToString(name)},
+                 {"worker", worker.entry.name.value},
+                 {"reason", reason}});
+    context.Count(Metric::kRunsLost, reason);
     Release(worker, name);
     submission_progress::OnLost(context, name);
   }
--- a/packages/core/src/internal/handover.cc
+++ b/packages/core/src/internal/handover.cc
@@ -57,7 +57,7 @@
 }
 
 void Exit(Context& context, std::string_view text) {
-  context.Log(LogLevel::kInfo, kPart, std::string(text));
+  context.Log(LogLevel::kInfo, kPart, text);
   context.Emit(ExitProcess{});
 }
 
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -44,10 +44,10 @@
 
 void Enter(Context& context, LeaderPhase phase) {
   LeadershipState& state = StateOf(context);
-  context.Log(
-      LogLevel::kInfo, kPart,
-      fmt::format("Phase changed. from={} to={} epoch={}", NameOf(state.phase),
-                  NameOf(phase), state.epoch.value));
+  context.Log(LogLevel::kInfo, kPart, "Phase changed.",
+              {{"from", NameOf(state.phase)},
+               {"to", NameOf(phase)},
+               {"epoch", state.epoch.value}});
   state.phase = phase;
   state.phase_began = context.now;
 }
@@ -55,6 +55,7 @@
 void TakeOver(Context& context, Epoch epoch) {
   LeadershipState& state = StateOf(context);
   state.epoch = epoch;
+  state.gained_at = context.now;
   state.leader = Self(context);
   state.leader_generation = state.generation;
   submission_calls::DropLeaderState(context);
@@ -81,9 +82,8 @@
   if (state.phase == LeaderPhase::kFollowing) {
     return;
   }
-  context.Log(LogLevel::kWarning, kPart,
-              fmt::format("Stopped leading. epoch={} reason=\"{}\"",
-                          state.epoch.value, reason));
+  context.Log(LogLevel::kWarning, kPart, "Stopped leading.",
+              {{"epoch", state.epoch.value}, {"reason", reason}});
   work_log::DeclineQueued(context, ErrorKind::kNotOwner);
   Enter(context, LeaderPhase::kFollowing);
   submission_calls::DropLeaderState(context);
@@ -98,9 +98,9 @@
   }
   state.leader = member;
   state.leader_adopted_at = context.now;
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("Follows a leader. leader={} generation={}",
-                          member.process.node.value, generation));
+  context.Log(
+      LogLevel::kInfo, kPart, "Follows a leader.",
+      {{"leader", member.process.node.value}, {"generation", generation}});
   context.Emit(ConnectPeer{member.process.node, member.address});
   submission_calls::OnLeaderChanged(context);
 }
@@ -114,6 +114,24 @@
   context.Emit(ReadLeader{});
 }
 
+/// Says when joins begin to fail and when they succeed again.
+void NoteStore(Context& context, bool is_ok) {
+  LeadershipState& state = StateOf(context);
+  if (is_ok == !state.joins_fail_since) {
+    return;
+  }
+  if (is_ok) {
+    context.Log(LogLevel::kInfo, kPart, "The store takes joins again.",
+                {{"away_ms", context.now - *state.joins_fail_since},
+                 {"generation", state.generation}});
+    state.joins_fail_since.reset();
+    return;
+  }
+  state.joins_fail_since = context.now;
+  context.Log(LogLevel::kWarning, kPart, "The store takes no joins.",
+              {{"generation", state.generation}, {"leads", state.holds}});
+}
+
 }  // namespace
 
 void Start(Context& context) {
@@ -149,6 +167,7 @@
 void OnJoined(Context& context, const GroupJoined& event) {
   LeadershipState& state = StateOf(context);
   state.join_channels.Release(event.channel);
+  NoteStore(context, event.ok);
   if (!event.ok) {
     state.store_failed_at = context.now;
     return;
@@ -246,10 +265,8 @@
 }
 
 void OnResumed(Context& context, const Resumed& event) {
-  context.Log(
-      LogLevel::kWarning, kPart,
-      fmt::format("The process was suspended. seconds={:.1f}",
-                  std::chrono::duration<double>(event.suspended).count()));
+  context.Log(LogLevel::kWarning, kPart, "The process was suspended.",
+              {{"suspended_ms", event.suspended}});
   StateOf(context).confirmed_at.reset();
   Join(context);
 }
@@ -308,6 +325,13 @@
   if (!is_complete) {
     fleet::HoldInherited(context);
   }
+  context.Count(Metric::kTakeovers);
+  context.Observe(Metric::kTakeoverTime, context.now - state.gained_at);
+  context.Log(LogLevel::kInfo, kPart, "Leads.",
+              {{"epoch", state.epoch.value},
+               {"took_ms", context.now - state.gained_at},
+               {"unknown_workers", unknown},
+               {"submissions", context.state.submissions.all.size()}});
   Enter(context, LeaderPhase::kLeading);
   // What the looks brought up is stored and placed from here on.
   work_log::Pump(context);
--- a/packages/core/src/internal/log.cc
+++ b/packages/core/src/internal/log.cc
@@ -184,10 +184,10 @@
     return;
   }
   if (stream.started) {
-    context.Log(LogLevel::kWarning, kPart,
-                fmt::format("Unread records have expired. stream={} next={} "
-                            "first={}",
-                            name.value, stream.next.value, first_kept.value));
+    context.Log(LogLevel::kWarning, kPart, "Unread records have expired.",
+                {{"stream", name.value},
+                 {"next", stream.next.value},
+                 {"first", first_kept.value}});
   }
   stream.started = true;
   ownership::OnStreamRestart(context, name, first_kept.value == 0);
--- a/packages/core/src/internal/membership.cc
+++ b/packages/core/src/internal/membership.cc
@@ -152,9 +152,8 @@
   peer.incarnation = incarnation;
   peer.confirmed.reset();
   peer.heard_by_others.reset();
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("Peer has started. peer={} incarnation={}",
-                          peer.node.value, incarnation));
+  context.Log(LogLevel::kInfo, kPart, "Peer has started.",
+              {{"peer", peer.node.value}, {"incarnation", incarnation}});
 }
 
 /// How long nobody has heard the peer, as far as this process listened.
@@ -170,8 +169,8 @@
   if (peer.live && context.now - std::max(*peer.last_heard, listening) >=
                        settings.peer_timeout) {
     peer.live = false;
-    context.Log(LogLevel::kWarning, kPart,
-                fmt::format("Peer went silent. peer={}", peer.node.value));
+    context.Log(LogLevel::kWarning, kPart, "Peer went silent.",
+                {{"peer", peer.node.value}});
     LosePeer(context, peer.node);
   }
   const bool is_long_silent =
@@ -198,8 +197,8 @@
     membership.listening_since = context.now;
     const auto gap = std::chrono::duration_cast<std::chrono::milliseconds>(
         context.now - *membership.last_event);
-    context.Log(LogLevel::kWarning, kPart,
-                fmt::format("The process was paused. gap_ms={}", gap.count()));
+    context.Log(LogLevel::kWarning, kPart, "The process was paused.",
+                {{"gap_ms", gap.count()}});
   }
   membership.last_event = context.now;
 }
--- a/packages/core/src/internal/ownership.cc
+++ b/packages/core/src/internal/ownership.cc
@@ -68,11 +68,11 @@
     ownership.act_after +=
         settings.ownership_freshness + settings.ownership_margin;
   }
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("Gained a shard. shard={} epoch={} after={}",
-                          ownership.shard.value, ownership.epoch.value,
-                          ownership.kind == TakeoverKind::kClean ? "release"
-                                                                 : "silence"));
+  context.Log(LogLevel::kInfo, kPart, "Gained a shard.",
+              {{"shard", ownership.shard.value},
+               {"epoch", ownership.epoch.value},
+               {"after", ownership.kind == TakeoverKind::kClean ? "release"
+                                                                : "silence"}});
   log::Follow(context, StreamOf(ownership.shard), settings.log_read_interval);
   if (!ownership.anchored) {
     AppendCheckpoint(context, ownership);
@@ -88,9 +88,9 @@
   ownership.ready = false;
   ownership.valid_until = TimePoint{};
   ownership.followed_at = context.now;
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("Lost a shard. shard={} epoch={}",
-                          ownership.shard.value, ownership.epoch.value));
+  context.Log(
+      LogLevel::kInfo, kPart, "Lost a shard.",
+      {{"shard", ownership.shard.value}, {"epoch", ownership.epoch.value}});
   requests::OnShardLost(context, ownership.shard);
   jobs::OnShardLost(context, ownership.shard);
   membership::SendHeartbeats(context);
--- a/packages/core/src/internal/peers.cc
+++ b/packages/core/src/internal/peers.cc
@@ -60,8 +60,8 @@
   peer.reopen_delay =
       std::clamp(peer.reopen_delay * 2, context.state.settings.peer_timeout,
                  kMaxReopenDelay);
-  context.Log(LogLevel::kWarning, kPart,
-              fmt::format("Reopening a silent link. peer={}", peer.node.value));
+  context.Log(LogLevel::kWarning, kPart, "Reopening a silent link.",
+              {{"peer", peer.node.value}});
   context.Emit(ReopenLink{peer.node});
 }
 
@@ -82,8 +82,8 @@
       ++peer;
       continue;
     }
-    context.Log(LogLevel::kInfo, kPart,
-                fmt::format("Forgot a peer. peer={}", peer->first.value));
+    context.Log(LogLevel::kInfo, kPart, "Forgot a peer.",
+                {{"peer", peer->first.value}});
     context.Emit(DisconnectPeer{peer->first});
     peer = peers.erase(peer);
   }
@@ -114,6 +114,21 @@
   }
 }
 
+void OnRefused(Context& context, const PeerRefused& event) {
+  const auto found = context.state.membership.peers.find(event.peer);
+  if (found == context.state.membership.peers.end() || found->second.gone ||
+      found->second.connected || !found->second.last_heard) {
+    return;
+  }
+  // A listener lives as long as its process, so this run has ended. The next
+  // one of the node counts from its first heartbeat.
+  found->second.gone = true;
+  context.Log(
+      LogLevel::kWarning, kPart,
+      "Peer has ended: its host refuses connections.",
+      {{"peer", event.peer.value}, {"incarnation", found->second.incarnation}});
+}
+
 void OnMismatch(Context& context, const PeerMismatched& event) {
   const auto found = context.state.membership.peers.find(event.node);
   if (found == context.state.membership.peers.end() ||
@@ -122,9 +137,8 @@
   }
   found->second.other_version = event.version;
   context.Log(LogLevel::kError, kPart,
-              fmt::format("Peer speaks another version of the protocol. "
-                          "peer={} version={}",
-                          event.node.value, event.version));
+              "Peer speaks another version of the protocol.",
+              {{"peer", event.node.value}, {"version", event.version}});
 }
 
 void OnMemberRecord(Context& context, const MemberRecord& record) {
@@ -161,9 +175,8 @@
     return;
   }
   peer.address = address;
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("Learnt the address of a peer. peer={} address={}",
-                          peer.node.value, address));
+  context.Log(LogLevel::kInfo, kPart, "Learnt the address of a peer.",
+              {{"peer", peer.node.value}, {"address", address}});
   context.Emit(ConnectPeer{peer.node, address});
 }
 
--- a/packages/core/src/internal/peers.h
+++ b/packages/core/src/internal/peers.h
@@ -12,6 +12,7 @@
 
 void Start(Context& context);
 void OnLinkChanged(Context& context, const PeerLinkChanged& event);
+void OnRefused(Context& context, const PeerRefused& event);
 void OnMismatch(Context& context, const PeerMismatched& event);
 void OnMemberRecord(Context& context, const MemberRecord& record);
 
--- a/packages/core/src/internal/queue_tables.cc
+++ b/packages/core/src/internal/queue_tables.cc
@@ -19,10 +19,13 @@
     return;
   }
   const bool is_first = !state.tables.has_value();
+  context.Emit(SetGauge{Metric::kTablesVersion,
+                        static_cast<double>(tables.version.value)});
+  context.Log(LogLevel::kInfo, kPart, "Tables are in force.",
+              {{"version", tables.version.value},
+               {"before", Version(context).value},
+               {"routes", tables.routes.size()}});
   state.tables = tables;
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("Tables are in force. version={} routes={}",
-                          tables.version.value, tables.routes.size()));
   if (is_first && !context.state.stopping) {
     context.Emit(SetReadiness{true});
   }
@@ -64,6 +67,11 @@
   return context.state.submissions.tables.tables.has_value();
 }
 
+TablesVersion Version(const Context& context) {
+  const auto& tables = context.state.submissions.tables.tables;
+  return tables ? tables->version : TablesVersion{};
+}
+
 const QueueRoute* Match(const Context& context, const std::string& authority,
                         const std::string& path) {
   const auto& tables = context.state.submissions.tables.tables;
--- a/packages/core/src/internal/queue_tables.h
+++ b/packages/core/src/internal/queue_tables.h
@@ -15,6 +15,8 @@
 void OnRetryTimer(Context& context);
 
 bool IsKnown(const Context& context);
+/// The version in force; 0 while none is known.
+TablesVersion Version(const Context& context);
 /// The route with this authority and the longest prefix of the path; null
 /// when there is none.
 const QueueRoute* Match(const Context& context, const std::string& authority,
--- a/packages/core/src/internal/requests_ejection.cc
+++ b/packages/core/src/internal/requests_ejection.cc
@@ -73,12 +73,8 @@
   health.ejected_until = context.now + health.back_off;
   Enter(health, HealthPhase::kEjected, 0);
   CountCapacity(shard);
-  context.Log(
-      LogLevel::kWarning, kPart,
-      fmt::format(
-          "Minion is ejected. minion={} for_ms={}", minion.name.value,
-          std::chrono::duration_cast<std::chrono::milliseconds>(health.back_off)
-              .count()));
+  context.Log(LogLevel::kWarning, kPart, "Minion is ejected.",
+              {{"minion", minion.name.value}, {"for_ms", health.back_off}});
 }
 
 /// After as many successes in a row as are allowed at once, twice as many.
@@ -95,8 +91,8 @@
   Enter(health, HealthPhase::kHealthy, 0);
   health.failure_rate = 0;
   health.back_off = Duration::zero();
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("Minion is back. minion={}", minion.name.value));
+  context.Log(LogLevel::kInfo, kPart, "Minion is back.",
+              {{"minion", minion.name.value}});
 }
 
 }  // namespace
--- a/packages/core/src/internal/step_advice.cc
+++ b/packages/core/src/internal/step_advice.cc
@@ -240,12 +240,10 @@
     TakeTickets(context, question, *step, event);
   } else {
     step->ask_not_before = context.now + kAskAgainDelay;
-    context.Log(
-        LogLevel::kInfo, kPart,
-        fmt::format(
-            "A question was not answered. submission={} step={} asker={}",
-            question.submission.value, question.step,
-            question.asker.node.value));
+    context.Log(LogLevel::kInfo, kPart, "A question was not answered.",
+                {{"submission", question.submission.value},
+                 {"step", question.step},
+                 {"asker", question.asker.node.value}});
   }
   step_placement::Request(context);
 }
--- a/packages/core/src/internal/step_placement.cc
+++ b/packages/core/src/internal/step_placement.cc
@@ -9,6 +9,7 @@
 #include "internal/fleet.h"
 #include "internal/leadership.h"
 #include "internal/step_advice.h"
+#include "internal/step_order.h"
 #include "internal/submission_progress.h"
 #include "internal/submission_runs.h"
 
@@ -17,6 +18,7 @@
 
 using step_advice::Candidate;
 
+constexpr std::string_view kPart = "placement";
 /// Events that come close together share a pass over the queue.
 constexpr Duration kPassDelay = std::chrono::milliseconds(3);
 /// Another pass is due this long after one that left tasks waiting: tickets
@@ -135,7 +137,10 @@
 }
 
 FleetWorker* ChooseWorker(Context& context, const Round& round,
+                          const RunState& task,
                           const std::vector<Candidate>& candidates) {
+  /// Above all else that makes a worker less suitable.
+  constexpr std::int64_t kFailedThere = 4'000'000'000;
   const auto racks = RacksOf(context, round);
   FleetWorker* best = nullptr;
   std::int64_t best_cost = std::numeric_limits<std::int64_t>::max();
@@ -143,7 +148,10 @@
     if (RoomOn(context, round, *candidate.worker) == 0) {
       continue;
     }
-    const std::int64_t cost = CostOf(round, *candidate.worker, racks);
+    std::int64_t cost = CostOf(round, *candidate.worker, racks);
+    if (task.failed_on.contains(candidate.worker->entry.name)) {
+      cost += kFailedThere;
+    }
     if (cost < best_cost) {
       best = fleet::Find(context, candidate.worker->entry.name);
       best_cost = cost;
@@ -193,6 +201,31 @@
   }
 }
 
+void NotePlaced(Context& context, const Round& round, std::size_t placed,
+                std::size_t left) {
+  if (placed == 0) {
+    return;
+  }
+  const Submission& submission = round.submission;
+  std::string workers;
+  for (const auto& [worker, count] : round.placed) {
+    workers += (workers.empty() ? "" : " ") + worker.value;
+  }
+  context.Count(Metric::kRunsStarted, submission.route.value,
+                static_cast<double>(placed));
+  context.Log(
+      LogLevel::kInfo, kPart, "Tasks were placed.",
+      {{"id", submission.id.value},
+       {"step", round.index},
+       {"tasks", placed},
+       {"left", left},
+       {"workers", workers},
+       {"age_ms", context.now - submission.arrived},
+       {"slack_ms",
+        step_order::RankOf(context, submission).latest_start - context.now},
+       {"queue", context.state.submissions.queue.size()}});
+}
+
 /// Places what fits. Of a gang that has not begun: all or nothing.
 void Place(Context& context, Round& round,
            const std::vector<Candidate>& candidates) {
@@ -207,7 +240,8 @@
   std::vector<std::uint32_t> left;
   const std::vector<std::uint32_t> waiting = round.waiting;
   for (const std::uint32_t index : waiting) {
-    FleetWorker* worker = ChooseWorker(context, round, candidates);
+    FleetWorker* worker =
+        ChooseWorker(context, round, round.step.tasks[index], candidates);
     if (worker == nullptr) {
       left.push_back(index);
       continue;
@@ -216,6 +250,7 @@
         round.spec.gang ? gang_run : NextRun(round, round.step.tasks[index]);
     StartTask(context, round, *worker, index, run);
   }
+  NotePlaced(context, round, waiting.size() - left.size(), left.size());
   if (is_new_gang) {
     round.step.gang_began = context.now;
   }
@@ -332,8 +367,9 @@
   if (!leadership::IsLeading(context)) {
     return;
   }
+  step_order::RefreshQueue(context);
   Resources free = TotalFree(context);
-  std::vector<std::pair<TimePoint, SubmissionId>> looked;
+  std::vector<std::pair<QueueRank, SubmissionId>> looked;
   for (const auto& entry : state.queue) {
     if (looked.size() >= kMaxLooked) {
       break;
@@ -342,8 +378,10 @@
   }
   for (const auto& entry : looked) {
     Submission* submission = submission_progress::Find(context, entry.second);
-    if (submission == nullptr || !PlaceSubmission(context, *submission, free)) {
+    if (submission == nullptr) {
       state.queue.erase(entry);
+    } else if (!PlaceSubmission(context, *submission, free)) {
+      step_order::Dequeue(context, *submission);
     }
   }
   if (!state.queue.empty() && !state.placement_due) {
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cctype>
 #include <functional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -42,26 +43,69 @@
          });
 }
 
-void Answer(Context& context, SubmissionAnswer answer) {
+std::string_view NameOf(SubmissionOperation operation) {
+  switch (operation) {
+    case SubmissionOperation::kSubmit:
+      return "submit";
+    case SubmissionOperation::kStatus:
+      return "status";
+    case SubmissionOperation::kCancel:
+      return "cancel";
+    case SubmissionOperation::kCountWaiting:
+      return "count-waiting";
+  }
+  return "unknown";
+}
+
+/// Status calls come often and change nothing: told only when refused.
+LogLevel LevelOf(const SubmissionCall& message, ErrorKind kind) {
+  const bool changes = message.operation == SubmissionOperation::kSubmit ||
+                       message.operation == SubmissionOperation::kCancel;
+  return changes || kind != ErrorKind::kNone ? LogLevel::kInfo
+                                             : LogLevel::kDebug;
+}
+
+void NoteAnswer(Context& context, const OpenCall& call,
+                const SubmissionAnswer& answer) {
+  const SubmissionCall& message = call.message;
+  const std::string_view outcome = AnswerFor(answer.kind).name;
+  const Duration time = context.now - call.arrived;
+  context.Count(Metric::kCalls, outcome);
+  context.Observe(Metric::kCallTime, time, NameOf(message.operation));
+  const LogLevel level = LevelOf(message, answer.kind);
+  if (level == LogLevel::kDebug) {
+    return;
+  }
+  const SubmissionsState& state = StateOf(context);
+  const auto& leader = state.leadership.leader;
+  context.Log(level, kPart, "A call was answered.",
+              {{"id", message.id.value},
+               {"operation", NameOf(message.operation)},
+               {"route", message.route.value},
+               {"outcome", outcome},
+               {"retry_after_ms", answer.retry_after},
+               {"took_ms", time},
+               {"leader", leader ? leader->process.node.value : ""},
+               {"generation", state.leadership.generation},
+               {"tables", queue_tables::Version(context).value}});
+}
+
+void Answer(Context& context, const OpenCall& call, SubmissionAnswer answer) {
   const bool is_refusal =
       answer.kind != ErrorKind::kNone && AnswerFor(answer.kind).retryable;
   if (is_refusal && answer.retry_after == Duration::zero()) {
     answer.retry_after = kRetryAfter;
   }
-  if (answer.kind != ErrorKind::kNone &&
-      answer.kind != ErrorKind::kUnknownRoute) {
-    context.Log(LogLevel::kDebug, kPart,
-                fmt::format("A call was refused. call={} error={}",
-                            answer.call.value, AnswerFor(answer.kind).name));
-  }
+  NoteAnswer(context, call, answer);
   context.Emit(AnswerSubmissionCaller{answer});
 }
 
-void Refuse(Context& context, CallId call, ErrorKind kind) {
+void Refuse(Context& context, const OpenCall& call, ErrorKind kind) {
   SubmissionAnswer answer;
-  answer.call = call;
+  answer.call = call.message.call;
+  answer.operation = call.message.operation;
   answer.kind = kind;
-  Answer(context, answer);
+  Answer(context, call, answer);
 }
 
 /// Why a submission cannot be taken at all; kNone when it can.
@@ -126,9 +170,10 @@
       [&refuser](const auto& taker) { return taker.first == refuser; });
 }
 
-void Expire(Context& context, CallId id, bool maybe_taken) {
-  StateOf(context).calls.erase(id);
-  Refuse(context, id,
+void Expire(Context& context, CallId id) {
+  const auto open = StateOf(context).calls.extract(id);
+  const bool maybe_taken = !open.mapped().takers.empty();
+  Refuse(context, open.mapped(),
          maybe_taken ? ErrorKind::kOutcomeUnknown : ErrorKind::kNoLeader);
 }
 
@@ -147,46 +192,54 @@
   return IsId(rest);
 }
 
-}  // namespace
-
-void Start(Context& context) {
-  context.ArmIn(TimerKind::kCalls, kCheckInterval);
-}
-
-void OnArrived(Context& context, const SubmissionCallArrived& event) {
-  SubmissionsState& state = StateOf(context);
+/// Works out what the call asks for; an error when it cannot be passed on.
+ErrorKind Admit(const Context& context, const SubmissionCallArrived& event,
+                SubmissionCall& message) {
+  const SubmissionsState& state = context.state.submissions;
   if (context.state.stopping && context.now >= state.refuse_from) {
-    return Refuse(context, event.call, ErrorKind::kStopping);
+    return ErrorKind::kStopping;
   }
   if (!queue_tables::IsKnown(context)) {
-    return Refuse(context, event.call, ErrorKind::kNotReady);
+    return ErrorKind::kNotReady;
   }
   const QueueRoute* route =
       queue_tables::Match(context, event.authority, event.path);
   if (route == nullptr) {
-    return Refuse(context, event.call, ErrorKind::kUnknownRoute);
+    message.id = SubmissionId{event.path};
+    return ErrorKind::kUnknownRoute;
   }
-  OpenCall call;
-  call.message.call = event.call;
-  if (!ReadTarget(event, *route, call.message)) {
-    return Refuse(context, event.call, ErrorKind::kBadRequest);
+  if (!ReadTarget(event, *route, message)) {
+    return ErrorKind::kBadRequest;
   }
   if (event.spec) {
-    event.spec->id = call.message.id;
+    event.spec->id = message.id;
     event.spec->route = route->name;
-    call.message.spec = event.spec;
+    message.spec = event.spec;
     const ErrorKind fault = FindFault(*event.spec);
     if (fault != ErrorKind::kNone) {
-      context.Log(LogLevel::kWarning, kPart,
-                  fmt::format("A submission asks for what is not supported. "
-                              "id={}",
-                              call.message.id.value));
-      return Refuse(context, event.call, fault);
+      return fault;
     }
   }
-  if (state.calls.size() >= kMaxOpenCalls) {
-    return Refuse(context, event.call, ErrorKind::kOverloaded);
+  return state.calls.size() >= kMaxOpenCalls ? ErrorKind::kOverloaded
+                                             : ErrorKind::kNone;
+}
+
+}  // namespace
+
+void Start(Context& context) {
+  context.ArmIn(TimerKind::kCalls, kCheckInterval);
+}
+
+void OnArrived(Context& context, const SubmissionCallArrived& event) {
+  OpenCall call;
+  call.message.call = event.call;
+  call.message.operation = event.operation;
+  call.arrived = context.now;
+  const ErrorKind fault = Admit(context, event, call.message);
+  if (fault != ErrorKind::kNone) {
+    return Refuse(context, call, fault);
   }
+  SubmissionsState& state = StateOf(context);
   call.deadline = context.now + event.time_left - kAnswerMargin;
   if (context.state.stopping) {
     call.deadline = std::min(call.deadline, state.stop_by);
@@ -203,7 +256,7 @@
 void OnTimer(Context& context) {
   ForEachOpen(context, [&context](CallId id, OpenCall& call) {
     if (context.now >= call.deadline) {
-      Expire(context, id, !call.takers.empty());
+      Expire(context, id);
     } else {
       Send(context, call);
     }
@@ -232,8 +285,9 @@
   if (is_refusal && !IsCertain(found->second, from)) {
     told.kind = ErrorKind::kOutcomeUnknown;
   }
+  const OpenCall call = std::move(found->second);
   state.calls.erase(found);
-  Answer(context, told);
+  Answer(context, call, told);
 }
 
 void OnMessageNotSent(Context& context, const PeerMessageNotSent& event) {
--- a/packages/core/src/internal/submission_loading.cc
+++ b/packages/core/src/internal/submission_loading.cc
@@ -94,9 +94,9 @@
                     [](const StepState& step) { return step.succeeded > 0; });
     submission_progress::GoOn(context, *submission, 0);
   }
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("The work log was read. submissions={} live={}",
-                          context.state.submissions.all.size(), live));
+  context.Log(
+      LogLevel::kInfo, kPart, "The work log was read.",
+      {{"submissions", context.state.submissions.all.size()}, {"live", live}});
 }
 
 }  // namespace basilspread::internal::submission_loading
--- a/packages/core/src/internal/submission_progress.cc
+++ b/packages/core/src/internal/submission_progress.cc
@@ -3,9 +3,12 @@
 #include <fmt/format.h>
 
 #include "internal/fleet.h"
+#include "internal/run_watch.h"
+#include "internal/step_order.h"
 #include "internal/step_placement.h"
 #include "internal/submission_runs.h"
 #include "internal/work_log.h"
+#include "internal/worker_trust.h"
 
 namespace basilspread::internal::submission_progress {
 namespace {
@@ -26,13 +29,6 @@
   return submission == nullptr ? nullptr : FindRun(*submission, name);
 }
 
-void Dequeue(Context& context, Submission& submission) {
-  if (submission.spec) {
-    StateOf(context).queue.erase(
-        {submission_runs::LatestStart(submission), submission.id});
-  }
-}
-
 void StopAll(Context& context, Submission& submission) {
   for (std::uint32_t step = 0; step < submission.steps.size(); ++step) {
     auto& tasks = submission.steps[step].tasks;
@@ -49,15 +45,16 @@
 }
 
 void End(Context& context, Submission& submission, SubmissionState state) {
-  context.Log(
-      LogLevel::kInfo, kPart,
-      fmt::format("A submission ended. id={} route={} state={} "
-                  "age_ms={}",
-                  submission.id.value, submission.route.value, NameOf(state),
-                  std::chrono::duration_cast<std::chrono::milliseconds>(
-                      context.now - submission.arrived)
-                      .count()));
-  Dequeue(context, submission);
+  context.Log(LogLevel::kInfo, kPart, "A submission ended.",
+              {{"id", submission.id.value},
+               {"route", submission.route.value},
+               {"state", NameOf(state)},
+               {"age_ms", context.now - submission.arrived},
+               {"epoch", StateOf(context).leadership.epoch.value}});
+  context.Count(Metric::kSubmissionsEnded, NameOf(state));
+  context.Observe(Metric::kSubmissionTime, context.now - submission.arrived,
+                  submission.route.value);
+  step_order::Dequeue(context, submission);
   submission.state = state;
   submission.is_stored = false;
   submission.ended_at = context.now;
@@ -73,6 +70,57 @@
   }
 }
 
+/// What an end tells of the kind of task, and what it threw away.
+void NoteRun(Context& context, Submission& submission, const RunState& task,
+             const ListedEnd& end) {
+  constexpr double kMillicores = 1000;
+  context.Count(Metric::kRunsEnded, NameOf(end.end));
+  if (task.started_at == TimePoint{}) {
+    return;
+  }
+  const Duration time = context.now - task.started_at;
+  const std::uint32_t step = end.name.task.step;
+  if (end.end == RunEnd::kSucceeded) {
+    if (!task.resumed && !IsGang(submission, step)) {
+      step_order::LearnRunTime(context, submission, step, time);
+    }
+    return;
+  }
+  const auto cores =
+      static_cast<double>(submission.spec->steps[step].demand.cpu_millicores) /
+      kMillicores;
+  context.Count(Metric::kWorkThrownAway, "",
+                cores * std::chrono::duration<double>(time).count());
+  context.Log(LogLevel::kInfo, kPart, "A run ended without success.",
+              {{"run", ToString(end.name)},
+               {"worker", task.worker.value},
+               {"end", NameOf(end.end)},
+               {"percent", task.percent},
+               {"age_ms", time},
+               {"failures", task.failed_runs.size()}});
+}
+
+/// Stops a run that stands still, so that its task starts elsewhere from what
+/// it has saved.
+void GiveUpStuck(Context& context, Submission& submission, FleetWorker& worker,
+                 const RunName& name) {
+  RunState& task = submission.steps[name.task.step].tasks[name.task.index];
+  context.Log(LogLevel::kInfo, kPart, "A run stands still and is stopped.",
+              {{"run", ToString(name)},
+               {"worker", worker.entry.name.value},
+               {"percent", task.percent},
+               {"still_ms", context.now - task.progressed_at},
+               {"age_ms", context.now - task.started_at}});
+  context.Count(Metric::kPreemptions, "stuck");
+  worker_trust::OnStuck(context, worker);
+  if (IsGang(submission, name.task.step)) {
+    BreakGang(context, submission, name.task.step);
+    return;
+  }
+  task.stopping = true;
+  fleet::StopRunOn(context, worker, name);
+}
+
 }  // namespace
 
 void GoOn(Context& context, Submission& submission, std::uint32_t step) {
@@ -97,8 +145,7 @@
   if (!submission.spec || HasEnded(submission.state)) {
     return;
   }
-  StateOf(context).queue.insert(
-      {submission_runs::LatestStart(submission), submission.id});
+  step_order::Enqueue(context, submission);
   step_placement::Request(context);
 }
 
@@ -115,16 +162,16 @@
   task->certain_at = context.now;
   if (task->phase == RunPhase::kStarting) {
     task->phase = RunPhase::kRunning;
+    task->started_at = context.now;
   }
   if (!submission->began) {
     submission->began = true;
-    context.Log(
-        LogLevel::kInfo, kPart,
-        fmt::format("A submission began. id={} worker={} age_ms={}",
-                    submission->id.value, task->worker.value,
-                    std::chrono::duration_cast<std::chrono::milliseconds>(
-                        context.now - submission->arrived)
-                        .count()));
+    context.Log(LogLevel::kInfo, kPart, "A submission began.",
+                {{"id", submission->id.value},
+                 {"worker", task->worker.value},
+                 {"age_ms", context.now - submission->arrived}});
+    context.Observe(Metric::kFirstStartWait, context.now - submission->arrived,
+                    submission->route.value);
   }
   if (submission->state == SubmissionState::kQueued) {
     submission->state = SubmissionState::kRunning;
@@ -183,6 +230,10 @@
       task->lost_under_fence.reset();
       OnStarted(context, run.name);
     }
+    run_watch::Note(context, *task, run);
+    if (run_watch::IsStuck(context, *submission, run.name)) {
+      GiveUpStuck(context, *submission, worker, run.name);
+    }
     return;
   }
   const bool is_free = is_wanted && task->worker.value.empty() &&
@@ -206,10 +257,10 @@
   if (task == nullptr || !submission->spec) {
     return;
   }
-  context.Log(
-      LogLevel::kDebug, kPart,
-      fmt::format("A run ended. run={} worker={} end={}", ToString(end.name),
-                  worker.entry.name.value, NameOf(end.end)));
+  context.Log(LogLevel::kDebug, kPart, "A run ended.",
+              {{"run", ToString(end.name)},
+               {"worker", worker.entry.name.value},
+               {"end", NameOf(end.end)}});
   const bool is_present =
       IsPresent(*task, end.name) && task->worker == worker.entry.name;
   if (task->worker.value.empty()) {
@@ -221,6 +272,7 @@
   }
   const std::uint32_t step = end.name.task.step;
   if (is_present) {
+    NoteRun(context, *submission, *task, end);
     Clear(*task);
   }
   if (HasEnded(submission->state)) {
@@ -229,7 +281,7 @@
   if (end.end == RunEnd::kSucceeded) {
     submission_runs::Succeed(*submission, end.name);
     work_log::Change(context, submission->id);
-    worker.failures = 0;
+    worker_trust::OnSuccess(worker);
   } else {
     StepState& state = submission->steps[step];
     const bool breaks_gang =
@@ -237,6 +289,8 @@
         submission_runs::IsGangPresent(state, end.name.run);
     state.gang_broken = state.gang_broken || breaks_gang;
     if (end.end == RunEnd::kFailed && task->phase != RunPhase::kSucceeded) {
+      task->failed_on.insert(worker.entry.name);
+      worker_trust::OnFailure(context, worker, submission->id);
       OnFailed(context, *submission, end.name);
     }
   }
--- a/packages/core/src/internal/submission_runs.cc
+++ b/packages/core/src/internal/submission_runs.cc
@@ -3,25 +3,6 @@
 #include <algorithm>
 
 namespace basilspread::internal::submission_runs {
-namespace {
-
-/// Length of the longest chain of steps, by the caller's estimates.
-Duration LongestChain(const SubmissionSpec& spec) {
-  std::vector<Duration> ends(spec.steps.size());
-  Duration longest{};
-  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
-    Duration begin{};
-    for (const std::uint32_t earlier : spec.steps[i].after) {
-      begin = std::max(begin, ends[earlier]);
-    }
-    ends[i] = begin + spec.steps[i].expected_run_time;
-    longest = std::max(longest, ends[i]);
-  }
-  return longest;
-}
-
-}  // namespace
-
 SubmissionPtr Make(const SubmissionSpecPtr& spec, const QueuePolicy& policy,
                    TimePoint arrived) {
   SubmissionPtr submission(new Submission);
@@ -46,13 +27,6 @@
   });
 }
 
-TimePoint LatestStart(const Submission& submission) {
-  const std::chrono::duration<double> chain = LongestChain(*submission.spec);
-  const auto slack = std::chrono::duration_cast<Duration>(
-      chain * std::max(0.0, submission.policy.stretch - 1.0));
-  return submission.arrived + submission.policy.target_latency + slack;
-}
-
 RunState* FindRun(Submission& submission, const RunName& name) {
   if (name.task.step >= submission.steps.size()) {
     return nullptr;
@@ -84,6 +58,8 @@
   task.certain_at.reset();
   task.lost_under_fence.reset();
   task.stopping = false;
+  task.is_watched = false;
+  task.resumed = !task.checkpoint.empty();
 }
 
 bool IsGang(const Submission& submission, std::uint32_t step) {
--- a/packages/core/src/internal/submission_runs.h
+++ b/packages/core/src/internal/submission_runs.h
@@ -18,10 +18,6 @@
 bool IsReady(const Submission& submission, std::uint32_t step);
 /// Whether all steps have succeeded.
 bool HasSucceeded(const Submission& submission);
-/// Until when the submission may start and still meet its target: the least
-/// slack goes first.
-TimePoint LatestStart(const Submission& submission);
-
 /// The run's task; null when the submission has no such task.
 RunState* FindRun(Submission& submission, const RunName& name);
 /// Whether this run of the task occupies room on a worker.
--- a/packages/core/src/internal/submission_service.cc
+++ b/packages/core/src/internal/submission_service.cc
@@ -6,9 +6,11 @@
 #include <utility>
 #include <vector>
 
+#include "internal/fleet.h"
 #include "internal/leadership.h"
 #include "internal/queue_tables.h"
 #include "internal/step_advice.h"
+#include "internal/step_order.h"
 #include "internal/submission_calls.h"
 #include "internal/submission_progress.h"
 #include "internal/submission_runs.h"
@@ -18,6 +20,8 @@
 namespace {
 
 constexpr std::string_view kPart = "submissions";
+/// How old the gauges may be: well below the usual time between scrapes.
+constexpr Duration kGaugeInterval = std::chrono::seconds(1);
 constexpr Duration kForgetInterval = std::chrono::seconds(5);
 
 SubmissionsState& StateOf(Context& context) {
@@ -133,6 +137,20 @@
   Reply(context, from, answer);
 }
 
+void SetGauges(Context& context) {
+  const SubmissionsState& state = StateOf(context);
+  const auto& workers = state.fleet.workers;
+  const auto usable = std::count_if(
+      workers.begin(), workers.end(), [&context](const auto& entry) {
+        return fleet::HasRoom(context, entry.second, Resources{});
+      });
+  context.Emit(
+      SetGauge{Metric::kQueueLength, static_cast<double>(state.queue.size())});
+  context.Emit(SetGauge{Metric::kWorkersUsable, static_cast<double>(usable)});
+  context.Emit(
+      SetGauge{Metric::kIsLeading, leadership::IsLeading(context) ? 1.0 : 0.0});
+}
+
 }  // namespace
 
 void OnCall(Context& context, const ProcessId& from,
@@ -160,14 +178,14 @@
     return;
   }
   submission->accepted = true;
-  context.Log(
-      LogLevel::kInfo, kPart,
-      fmt::format("A submission is accepted. id={} route={} steps={} "
-                  "store_ms={}",
-                  id.value, submission->route.value, submission->steps.size(),
-                  std::chrono::duration_cast<std::chrono::milliseconds>(
-                      context.now - submission->arrived)
-                      .count()));
+  context.Log(LogLevel::kInfo, kPart, "A submission is accepted.",
+              {{"id", id.value},
+               {"route", submission->route.value},
+               {"steps", submission->steps.size()},
+               {"stored_after_ms", context.now - submission->arrived},
+               {"epoch", StateOf(context).leadership.epoch.value},
+               {"queue", StateOf(context).queue.size()}});
+  context.Observe(Metric::kAcceptTime, context.now - submission->arrived);
   for (const auto& [to, call] : std::exchange(submission->submitters, {})) {
     Reply(context, to, call, ErrorKind::kNone);
   }
@@ -180,10 +198,10 @@
     return;
   }
   const SubmissionPtr submission = found->second;
+  step_order::Dequeue(context, *submission);
   StateOf(context).all.erase(found);
-  context.Log(LogLevel::kInfo, kPart,
-              fmt::format("A submission is refused. id={} reason={}", id.value,
-                          AnswerFor(kind).name));
+  context.Log(LogLevel::kInfo, kPart, "A submission is refused.",
+              {{"id", id.value}, {"reason", AnswerFor(kind).name}});
   for (const auto& [to, call] : submission->submitters) {
     Reply(context, to, call, kind);
   }
@@ -207,6 +225,10 @@
 void OnTimer(Context& context) {
   SubmissionsState& state = StateOf(context);
   step_advice::OnTimer(context);
+  if (context.now >= state.next_gauges) {
+    state.next_gauges = context.now + kGaugeInterval;
+    SetGauges(context);
+  }
   if (!leadership::IsLeading(context) || context.now < state.next_forget) {
     return;
   }
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -94,18 +94,16 @@
   WorkLogState& log = StateOf(context).log;
   if (!log.failing_since) {
     log.failing_since = context.now;
-    context.Log(LogLevel::kWarning, kPart,
-                fmt::format("The store does not append. reason={}", reason));
+    context.Log(LogLevel::kWarning, kPart, "The store does not append.",
+                {{"reason", reason}});
   }
 }
 
 void NoteSuccess(Context& context) {
   WorkLogState& log = StateOf(context).log;
   if (log.failing_since) {
-    const std::chrono::duration<double> away = context.now - *log.failing_since;
-    context.Log(
-        LogLevel::kInfo, kPart,
-        fmt::format("The store appends again. seconds={:.2f}", away.count()));
+    context.Log(LogLevel::kInfo, kPart, "The store appends again.",
+                {{"away_ms", context.now - *log.failing_since}});
   }
   log.failing_since.reset();
   log.retry_delay = Duration::zero();
--- a/packages/core/src/internal/worker_health.cc
+++ b/packages/core/src/internal/worker_health.cc
@@ -54,11 +54,11 @@
   worker.ejected_until = context.now + duration;
   UpdateIndex(context, shard, worker);
   context.Log(
-      LogLevel::kWarning, kPart,
-      fmt::format(
-          "Worker is left out. worker={} failures={} seconds={}",
-          worker.name.value, worker.failures,
-          std::chrono::duration_cast<std::chrono::seconds>(duration).count()));
+      LogLevel::kWarning, kPart, "Worker is left out.",
+      {{"worker", worker.name.value},
+       {"failures", worker.failures},
+       {"seconds",
+        std::chrono::duration_cast<std::chrono::seconds>(duration).count()}});
 }
 
 void OnTimer(const Context& context, JobShard& shard, Worker& worker) {
--- /dev/null
+++ b/packages/core/src/metric.cc
@@ -0,0 +1,74 @@
+#include "basilspread/core/metric.h"
+
+#include <array>
+
+namespace basilspread {
+namespace {
+
+using enum MetricType;
+
+constexpr std::array kInfos = {
+    MetricInfo{Metric::kCalls, kCounter, "basilspread_calls_total", "outcome",
+               "Calls of callers that were answered, by outcome."},
+    MetricInfo{Metric::kCallTime, kHistogram, "basilspread_call_seconds",
+               "operation", "Time from a call's arrival to its answer."},
+    MetricInfo{Metric::kSubmissionsEnded, kCounter,
+               "basilspread_submissions_ended_total", "state",
+               "Submissions that ended, by final state."},
+    MetricInfo{Metric::kSubmissionTime, kHistogram,
+               "basilspread_submission_seconds", "route",
+               "Time from a submission's arrival at the leader to its end."},
+    MetricInfo{Metric::kFirstStartWait, kHistogram,
+               "basilspread_first_start_wait_seconds", "route",
+               "Time from a submission's arrival to its first start."},
+    MetricInfo{Metric::kAcceptTime, kHistogram, "basilspread_accept_seconds",
+               "", "Time from a submission's arrival until it was stored."},
+    MetricInfo{Metric::kRunsStarted, kCounter, "basilspread_runs_started_total",
+               "route", "Starts that were sent to workers."},
+    MetricInfo{Metric::kRunsEnded, kCounter, "basilspread_runs_ended_total",
+               "end", "Ends of runs that workers listed, by how."},
+    MetricInfo{Metric::kRunsLost, kCounter, "basilspread_runs_lost_total",
+               "reason", "Runs that went without an end."},
+    MetricInfo{Metric::kPreemptions, kCounter, "basilspread_preemptions_total",
+               "reason", "Runs that were stopped so that others can run."},
+    MetricInfo{Metric::kWorkThrownAway, kCounter,
+               "basilspread_work_thrown_away_core_seconds_total", "",
+               "Reserved core-seconds of runs that ended without success."},
+    MetricInfo{Metric::kTakeovers, kCounter, "basilspread_takeovers_total", "",
+               "Times that this process came to lead."},
+    MetricInfo{Metric::kTakeoverTime, kHistogram,
+               "basilspread_takeover_seconds", "",
+               "Time from gaining the leadership to placing."},
+    MetricInfo{Metric::kAdviceTime, kHistogram, "basilspread_advice_seconds",
+               "route", "Time from a question to the advisor's answer."},
+    MetricInfo{Metric::kWorkersAvoided, kCounter,
+               "basilspread_workers_avoided_total", "reason",
+               "Times that a worker was left out after failures."},
+    MetricInfo{Metric::kQueueLength, kGauge, "basilspread_queue_length", "",
+               "Submissions with tasks that wait for a place."},
+    MetricInfo{Metric::kWorkersUsable, kGauge, "basilspread_workers_usable", "",
+               "Workers on which the leader may start tasks."},
+    MetricInfo{Metric::kTablesVersion, kGauge, "basilspread_tables_version", "",
+               "Version of the tables in force."},
+    MetricInfo{Metric::kIsLeading, kGauge, "basilspread_is_leading", "",
+               "1 while this process places, else 0."},
+};
+
+constexpr bool IsInMetricOrder() {
+  for (std::size_t i = 0; i < kInfos.size(); ++i) {
+    if (static_cast<std::size_t>(kInfos[i].metric) != i) {
+      return false;
+    }
+  }
+  return kInfos.size() == kMetricCount;
+}
+
+static_assert(IsInMetricOrder(), "every metric has its row, in order");
+
+}  // namespace
+
+const MetricInfo& InfoOf(Metric metric) {
+  return kInfos.at(static_cast<std::size_t>(metric));
+}
+
+}  // namespace basilspread
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -79,6 +79,12 @@
     internal::peers::OnLinkChanged(this->context, event);
   }
 
+  void operator()(const PeerRefused& event) const {
+    if (!this->UsesStore()) {
+      internal::peers::OnRefused(this->context, event);
+    }
+  }
+
   void operator()(const PeerMismatched& event) const {
     internal::peers::OnMismatch(this->context, event);
   }
--- a/packages/core/tests/ownership_test.cc
+++ b/packages/core/tests/ownership_test.cc
@@ -172,6 +172,33 @@
   }
 }
 
+TEST_CASE("In an outage of the log the others go on when a process ends",
+          "[ownership][log]") {
+  FakeCluster cluster = MakeServingCluster();
+  const std::vector<ShardId> served = cluster.ServedBy(0);
+  cluster.without_log = {0, 1, 2};
+  cluster.Run(seconds(30));
+  cluster.Kill(2, true);
+  for (int second = 0; second < 60; ++second) {
+    cluster.Run(seconds(1));
+    REQUIRE(cluster.ServedBy(0) == served);
+  }
+
+  SECTION("and all is served when the log is back") {
+    cluster.without_log.clear();
+    REQUIRE(cluster.RunUntil([&cluster] { return cluster.AllServed(); },
+                             seconds(10)));
+  }
+  SECTION("and count on its next run once that was heard") {
+    cluster.Start(2);
+    cluster.Run(seconds(5));
+    REQUIRE(cluster.ServedBy(0) == served);
+    cluster.Kill(2);
+    cluster.Run(seconds(5));
+    REQUIRE(cluster.ServedBy(0).empty());
+  }
+}
+
 TEST_CASE("An owner that one peer does not hear keeps its shards",
           "[ownership][membership]") {
   FakeCluster cluster = MakeServingCluster();
--- a/packages/core/tests/support/fake_cluster.cc
+++ b/packages/core/tests/support/fake_cluster.cc
@@ -62,7 +62,7 @@
   }
 }
 
-void FakeCluster::Kill(std::size_t index) {
+void FakeCluster::Kill(std::size_t index, bool refuses) {
   FakeProcess& process = this->processes[index];
   process.state.reset();
   process.timers.clear();
@@ -73,6 +73,9 @@
   for (std::size_t i = 0; i < this->processes.size(); ++i) {
     if (this->processes[i].state) {
       this->Post(i, kDelay, PeerLinkChanged{NameOf(index), false});
+      if (refuses) {
+        this->Post(i, kDelay, PeerRefused{NameOf(index)});
+      }
     }
   }
 }
@@ -285,7 +288,7 @@
 void FakeCluster::Carry(std::size_t index, Effect& effect) {
   FakeProcess& process = this->processes[index];
   if (const auto* line = std::get_if<WriteLine>(&effect)) {
-    this->silences += line->text.starts_with("Peer went silent") ? 1 : 0;
+    this->silences += line->line.message == "Peer went silent." ? 1 : 0;
   } else if (const auto* timer = std::get_if<SetTimer>(&effect)) {
     process.timers[timer->kind] = timer->at;
   } else if (const auto* send = std::get_if<SendToPeer>(&effect)) {
--- a/packages/core/tests/support/fake_cluster.h
+++ b/packages/core/tests/support/fake_cluster.h
@@ -45,7 +45,8 @@
 
   void Start(std::size_t index);
   void StartAll();
-  void Kill(std::size_t index);
+  /// Its peers find the link broken, and nothing listening with `refuses`.
+  void Kill(std::size_t index, bool refuses = false);
   /// Lets nothing happen in the process, while its peers go on.
   void Pause(std::size_t index);
   void Resume(std::size_t index);
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -19,6 +19,7 @@
 struct WorldWorker {
   struct Run {
     Attempt run;
+    TimePoint began;
     TimePoint ends_at;
     Resources demand;
   };
@@ -32,6 +33,8 @@
   /// Its entry has lapsed.
   bool is_unlisted = false;
   bool ignores_stops = false;
+  /// Answers, but what runs there makes no progress and does not end.
+  bool hangs = false;
   /// So many of the next looks are neither carried out nor answered.
   int lost_looks = 0;
   std::uint64_t fence = 0;
--- a/packages/core/tests/support/store_world_workers.cc
+++ b/packages/core/tests/support/store_world_workers.cc
@@ -16,6 +16,15 @@
          std::to_string(task.index);
 }
 
+std::uint32_t PercentOf(const WorldWorker& worker, const WorldWorker::Run& run,
+                        TimePoint now) {
+  constexpr int kPercent = 100;
+  return worker.hangs ? 0
+                      : static_cast<std::uint32_t>(
+                            (now - run.began) * kPercent /
+                            std::max(run.ends_at - run.began, Duration(1)));
+}
+
 }  // namespace
 
 void StoreWorld::AddWorker(const std::string& name) {
@@ -59,7 +68,7 @@
     for (const auto& [task, run] : worker.runs) {
       if (has_lapsed) {
         ends.emplace_back(task, RunEnd::kLeaseLapsed);
-      } else if (this->now >= run.ends_at) {
+      } else if (!worker.hangs && this->now >= run.ends_at) {
         const RunName run_name{task, run.run};
         ends.emplace_back(
             task, this->end_of ? this->end_of(run_name) : RunEnd::kSucceeded);
@@ -112,8 +121,8 @@
   const Resources demand = effect.spec->steps.at(effect.name.task.step).demand;
   this->CheckStart(worker, effect.name, demand);
   worker.leased_until = worker.started + effect.lease_until;
-  worker.runs[effect.name.task] = {effect.name.run, this->now + this->run_time,
-                                   demand};
+  worker.runs[effect.name.task] = {effect.name.run, this->now,
+                                   this->now + this->run_time, demand};
   ++this->starts[effect.name.task];
   return OrderResult::kDone;
 }
@@ -155,7 +164,8 @@
     return;
   }
   for (const auto& [task, run] : worker.runs) {
-    looked.running.push_back({{task, run.run}, "", 0});
+    looked.running.push_back(
+        {{task, run.run}, "", PercentOf(worker, run, this->now)});
   }
   looked.result = OrderResult::kDone;
   looked.clock = this->now - worker.started;
--- a/packages/entry/src/main.cc
+++ b/packages/entry/src/main.cc
@@ -11,6 +11,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 
@@ -22,8 +23,16 @@
 
 namespace {
 
+using basilspread::Error;
+using basilspread::ErrorKind;
+using basilspread::LogLevel;
+using basilspread::Result;
 using basilspread::config::NodeSettings;
+using basilspread::node::Log;
+using basilspread::node::LogLevelNamed;
+using basilspread::node::SetLogLevel;
 
+constexpr std::string_view kPart = "process";
 constexpr int kExitFailure = 1;
 constexpr int kExitBadInput = 2;
 /// A settings file is a few kilobytes; more is a mistake.
@@ -45,22 +54,31 @@
   return text;
 }
 
-std::optional<NodeSettings> LoadSettings(const std::string& path) {
+Result<NodeSettings> LoadSettings(const std::string& path) {
   const std::optional<std::string> text = ReadFile(path);
   if (!text) {
-    fmt::print(stderr, "basilspread: {}: the file cannot be read\n", path);
-    return std::nullopt;
+    return Error{ErrorKind::kInvalidSettings,
+                 fmt::format("{}: the file cannot be read", path)};
   }
   if (text->size() > kMaxSettingsBytes) {
-    fmt::print(stderr, "basilspread: {}: the file exceeds 1 MiB\n", path);
-    return std::nullopt;
+    return Error{ErrorKind::kInvalidSettings,
+                 fmt::format("{}: the file exceeds 1 MiB", path)};
   }
-  auto settings = basilspread::config::ParseNodeSettings(*text, path);
+  return basilspread::config::ParseNodeSettings(*text, path);
+}
+
+/// Reads the settings again. The log's level changes at once; all else is
+/// fixed at the start.
+void Reload(const std::string& path) {
+  const Result<NodeSettings> settings = LoadSettings(path);
   if (!settings) {
-    fmt::print(stderr, "{}\n", settings.error().detail);
-    return std::nullopt;
+    Log(LogLevel::kError, kPart, "The settings cannot be read; the old stay.",
+        {{"reason", settings.error().detail}});
+    return;
   }
-  return std::move(settings).value();
+  SetLogLevel(LogLevelNamed(settings.value().log_level));
+  Log(LogLevel::kInfo, kPart, "The settings were read again.",
+      {{"file", path}, {"log_level", settings.value().log_level}});
 }
 
 /// Signals are taken by one thread that waits for them; all other threads
@@ -76,42 +94,49 @@
   return signals;
 }
 
-void AwaitStop(const sigset_t& signals,
-               const std::function<void()>& request_stop) {
+struct SignalHooks {
+  std::function<void()> stop;
+  std::function<void()> reload;
+};
+
+void AwaitStop(const sigset_t& signals, const SignalHooks& hooks) {
   while (true) {
     int number = 0;
     sigwait(&signals, &number);
     if (number == SIGHUP) {
+      hooks.reload();
       continue;
     }
-    request_stop();
+    hooks.stop();
     return;
   }
 }
 
 template <typename Node>
-int Run(const sigset_t& signals, Node& node) {
-  std::thread waiter([&signals, &node] {
-    AwaitStop(signals, [&node] { node.RequestStop(); });
+int Run(const sigset_t& signals, Node& node, const std::string& path) {
+  std::thread waiter([&signals, &node, path] {
+    AwaitStop(signals,
+              {[&node] { node.RequestStop(); }, [path] { Reload(path); }});
   });
   waiter.detach();
   node.Run();
   return 0;
 }
 
-int Serve(NodeSettings settings) {
+int Serve(NodeSettings settings, const std::string& path) {
   settings.core.self.incarnation = DrawRandom();
   settings.core.seed = DrawRandom();
-  basilspread::node::SetLogLevel(
-      basilspread::node::LogLevelNamed(settings.log_level));
   const sigset_t signals = BlockSignals();
+  const basilspread::node::LogSession log(
+      LogLevelNamed(settings.log_level),
+      {settings.core.self.node.value, settings.core.self.incarnation});
   if (settings.core.store.enabled) {
     basilspread::node::StoreNode node(std::move(settings),
                                       basilspread::adapter::MakeHooks);
-    return Run(signals, node);
+    return Run(signals, node, path);
   }
   basilspread::node::Node node(std::move(settings));
-  return Run(signals, node);
+  return Run(signals, node, path);
 }
 
 int Main(int argc, char** argv) {
@@ -134,15 +159,17 @@
     fmt::print(stderr, "basilspread: --config FILE is missing\n");
     return kExitBadInput;
   }
-  auto settings = LoadSettings(arguments["config"].as<std::string>());
+  const auto path = arguments["config"].as<std::string>();
+  Result<NodeSettings> settings = LoadSettings(path);
   if (!settings) {
+    fmt::print(stderr, "{}\n", settings.error().detail);
     return kExitBadInput;
   }
   if (arguments.count("check") > 0) {
     fmt::print("The settings are valid.\n");
     return 0;
   }
-  return Serve(*std::move(settings));
+  return Serve(std::move(settings).value(), path);
 }
 
 }  // namespace
--- a/packages/node/src/admin.cc
+++ b/packages/node/src/admin.cc
@@ -76,6 +76,10 @@
           "The pages are /dump, /dump.json, /metrics and /metrics.json.\n");
     return;
   }
+  if (page == "/metrics" && !is_json) {
+    Write(response, "text/plain; version=0.0.4", this->hooks.expose_metrics());
+    return;
+  }
   const std::optional<StateReport> report = this->ReportFor(page);
   if (!report) {
     response.setStatusAndReason(HTTPServerResponse::HTTP_SERVICE_UNAVAILABLE);
--- a/packages/node/src/admin.h
+++ b/packages/node/src/admin.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "basilspread/config/node_settings.h"
 #include "basilspread/core/effect.h"
@@ -24,6 +25,8 @@
     /// What the traffic threads add to the state dump.
     std::function<StateReport()> describe_node;
     std::function<StateReport()> describe_metrics;
+    /// The metrics as text in the Prometheus format.
+    std::function<std::string()> expose_metrics;
   };
 
   Admin(config::Endpoint admin_endpoint, Hooks report_hooks);
--- /dev/null
+++ b/packages/node/src/exposition.h
@@ -0,0 +1,38 @@
+#ifndef BASILSPREAD_NODE_EXPOSITION_H_
+#define BASILSPREAD_NODE_EXPOSITION_H_
+
+#include <string>
+#include <string_view>
+
+#include "duration_stats.h"
+#include "latency_histogram.h"
+
+namespace basilspread::node {
+
+/// Writes metrics as text.
+/// Source: Prometheus exposition formats, text format 0.0.4.
+class Exposition {
+ public:
+  /// Begins a family of series; `type` is "counter", "gauge", "histogram" or
+  /// "summary".
+  void Begin(std::string_view family, std::string_view type,
+             std::string_view help);
+  /// One series of the family that was begun. An empty `label` has none.
+  void Add(std::string_view label, std::string_view label_value, double value);
+  void Add(std::string_view label, std::string_view label_value,
+           const LatencyHistogram& histogram);
+  void Add(std::string_view label, std::string_view label_value,
+           const DurationSummary& summary);
+
+  const std::string& Text() const { return this->text; }
+
+ private:
+  void Line(std::string_view suffix, std::string_view labels, double value);
+
+  std::string family;
+  std::string text;
+};
+
+}  // namespace basilspread::node
+
+#endif  // BASILSPREAD_NODE_EXPOSITION_H_
--- a/packages/node/src/http_loop.cc
+++ b/packages/node/src/http_loop.cc
@@ -142,9 +142,8 @@
   try {
     const Poco::Net::StreamSocket socket = this->listener.acceptConnection();
     if (!this->MakeRoom()) {
-      Log(LogLevel::kWarning, kPart,
-          fmt::format("Refused a connection. open={}",
-                      this->connections.size()));
+      Log(LogLevel::kWarning, kPart, "Refused a connection.",
+          {{"open", this->connections.size()}});
       return;
     }
     const ConnectionPtr connection(new HttpConnection(socket));
@@ -153,8 +152,8 @@
     this->Enter(connection, ConnectionPhase::kIdle);
     this->Watch(connection);
   } catch (const Poco::Exception& exception) {
-    Log(LogLevel::kDebug, kPart,
-        fmt::format("Accept failed. reason=\"{}\"", exception.displayText()));
+    Log(LogLevel::kDebug, kPart, "Accept failed.",
+        {{"reason", exception.displayText()}});
   }
 }
 
--- a/packages/node/src/inbound_connection.cc
+++ b/packages/node/src/inbound_connection.cc
@@ -38,9 +38,8 @@
     while (this->TakeFrame()) {
     }
   } catch (const Poco::Exception& exception) {
-    Log(LogLevel::kDebug, kPart,
-        fmt::format("Connection broke. reason=\"{}\"",
-                    exception.displayText()));
+    Log(LogLevel::kDebug, kPart, "Connection broke.",
+        {{"reason", exception.displayText()}});
   }
 }
 
@@ -86,10 +85,10 @@
 
 void InboundConnection::RefuseFrame(const Error& error,
                                     const std::string& bytes) {
-  Log(LogLevel::kWarning, kPart,
-      fmt::format("Closing a connection. from={} error={} reason=\"{}\"",
-                  this->socket().peerAddress().toString(),
-                  AnswerFor(error.kind).name, error.detail));
+  Log(LogLevel::kWarning, kPart, "Closing a connection.",
+      {{"from", this->socket().peerAddress().toString()},
+       {"error", AnswerFor(error.kind).name},
+       {"reason", error.detail}});
   if (const auto other = wire::FindOtherVersion(bytes)) {
     this->post(PeerMismatched{other->sender.node, other->version});
   }
--- a/packages/node/src/line_log.cc
+++ b/packages/node/src/line_log.cc
@@ -2,15 +2,36 @@
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <poll.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+#include <unistd.h>
 
 #include <atomic>
+#include <cerrno>
 #include <chrono>
-#include <cstdio>
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "log_limiter.h"
 
 namespace basilspread::node {
 namespace {
 
-std::atomic<LogLevel> minimum_level = LogLevel::kInfo;
+constexpr std::string_view kPart = "log";
+/// A submission takes some five lines in its life; at 50 submissions a second
+/// none is left out, and a storm of refusals is.
+constexpr LogLimiter::Limits kLimits = {400, 100};
+/// Lines that wait for the writer, some 200 bytes each.
+constexpr std::size_t kMaxQueuedBytes = std::size_t{1} << 20U;
+/// Lines share writes: each costs a wake-up and a system call.
+constexpr Duration kGatherTime = std::chrono::milliseconds(100);
+constexpr Duration kOmittedInterval = std::chrono::seconds(1);
+/// A reader that takes nothing for this long holds no stop up.
+constexpr Duration kStopPatience = std::chrono::milliseconds(200);
 
 std::string_view NameOf(LogLevel level) {
   switch (level) {
@@ -26,9 +47,188 @@
   return "info";
 }
 
+using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+
+void WriteText(Writer& writer, std::string_view text) {
+  writer.String(text.data(), static_cast<rapidjson::SizeType>(text.size()));
+}
+
+void WriteField(Writer& writer, const LogField& field) {
+  WriteText(writer, field.key);
+  if (field.is_literal) {
+    writer.RawValue(field.value.data(), field.value.size(),
+                    rapidjson::kNumberType);
+  } else {
+    WriteText(writer, field.value);
+  }
+}
+
+std::string TimeOfDay() {
+  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
+                     fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+                     now.time_since_epoch().count() % 1000);
+}
+
+std::string Format(const LogLine& line, const LogIdentity& identity) {
+  rapidjson::StringBuffer buffer;
+  Writer writer(buffer);
+  writer.StartObject();
+  WriteField(writer, {"time", TimeOfDay()});
+  WriteField(writer, {"level", NameOf(line.level)});
+  WriteField(writer, {"node", identity.node});
+  WriteField(writer, {"part", line.part});
+  WriteField(writer, {"event", line.message});
+  for (const LogField& field : line.fields) {
+    WriteField(writer, field);
+  }
+  writer.EndObject();
+  return std::string(buffer.GetString(), buffer.GetSize()) + "\n";
+}
+
+/// The queue of the process's lines and the thread that writes them.
+class LineWriter {
+ public:
+  void Start(LogLevel minimum, LogIdentity process) {
+    this->level = minimum;
+    this->identity = std::move(process);
+    this->thread = std::thread([this] { this->Run(); });
+  }
+
+  void SetLevel(LogLevel minimum) { this->level = minimum; }
+
+  void Stop() {
+    {
+      const std::lock_guard lock(this->mutex);
+      this->stopping = true;
+    }
+    this->changed.notify_all();
+    if (this->thread.joinable()) {
+      this->thread.join();
+    }
+  }
+
+  void Add(const LogLine& line) {
+    if (line.level < this->level) {
+      return;
+    }
+    const std::string kind = fmt::format("{}: {}", line.part, line.message);
+    const TimePoint now = std::chrono::steady_clock::now();
+    {
+      const std::lock_guard lock(this->mutex);
+      if (!this->limiter.Admit(kind, now)) {
+        return;
+      }
+    }
+    std::string text = Format(line, this->identity);
+    const std::lock_guard lock(this->mutex);
+    if (this->queued.size() + text.size() > kMaxQueuedBytes) {
+      this->limiter.Omit(kind);
+      return;
+    }
+    if (this->queued.empty()) {
+      this->changed.notify_all();
+    }
+    this->queued += text;
+  }
+
+ private:
+  void Run() {
+    while (this->WaitForLines()) {
+      this->WriteQueued();
+    }
+    this->WriteQueued();
+  }
+
+  /// Waits for lines and gathers those that come with them; false on a stop.
+  bool WaitForLines() {
+    std::unique_lock lock(this->mutex);
+    this->changed.wait(
+        lock, [this] { return this->stopping || !this->queued.empty(); });
+    this->changed.wait_for(lock, kGatherTime, [this] {
+      return this->stopping || this->queued.size() > kMaxQueuedBytes / 2;
+    });
+    return !this->stopping;
+  }
+
+  void WriteQueued() {
+    std::string text;
+    {
+      const std::lock_guard lock(this->mutex);
+      text = std::exchange(this->queued, {}) + this->DescribeOmitted();
+    }
+    std::size_t written = 0;
+    while (written < text.size() && this->MayWrite()) {
+      const ssize_t count =
+          write(STDOUT_FILENO, text.data() + written, text.size() - written);
+      if (count < 0 && errno != EINTR && errno != EAGAIN) {
+        // Nobody reads the log, and there is nowhere else to say so.
+        return;
+      }
+      written += count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+  }
+
+  /// Waits for room; false when the process stops and none comes.
+  bool MayWrite() {
+    constexpr int kMilliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(kStopPatience)
+            .count();
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    while (poll(&output, 1, kMilliseconds) == 0) {
+      const std::lock_guard lock(this->mutex);
+      if (this->stopping) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /// The caller holds the mutex.
+  std::string DescribeOmitted() {
+    const TimePoint now = std::chrono::steady_clock::now();
+    if (now < this->next_omitted && !this->stopping) {
+      return "";
+    }
+    this->next_omitted = now + kOmittedInterval;
+    std::string text;
+    for (const OmittedLines& lines : this->limiter.TakeOmitted()) {
+      text += Format({LogLevel::kWarning,
+                      kPart,
+                      "Lines were left out.",
+                      {{"kind", lines.kind}, {"count", lines.count}}},
+                     this->identity);
+    }
+    return text;
+  }
+
+  std::atomic<LogLevel> level = LogLevel::kInfo;
+  LogIdentity identity;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::string queued;
+  LogLimiter limiter{kLimits};
+  TimePoint next_omitted;
+  bool stopping = false;
+  std::thread thread;
+};
+
+LineWriter& TheWriter() {
+  // Never destroyed: threads of libraries may log while the process ends.
+  static auto* const writer = new LineWriter;
+  return *writer;
+}
+
 }  // namespace
 
-void SetLogLevel(LogLevel level) { minimum_level = level; }
+LogSession::LogSession(LogLevel level, const LogIdentity& identity) {
+  TheWriter().Start(level, identity);
+}
+
+void SetLogLevel(LogLevel level) { TheWriter().SetLevel(level); }
+
+LogSession::~LogSession() { TheWriter().Stop(); }
 
 LogLevel LogLevelNamed(std::string_view name) {
   for (const LogLevel level :
@@ -40,19 +240,11 @@
   return LogLevel::kInfo;
 }
 
-void Log(LogLevel level, std::string_view part, std::string_view text) {
-  if (level < minimum_level) {
-    return;
-  }
-  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now());
-  const auto millis = now.time_since_epoch().count() % 1000;
-  // One write a line keeps the lines of several threads apart.
-  const std::string line =
-      fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}: {}\n",
-                  fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
-                  millis, NameOf(level), part, text);
-  std::fwrite(line.data(), 1, line.size(), stderr);
+void Log(const LogLine& line) { TheWriter().Add(line); }
+
+void Log(LogLevel level, std::string_view part, std::string_view message,
+         std::vector<LogField> fields) {
+  TheWriter().Add({level, part, message, std::move(fields)});
 }
 
 }  // namespace basilspread::node
--- a/packages/node/src/metrics.cc
+++ b/packages/node/src/metrics.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "process_usage.h"
+
 namespace basilspread::node {
 namespace {
 
@@ -26,6 +28,27 @@
   row.emplace_back("max_ms", Milliseconds(summary.max));
 }
 
+std::string_view NameOf(MetricType type) {
+  switch (type) {
+    case MetricType::kCounter:
+      return "counter";
+    case MetricType::kGauge:
+      return "gauge";
+    case MetricType::kHistogram:
+      return "histogram";
+  }
+  return "untyped";
+}
+
+/// Adds the series of one metric.
+template <typename Series>
+void AddSeries(const Series& series, const MetricInfo& info, Exposition& text) {
+  for (auto entry = series.lower_bound({info.metric, ""});
+       entry != series.end() && entry->first.first == info.metric; ++entry) {
+    text.Add(info.label, entry->first.second, entry->second);
+  }
+}
+
 }  // namespace
 
 void Metrics::AddAnswer(const RouteName& route, ErrorKind kind, Duration time) {
@@ -52,6 +75,83 @@
   found->second.failures += is_ok ? 0 : 1;
 }
 
+void Metrics::Count(Metric metric, const std::string& label, double amount) {
+  const std::lock_guard lock(this->mutex);
+  this->values[{metric, label}] += amount;
+}
+
+void Metrics::Observe(Metric metric, const std::string& label, Duration time) {
+  const std::lock_guard lock(this->mutex);
+  this->histograms[{metric, label}].Add(time);
+}
+
+void Metrics::Set(Metric metric, double value) {
+  const std::lock_guard lock(this->mutex);
+  this->values[{metric, ""}] = value;
+}
+
+std::string Metrics::Expose() const {
+  const std::lock_guard lock(this->mutex);
+  Exposition text;
+  this->ExposeTable(text);
+  this->ExposeRoutes(text);
+  this->ExposeExchanges(text);
+  this->ExposeProcess(text);
+  return text.Text();
+}
+
+void Metrics::ExposeTable(Exposition& text) const {
+  for (std::size_t i = 0; i < kMetricCount; ++i) {
+    const MetricInfo& info = InfoOf(static_cast<Metric>(i));
+    text.Begin(info.name, NameOf(info.type), info.help);
+    AddSeries(this->values, info, text);
+    AddSeries(this->histograms, info, text);
+  }
+}
+
+void Metrics::ExposeRoutes(Exposition& text) const {
+  text.Begin("basilspread_answers_total", "counter",
+             "Answers to requests of the product's own interface, by kind.");
+  for (const auto& [route, stats] : this->routes) {
+    for (const auto& [kind, count] : stats.kinds) {
+      text.Add("kind", fmt::format("{}/{}", route.value, AnswerFor(kind).name),
+               static_cast<double>(count));
+    }
+  }
+  text.Begin("basilspread_answer_seconds", "summary",
+             "Time from a request's arrival to its answer, by route.");
+  for (const auto& [route, stats] : this->routes) {
+    text.Add("route", route.value, stats.times.Summarize());
+  }
+}
+
+void Metrics::ExposeExchanges(Exposition& text) const {
+  text.Begin("basilspread_exchange_seconds", "summary",
+             "Time of calls to other services, by kind of call.");
+  for (const auto& [service, stats] : this->exchanges) {
+    text.Add("service", service, stats.times.Summarize());
+  }
+  text.Begin("basilspread_exchange_failures_total", "counter",
+             "Calls to other services without a usable answer.");
+  for (const auto& [service, stats] : this->exchanges) {
+    text.Add("service", service, static_cast<double>(stats.failures));
+  }
+}
+
+void Metrics::ExposeProcess(Exposition& text) const {
+  constexpr double kBytesPerKibibyte = 1024;
+  text.Begin("basilspread_event_seconds", "summary",
+             "Time that the control thread takes over one event.");
+  text.Add("", "", this->reductions.Summarize());
+  const ProcessUsage usage = ReadProcessUsage();
+  text.Begin("process_cpu_seconds_total", "counter",
+             "Processor time of all threads.");
+  text.Add("", "", std::chrono::duration<double>(usage.cpu_time).count());
+  text.Begin("process_resident_memory_bytes", "gauge", "Resident memory.");
+  text.Add("", "",
+           static_cast<double>(usage.resident_kibibytes) * kBytesPerKibibyte);
+}
+
 ReportSection Metrics::DescribeRoutes() const {
   ReportSection section{"answer times by route", {}};
   for (const auto& [route, stats] : this->routes) {
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -6,12 +6,16 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "basilspread/core/error.h"
 #include "basilspread/core/ids.h"
+#include "basilspread/core/metric.h"
 #include "basilspread/core/report.h"
 #include "basilspread/core/time.h"
 #include "duration_stats.h"
+#include "exposition.h"
+#include "latency_histogram.h"
 
 namespace basilspread::node {
 
@@ -25,6 +29,12 @@
   /// A call to the platform or a minion took this long.
   void AddExchange(std::string_view service, bool is_ok, Duration time);
 
+  void Count(Metric metric, const std::string& label, double amount);
+  void Observe(Metric metric, const std::string& label, Duration time);
+  void Set(Metric metric, double value);
+
+  /// Everything that was measured, as text in the Prometheus format.
+  std::string Expose() const;
   /// Tables of counts and times in milliseconds.
   StateReport Describe() const;
 
@@ -38,6 +48,10 @@
     std::uint64_t failures = 0;
   };
 
+  void ExposeTable(Exposition& text) const;
+  void ExposeRoutes(Exposition& text) const;
+  void ExposeExchanges(Exposition& text) const;
+  void ExposeProcess(Exposition& text) const;
   ReportSection DescribeRoutes() const;
   ReportSection DescribeAnswers() const;
   ReportSection DescribeReductions() const;
@@ -47,6 +61,9 @@
   std::map<RouteName, RouteStats> routes;
   DurationStats reductions;
   std::map<std::string, ExchangeStats, std::less<>> exchanges;
+  /// Counters and gauges, and histograms, by metric and label.
+  std::map<std::pair<Metric, std::string>, double> values;
+  std::map<std::pair<Metric, std::string>, LatencyHistogram> histograms;
 };
 
 }  // namespace basilspread::node
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -43,7 +43,8 @@
       admin(this->settings.admin,
             Admin::Hooks{this->MakePost(),
                          [this] { return this->DescribeNode(); },
-                         [this] { return this->metrics.Describe(); }}),
+                         [this] { return this->metrics.Describe(); },
+                         [this] { return this->metrics.Expose(); }}),
       peers(this->settings, this->MakePost(),
             [this](EventBody body) {
               return this->loop.PostWhenRoom(std::move(body));
@@ -62,12 +63,11 @@
   this->peers.Start();
   this->admin.Start();
   this->front_end.Start();
-  Log(LogLevel::kInfo, "process",
-      fmt::format(
-          "Serving. node={} zone={} http={} admin={} peer={}",
-          this->settings.core.self.node.value, this->settings.core.zone.value,
-          this->settings.http.ToString(), this->settings.admin.ToString(),
-          this->settings.peer.ToString()));
+  Log(LogLevel::kInfo, "process", "Serving.",
+      {{"zone", this->settings.core.zone.value},
+       {"http", this->settings.http.ToString()},
+       {"admin", this->settings.admin.ToString()},
+       {"peer", this->settings.peer.ToString()}});
   this->loop.Run();
   this->front_end.Stop(kAnswerTimeout);
   this->admin.Stop();
--- a/packages/node/src/outbound_link.cc
+++ b/packages/node/src/outbound_link.cc
@@ -1,6 +1,7 @@
 #include "outbound_link.h"
 
 #include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 
 #include <algorithm>
@@ -42,9 +43,8 @@
 
 }  // namespace
 
-OutboundLink::OutboundLink(config::PeerEndpoint peer_endpoint,
-                           OnChange change_hook)
-    : peer(std::move(peer_endpoint)), on_change(std::move(change_hook)) {
+OutboundLink::OutboundLink(config::PeerEndpoint peer_endpoint, Hooks link_hooks)
+    : peer(std::move(peer_endpoint)), hooks(std::move(link_hooks)) {
   this->thread = std::thread([this] { this->Run(); });
 }
 
@@ -108,9 +108,13 @@
   Duration delay = kFirstRetryDelay;
   while (true) {
     bool was_connected = false;
+    bool was_refused = false;
     try {
       this->Serve();
+    } catch (const Poco::Net::ConnectionRefusedException&) {
+      was_refused = true;
     } catch (const Poco::Exception&) {
+      // The caller sees the break as a change, and the next try follows.
     }
     {
       const std::lock_guard lock(this->mutex);
@@ -124,6 +128,9 @@
     delay =
         was_connected ? kFirstRetryDelay : std::min(delay * 2, kMaxRetryDelay);
     this->SetConnected(false);
+    if (was_refused) {
+      this->hooks.refusal();
+    }
     this->Wait(Jitter(delay));
   }
 }
@@ -180,7 +187,7 @@
     this->connected = is_connected;
     this->frames.clear();
   }
-  this->on_change(is_connected);
+  this->hooks.change(is_connected);
 }
 
 void OutboundLink::Wait(Duration delay) {
--- a/packages/node/src/outbound_link.h
+++ b/packages/node/src/outbound_link.h
@@ -20,10 +20,14 @@
 /// All but the destructor returns at once.
 class OutboundLink {
  public:
-  /// Told when the connection opens or breaks.
-  using OnChange = std::function<void(bool connected)>;
+  struct Hooks {
+    /// Told when the connection opens or breaks.
+    std::function<void(bool connected)> change;
+    /// Told when the peer's host refuses a connection.
+    std::function<void()> refusal;
+  };
 
-  OutboundLink(config::PeerEndpoint peer_endpoint, OnChange change_hook);
+  OutboundLink(config::PeerEndpoint peer_endpoint, Hooks link_hooks);
   /// Waits for the thread to end.
   ~OutboundLink();
   OutboundLink(const OutboundLink&) = delete;
@@ -53,7 +57,7 @@
   void ShutDownSocket();
 
   config::PeerEndpoint peer;
-  OnChange on_change;
+  Hooks hooks;
   mutable std::mutex mutex;
   std::condition_variable changed;
   std::deque<std::string> frames;
--- a/packages/node/src/peer_links.cc
+++ b/packages/node/src/peer_links.cc
@@ -67,9 +67,8 @@
   Result<std::string> frame =
       wire::EncodeFrame({this->settings.core.self, send.message});
   if (!frame) {
-    Log(LogLevel::kWarning, kPart,
-        fmt::format("Message was not sent. peer={} reason=\"{}\"",
-                    send.peer.value, frame.error().detail));
+    Log(LogLevel::kWarning, kPart, "Message was not sent.",
+        {{"peer", send.peer.value}, {"reason", frame.error().detail}});
     this->post(PeerMessageNotSent{send.peer, send.message});
     return;
   }
@@ -82,9 +81,8 @@
   const Result<config::Endpoint> endpoint =
       config::ParseEndpoint(connect.address);
   if (!endpoint) {
-    Log(LogLevel::kWarning, kPart,
-        fmt::format("Peer has no valid address. peer={} reason=\"{}\"",
-                    connect.peer.value, endpoint.error().detail));
+    Log(LogLevel::kWarning, kPart, "Peer has no valid address.",
+        {{"peer", connect.peer.value}, {"reason", endpoint.error().detail}});
     return;
   }
   const auto link = this->links.find(connect.peer);
@@ -115,11 +113,13 @@
 }
 
 void PeerLinks::Open(const config::PeerEndpoint& peer) {
+  OutboundLink::Hooks hooks;
+  hooks.change = [this, node = peer.node](bool connected) {
+    this->post(PeerLinkChanged{node, connected});
+  };
+  hooks.refusal = [this, node = peer.node] { this->post(PeerRefused{node}); };
   this->links.emplace(peer.node,
-                      std::make_unique<OutboundLink>(
-                          peer, [this, node = peer.node](bool connected) {
-                            this->post(PeerLinkChanged{node, connected});
-                          }));
+                      std::make_unique<OutboundLink>(peer, std::move(hooks)));
 }
 
 }  // namespace basilspread::node
--- a/packages/node/src/store_node.cc
+++ b/packages/node/src/store_node.cc
@@ -18,6 +18,7 @@
 struct OwnEffects {
   PeerLinks& peers;
   Admin& admin;
+  Metrics& metrics;
 
   void operator()(const SendToPeer& effect) const { this->peers.Send(effect); }
   void operator()(const ConnectPeer& effect) const {
@@ -29,8 +30,15 @@
   void operator()(const DisconnectPeer& effect) const {
     this->peers.Disconnect(effect);
   }
-  void operator()(const WriteLine& effect) const {
-    Log(effect.level, effect.part, effect.text);
+  void operator()(const WriteLine& effect) const { Log(effect.line); }
+  void operator()(const CountMetric& effect) const {
+    this->metrics.Count(effect.metric, effect.label, effect.amount);
+  }
+  void operator()(const ObserveTime& effect) const {
+    this->metrics.Observe(effect.metric, effect.label, effect.time);
+  }
+  void operator()(const SetGauge& effect) const {
+    this->metrics.Set(effect.metric, effect.value);
   }
   void operator()(const AnswerDump& effect) const {
     this->admin.Answer(effect);
@@ -50,23 +58,29 @@
           [this](Duration time) { this->metrics.AddReduction(time); }),
       admin(this->settings.admin,
             Admin::Hooks{this->MakePost(), [] { return StateReport{}; },
-                         [this] { return this->metrics.Describe(); }}),
+                         [this] { return this->metrics.Describe(); },
+                         [this] { return this->metrics.Expose(); }}),
       peers(this->settings, this->MakePost(),
             [this](EventBody body) {
               return this->loop.PostWhenRoom(std::move(body));
             }),
-      outside(factory(this->settings, this->MakePost())) {}
+      outside(factory(
+          this->settings,
+          InsideHooks{this->MakePost(), [this](std::string_view service,
+                                               bool is_ok, Duration time) {
+                        this->metrics.AddExchange(service, is_ok, time);
+                      }})) {}
 
 void StoreNode::Run() {
   this->peers.Start();
   this->admin.Start();
   this->outside.start();
-  Log(LogLevel::kInfo, "process",
-      fmt::format(
-          "Serving. node={} zone={} http={} admin={} peer={} store={}",
-          this->settings.core.self.node.value, this->settings.core.zone.value,
-          this->settings.http.ToString(), this->settings.admin.ToString(),
-          this->settings.peer.ToString(), this->settings.store.ToString()));
+  Log(LogLevel::kInfo, "process", "Serving.",
+      {{"zone", this->settings.core.zone.value},
+       {"http", this->settings.http.ToString()},
+       {"admin", this->settings.admin.ToString()},
+       {"peer", this->settings.peer.ToString()},
+       {"store", this->settings.store.ToString()}});
   this->loop.Run();
   this->outside.stop(kAnswerTimeout);
   this->admin.Stop();
@@ -76,13 +90,13 @@
 
 void StoreNode::RequestStop() { this->loop.Post(StopRequested{}); }
 
-OutsideHooks::Post StoreNode::MakePost() {
+InsideHooks::Post StoreNode::MakePost() {
   return [this](EventBody body) { this->loop.Post(std::move(body)); };
 }
 
 void StoreNode::Carry(const Effect& effect) {
   if (!this->outside.carry(effect)) {
-    std::visit(OwnEffects{this->peers, this->admin}, effect);
+    std::visit(OwnEffects{this->peers, this->admin, this->metrics}, effect);
   }
 }
 
--- a/packages/node/src/store_node.h
+++ b/packages/node/src/store_node.h
@@ -2,6 +2,7 @@
 #define BASILSPREAD_NODE_STORE_NODE_H_
 
 #include <functional>
+#include <string_view>
 
 #include "admin.h"
 #include "basilspread/config/node_settings.h"
@@ -13,10 +14,20 @@
 
 namespace basilspread::node {
 
-/// What speaks to the store, the workers and the callers.
-struct OutsideHooks {
+/// What the parts that speak to the outside are given.
+struct InsideHooks {
   using Post = std::function<void(EventBody)>;
 
+  /// Hands an event to the control thread.
+  Post post;
+  /// Told of each call to another service: its kind, whether it was answered
+  /// with success, and the time that it took.
+  std::function<void(std::string_view service, bool is_ok, Duration time)>
+      measure;
+};
+
+/// What speaks to the store, the workers and the callers.
+struct OutsideHooks {
   /// Binds and serves. Throws Poco::Exception when a port is taken.
   std::function<void()> start;
   /// Gives the answers that are due, for at most this long, and ends.
@@ -26,8 +37,8 @@
 };
 
 /// Makes the hooks of one process.
-using OutsideFactory = std::function<OutsideHooks(const config::NodeSettings&,
-                                                  OutsideHooks::Post)>;
+using OutsideFactory =
+    std::function<OutsideHooks(const config::NodeSettings&, InsideHooks)>;
 
 /// One entry process where all that must last is in a shared store.
 class StoreNode {
@@ -41,7 +52,7 @@
   void RequestStop();
 
  private:
-  OutsideHooks::Post MakePost();
+  InsideHooks::Post MakePost();
   void Carry(const Effect& effect);
 
   config::NodeSettings settings;
