Shorten looks while looks get lost, and take a moved leadership up at once

Looks now wait 250 ms for 5 s after one was lost and 1.5 s at other times, are given up 300 ms after that, and the first retry is at once. Cause 2: when the group moves a leadership, its former holder stops and the next one learns of it up to 300 ms later. After each change of the group its members join every 50 ms for half a second. Cause 3: with neither store nor leader, callers waited for 2.85 s to hear that their work cannot be taken. They are refused once joins have failed for 600 ms and no peer knows a leader; an unknown outcome carries a Retry-After too.

Tests: each was seen failing with its rule taken out.

--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -62,6 +62,8 @@
   Offset next;
   /// Names seen in the listing that is being read.
   std::set<HostName> listing;
+  /// When a look of a worker that had answered was last lost.
+  std::optional<TimePoint> look_lost_at;
   /// When what the previous leader started, and no look can tell, has ended.
   std::optional<TimePoint> unknown_until;
 };
--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -75,6 +75,8 @@
   /// knows.
   std::optional<GroupMember> releasing;
   TimePoint release_asked_at;
+  /// The group has changed; until then another change may follow.
+  TimePoint settles_until;
   /// When peers are next asked who leads, and the last one that was.
   TimePoint next_ask;
   NodeName last_asked;
--- a/packages/core/src/internal/fleet_looks.cc
+++ b/packages/core/src/internal/fleet_looks.cc
@@ -16,10 +16,15 @@
 /// Fences of one epoch; a worker takes whole numbers up to 2^53, which leaves
 /// 2^33 epochs.
 constexpr std::uint64_t kFencesPerEpoch = std::uint64_t{1} << 20U;
-/// A look waits this long for an end. A look whose answer is lost hides the
-/// ends behind it until it is given up, and the most urgent work is to be done
-/// within some 1.3 s.
-constexpr Duration kLookWait = std::chrono::milliseconds(600);
+/// A look waits this long for an end: a third of the shortest lease, so that
+/// two lost looks end no lease.
+constexpr Duration kLookWait = std::chrono::milliseconds(1500);
+/// A look whose answer is lost hides the ends behind it until it is given up.
+/// While looks get lost they wait for a fraction of the 1.3 s in which the
+/// most urgent work is to be done; at other times that would cost calls.
+constexpr Duration kAlertLookWait = std::chrono::milliseconds(250);
+/// How long looks stay short after one was lost.
+constexpr Duration kAlertTime = std::chrono::seconds(5);
 /// Ends that come close together share a look, which costs both sides a call.
 constexpr Duration kLookSpacing = std::chrono::milliseconds(25);
 constexpr Duration kRetryDelay = std::chrono::milliseconds(300);
@@ -115,6 +120,12 @@
   }
 }
 
+Duration WaitForEnds(const Context& context) {
+  const auto& lost_at = context.state.submissions.fleet.look_lost_at;
+  return lost_at && context.now < *lost_at + kAlertTime ? kAlertLookWait
+                                                        : kLookWait;
+}
+
 bool HasSomethingToTell(const FleetWorker& worker) {
   return worker.stored_end > worker.told_end;
 }
@@ -169,7 +180,7 @@
     }
   } else if (worker.looks == 0) {
     const bool has_runs = !worker.runs.empty();
-    Look(context, worker, has_runs ? kLookWait : Duration::zero());
+    Look(context, worker, has_runs ? WaitForEnds(context) : Duration::zero());
   }
 }
 
@@ -235,6 +246,10 @@
                  {"runs", worker.runs.size()},
                  {"fence", event.fence}});
   }
+  const Duration delay = worker.is_silent ? kRetryDelay : Duration::zero();
+  if (!worker.is_silent) {
+    context.state.submissions.fleet.look_lost_at = context.now;
+  }
   worker.is_silent = true;
   if (event.result == OrderResult::kOtherIncarnation) {
     LoseRuns(context, worker, "another worker has its address");
@@ -248,7 +263,7 @@
     worker.leased_until.reset();
   }
   worker.is_known = worker.is_known && worker.leased_until.has_value();
-  Schedule(context, worker, context.now + kRetryDelay);
+  Schedule(context, worker, context.now + delay);
 }
 
 void LoseRuns(Context& context, FleetWorker& worker, std::string_view reason) {
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -37,6 +37,10 @@
 /// only.
 constexpr Duration kAskInterval = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxAsked = 4;
+/// After a change of the group its members join this often for this long: a
+/// leadership moves in two joins, of its former and then of its next holder.
+constexpr Duration kSettleInterval = std::chrono::milliseconds(50);
+constexpr Duration kSettleTime = std::chrono::milliseconds(500);
 /// The join that follows the end of a membership tells who leads next.
 constexpr Duration kAfterLeave = std::chrono::milliseconds(20);
 
@@ -232,8 +236,11 @@
     submission_calls::Report(context);
   }
   CheckLooks(context);
+  const Duration interval = context.state.settings.store.join_interval;
   context.ArmIn(TimerKind::kLeadership,
-                context.state.settings.store.join_interval);
+                context.now < state.settles_until
+                    ? std::min(interval, kSettleInterval)
+                    : interval);
 }
 
 void OnJoined(Context& context, const GroupJoined& event) {
@@ -265,9 +272,11 @@
   Release(context, event.sent_at);
   if (has_changed) {
     // A partition moves only once its former holder has joined with the new
-    // generation.
+    // generation, so that its next holder learns of it by a later join.
     Join(context);
     AskForLeader(context);
+    state.settles_until = context.now + kSettleTime;
+    context.ArmIn(TimerKind::kLeadership, kAfterLeave);
   }
 }
 
@@ -292,6 +301,9 @@
   if (!member || member->process == self) {
     // Nobody leads, or this process is about to learn that it does.
     state.leader.reset();
+    if (member && !context.state.stopping) {
+      Join(context);
+    }
     if (member && context.state.stopping) {
       context.Emit(LeaveGroup{event.member});
     }
--- a/packages/core/src/internal/run_watch.cc
+++ b/packages/core/src/internal/run_watch.cc
@@ -56,7 +56,9 @@
   const StepState& step = submission.steps[name.task.step];
   const RunState& task = step.tasks[name.task.index];
   const bool is_gang = submission.spec->steps[name.task.step].gang;
-  if (!task.is_watched || (is_gang && !IsGangWhole(step))) {
+  // A member of a gang that is through waits for the others.
+  const bool is_through = task.percent >= kPercent;
+  if (!task.is_watched || is_through || (is_gang && !IsGangWhole(step))) {
     return false;
   }
   const Duration patience =
--- a/packages/core/src/internal/run_watch.h
+++ b/packages/core/src/internal/run_watch.h
@@ -11,7 +11,7 @@
 void Note(const Context& context, RunState& task, const ListedRun& run);
 
 /// Whether the run has made no progress for far longer than its speed so far
-/// explains. False while members of its gang are missing: it waits for them.
+/// explains. False while it waits for members of its gang: to come, or to end.
 bool IsStuck(const Context& context, const Submission& submission,
              const RunName& name);
 
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -30,6 +30,8 @@
 constexpr Duration kReportInterval = std::chrono::seconds(1);
 /// Kept for the exit itself at the end of a stop.
 constexpr Duration kExitMargin = std::chrono::milliseconds(800);
+/// Without store and leader, a process asks its peers every 500 ms.
+constexpr Duration kLeaderPatience = std::chrono::milliseconds(600);
 constexpr std::size_t kMaxOpenCalls = 2048;
 
 SubmissionsState& StateOf(Context& context) {
@@ -91,9 +93,11 @@
 }
 
 void Answer(Context& context, const OpenCall& call, SubmissionAnswer answer) {
-  const bool is_refusal =
-      answer.kind != ErrorKind::kNone && AnswerFor(answer.kind).retryable;
-  if (is_refusal && answer.retry_after == Duration::zero()) {
+  // Submissions are known by their ids, so that one whose fate is not known may
+  // come again too.
+  const bool may_return = answer.kind == ErrorKind::kOutcomeUnknown ||
+                          AnswerFor(answer.kind).retryable;
+  if (may_return && answer.retry_after == Duration::zero()) {
     answer.retry_after = kRetryAfter;
   }
   NoteAnswer(context, call, answer);
@@ -170,6 +174,15 @@
       [&refuser](const auto& taker) { return taker.first == refuser; });
 }
 
+/// No leader can come while the store takes no joins, so that waiting helps no
+/// caller. Those who follow a leader, or may hear of one from their peers
+/// within moments, wait on.
+bool IsHopeless(const Context& context) {
+  const LeadershipState& leadership = context.state.submissions.leadership;
+  return !leadership.leader && leadership.joins_fail_since &&
+         context.now >= *leadership.joins_fail_since + kLeaderPatience;
+}
+
 void Expire(Context& context, CallId id) {
   const auto open = StateOf(context).calls.extract(id);
   const bool maybe_taken = !open.mapped().takers.empty();
@@ -255,7 +268,7 @@
 
 void OnTimer(Context& context) {
   ForEachOpen(context, [&context](CallId id, OpenCall& call) {
-    if (context.now >= call.deadline) {
+    if (context.now >= call.deadline || IsHopeless(context)) {
       Expire(context, id);
     } else {
       Send(context, call);
--- a/packages/core/tests/fleet_test.cc
+++ b/packages/core/tests/fleet_test.cc
@@ -55,5 +55,28 @@
   CHECK(world.faults.empty());
 }
 
+TEST_CASE("While looks get lost, an end is seen soon all the same", "[fleet]") {
+  World world;
+  world.run_time = milliseconds(400);
+  // The first loss is the warning.
+  world.Worker("w1").lost_looks = 1;
+  world.Worker("w2").lost_looks = 1;
+  world.Submit(0, kFirst, {Tasks(8)});
+  world.Run(seconds(4));
+  for (int i = 0; i < 3; ++i) {
+    world.Worker("w1").lost_looks = 1;
+    const std::string id = "00000000000000d" + std::to_string(i);
+    world.Submit(0, id, {Tasks(8)});
+    // The run, the lost look with its margin, and the calls.
+    world.Run(milliseconds(1100));
+    const CallId call =
+        world.Ask(world.Leader(), SubmissionOperation::kStatus, id);
+    world.Run(milliseconds(10));
+    REQUIRE(world.AnswerTo(call));
+    CHECK(world.AnswerTo(call)->state == SubmissionState::kCompleted);
+  }
+  CHECK(world.faults.empty());
+}
+
 }  // namespace
 }  // namespace basilspread::test
--- a/packages/core/tests/leadership_test.cc
+++ b/packages/core/tests/leadership_test.cc
@@ -133,6 +133,21 @@
   CHECK(world.faults.empty());
 }
 
+TEST_CASE("A leadership that the group moves is taken up at once",
+          "[leadership][hand-over]") {
+  World world;
+  const int before = world.Leader();
+  const int next = Other(before);
+  // Joins come every 300 ms, those of the two at different times.
+  world.Kill(next);
+  world.Run(milliseconds(GENERATE(2000, 2070, 2140, 2210, 2280)));
+  world.Restart(next);
+  world.Run(milliseconds(1700 + GENERATE(0, 60, 120, 180, 240)));
+  REQUIRE(world.Leader() == before);
+  world.MoveLeadership(next);
+  CHECK(IsReplaced(world, before, milliseconds(420)));
+}
+
 TEST_CASE("Two lost answers of joins do not end a leadership", "[leadership]") {
   World world;
   const int leader = world.Leader();
--- a/packages/core/tests/submissions_test.cc
+++ b/packages/core/tests/submissions_test.cc
@@ -227,5 +227,31 @@
   CHECK(world.AnswerTo(early));
 }
 
+TEST_CASE("Without store and leader callers are refused at once",
+          "[submissions]") {
+  World world;
+  const int follower = Follower(world);
+  world.store_is_down = true;
+  world.KillProcess(world.Leader());
+  world.Run(seconds(3));
+  for (int i = 0; i < 3; ++i) {
+    const CallId call = world.Submit(
+        follower, "00000000000000e" + std::to_string(i), {Tasks(1)});
+    world.Run(milliseconds(100));
+    REQUIRE(world.AnswerTo(call));
+    CHECK(world.AnswerTo(call)->kind == ErrorKind::kNoLeader);
+    CHECK(world.AnswerTo(call)->retry_after >= seconds(1));
+    world.Run(milliseconds(700));
+  }
+
+  SECTION("and served once the store is back") {
+    world.store_is_down = false;
+    world.Run(seconds(2));
+    const CallId call = world.Submit(follower, kFirst, {Tasks(1)});
+    world.Run(milliseconds(200));
+    CHECK(IsOk(world, call));
+  }
+}
+
 }  // namespace
 }  // namespace basilspread::test
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -118,7 +118,14 @@
     this->world.DealLeadership();
     joined.ok = true;
     joined.generation = this->world.generation;
-    joined.leads = this->world.leader_member == effect.member;
+    joined.leads = this->world.leader_member == effect.member &&
+                   this->world.next_member.empty();
+    const bool gives_up = !this->world.next_member.empty() &&
+                          this->world.leader_member == effect.member &&
+                          effect.generation >= this->world.generation;
+    if (gives_up) {
+      this->world.leader_member = std::exchange(this->world.next_member, "");
+    }
     this->world.PostIn(this->node.index, this->world.store_time, joined);
   }
 
@@ -368,6 +375,13 @@
   ++this->generation;
 }
 
+void StoreWorld::MoveLeadership(int node) {
+  const Settings& settings = this->nodes.at(node)->state.settings;
+  this->next_member =
+      ToString(GroupMember{settings.self, settings.peer_address});
+  ++this->generation;
+}
+
 int StoreWorld::Leader() const {
   for (const auto& node : this->nodes) {
     const LeaderPhase phase = node->state.submissions.leadership.phase;
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -35,6 +35,8 @@
   bool ignores_stops = false;
   /// Answers, but what runs there makes no progress and does not end.
   bool hangs = false;
+  /// Runs there end this long after they are through.
+  Duration linger{};
   /// So many of the next looks are neither carried out nor answered.
   int lost_looks = 0;
   std::uint64_t fence = 0;
@@ -80,6 +82,9 @@
   /// A join that the node sent long ago is carried out, and it gets the
   /// leadership; the answer is lost.
   void JoinLate(int node);
+  /// The group moves the leadership to the node: first its holder joins
+  /// without it, then the node gets it.
+  void MoveLeadership(int node);
   /// The process that leads; -1 when none does.
   int Leader() const;
   const State& StateOf(int node) const;
@@ -158,6 +163,8 @@
   std::uint64_t generation = 1;
   std::map<std::string, TimePoint> members;
   std::string leader_member;
+  /// Gets the leadership once its holder has joined without it.
+  std::string next_member;
 
   Epoch log_epoch;
   std::uint64_t log_sequence = 0;
--- a/packages/core/tests/support/store_world_workers.cc
+++ b/packages/core/tests/support/store_world_workers.cc
@@ -19,10 +19,12 @@
 std::uint32_t PercentOf(const WorldWorker& worker, const WorldWorker::Run& run,
                         TimePoint now) {
   constexpr int kPercent = 100;
-  return worker.hangs ? 0
-                      : static_cast<std::uint32_t>(
-                            (now - run.began) * kPercent /
-                            std::max(run.ends_at - run.began, Duration(1)));
+  if (worker.hangs) {
+    return 0;
+  }
+  const auto percent = (now - run.began) * kPercent /
+                       std::max(run.ends_at - run.began, Duration(1));
+  return static_cast<std::uint32_t>(std::min<std::int64_t>(percent, kPercent));
 }
 
 }  // namespace
@@ -68,7 +70,7 @@
     for (const auto& [task, run] : worker.runs) {
       if (has_lapsed) {
         ends.emplace_back(task, RunEnd::kLeaseLapsed);
-      } else if (!worker.hangs && this->now >= run.ends_at) {
+      } else if (!worker.hangs && this->now >= run.ends_at + worker.linger) {
         const RunName run_name{task, run.run};
         ends.emplace_back(
             task, this->end_of ? this->end_of(run_name) : RunEnd::kSucceeded);
@@ -137,7 +139,7 @@
   const bool is_lost = worker.lost_looks > 0;
   worker.lost_looks -= is_lost ? 1 : 0;
   if (is_lost || worker.is_gone || worker.is_silent) {
-    this->PostIn(node, kTimeout, std::move(looked));
+    this->PostIn(node, (until - sent) + kLookMargin, std::move(looked));
     return;
   }
   if (effect.fence < worker.fence) {
--- a/packages/core/tests/worker_trust_test.cc
+++ b/packages/core/tests/worker_trust_test.cc
@@ -75,6 +75,21 @@
   CHECK(world.faults.empty());
 }
 
+TEST_CASE("A member that is through and waits for its gang is left alone",
+          "[fleet][trust]") {
+  World world;
+  world.run_time = seconds(1);
+  for (const char* name : {"w1", "w2", "w3", "w4"}) {
+    world.Worker(name).linger = seconds(6);
+  }
+  StepSpec step = Tasks(8);
+  step.gang = true;
+  world.Submit(0, IdOf(0), {step});
+  world.Run(seconds(9));
+  CHECK(world.StatusOf(0, IdOf(0)) == SubmissionState::kCompleted);
+  CHECK(world.Starts(IdOf(0)) == 1);
+}
+
 TEST_CASE("A long run that moves is left alone", "[fleet][trust]") {
   World world;
   world.run_time = seconds(40);
