--- a/packages/entry/src/main.cc
+++ b/packages/entry/src/main.cc
@@ -4,6 +4,7 @@
 #include <signal.h>
 
 #include <cstdio>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <functional>
@@ -30,6 +31,7 @@
 using basilspread::config::NodeSettings;
 using basilspread::node::Log;
 using basilspread::node::LogLevelNamed;
+using basilspread::node::LogSession;
 using basilspread::node::SetLogLevel;
 
 constexpr std::string_view kPart = "process";
@@ -112,31 +114,36 @@
   }
 }
 
+/// Serves until a stop, and ends the process.
 template <typename Node>
-int Run(const sigset_t& signals, Node& node, const std::string& path) {
+[[noreturn]] void Run(const sigset_t& signals, Node& node,
+                      const std::string& path, LogSession& log) {
   std::thread waiter([&signals, &node, path] {
     AwaitStop(signals,
               {[&node] { node.RequestStop(); }, [path] { Reload(path); }});
   });
   waiter.detach();
   node.Run();
-  return 0;
+  log.End();
+  // All that must be finished is. Threads that read from peers would hold an
+  // orderly end up until each of those closes its connection.
+  std::_Exit(0);
 }
 
-int Serve(NodeSettings settings, const std::string& path) {
+[[noreturn]] void Serve(NodeSettings settings, const std::string& path) {
   settings.core.self.incarnation = DrawRandom();
   settings.core.seed = DrawRandom();
   const sigset_t signals = BlockSignals();
-  const basilspread::node::LogSession log(
+  LogSession log(
       LogLevelNamed(settings.log_level),
       {settings.core.self.node.value, settings.core.self.incarnation});
   if (settings.core.store.enabled) {
     basilspread::node::StoreNode node(std::move(settings),
                                       basilspread::adapter::MakeHooks);
-    return Run(signals, node, path);
+    Run(signals, node, path, log);
   }
   basilspread::node::Node node(std::move(settings));
-  return Run(signals, node, path);
+  Run(signals, node, path, log);
 }
 
 int Main(int argc, char** argv) {
@@ -169,7 +176,7 @@
     fmt::print("The settings are valid.\n");
     return 0;
   }
-  return Serve(std::move(settings).value(), path);
+  Serve(std::move(settings).value(), path);
 }
 
 }  // namespace
--- a/packages/node/src/line_log.cc
+++ b/packages/node/src/line_log.cc
@@ -228,7 +228,7 @@
 
 void SetLogLevel(LogLevel level) { TheWriter().SetLevel(level); }
 
-LogSession::~LogSession() { TheWriter().Stop(); }
+void LogSession::End() { TheWriter().Stop(); }
 
 LogLevel LogLevelNamed(std::string_view name) {
   for (const LogLevel level :
--- a/packages/node/src/line_log.h
+++ b/packages/node/src/line_log.h
@@ -16,16 +16,18 @@
   std::uint64_t incarnation = 0;
 };
 
-/// Runs the thread that writes the lines; before it they are held. At its end
-/// what is held is written, within a bounded time. There is one in a process,
-/// from before other threads start.
+/// Runs the thread that writes the lines; before it they are held. There is
+/// one in a process, from before other threads start.
 class LogSession {
  public:
   /// Lines below the level are dropped.
   LogSession(LogLevel level, const LogIdentity& identity);
-  ~LogSession();
+  ~LogSession() { this->End(); }
   LogSession(const LogSession&) = delete;
   LogSession& operator=(const LogSession&) = delete;
+
+  /// Writes what is held, within a bounded time, and ends the thread.
+  void End();
 };
 
 /// Changes the level from now on, from any thread.
--- a/packages/node/src/outbound_link.cc
+++ b/packages/node/src/outbound_link.cc
@@ -49,12 +49,16 @@
 }
 
 OutboundLink::~OutboundLink() {
+  this->Finish();
+  this->thread.join();
+}
+
+void OutboundLink::Finish() {
   {
     const std::lock_guard lock(this->mutex);
     this->stopping = true;
   }
   this->changed.notify_all();
-  this->thread.join();
 }
 
 bool OutboundLink::Send(std::string frame) {
--- a/packages/node/src/outbound_link.h
+++ b/packages/node/src/outbound_link.h
@@ -40,6 +40,8 @@
   /// Reopens the connection to another address; tries at once if it is the
   /// same and the connection is broken.
   void Redirect(const config::Endpoint& endpoint);
+  /// Has the link end once its queue is written.
+  void Finish();
   /// Gives the connection up for good.
   void Close();
   bool HasEnded() const;
--- a/packages/node/src/peer_links.cc
+++ b/packages/node/src/peer_links.cc
@@ -53,6 +53,10 @@
 }
 
 void PeerLinks::Stop() {
+  // All at once: each may wait for a host that does not answer.
+  for (const auto& [node, link] : this->links) {
+    link->Finish();
+  }
   this->links.clear();
   this->closed.clear();
   this->server->stop();
--- a/tests/process/settings_test.cc
+++ b/tests/process/settings_test.cc
@@ -1,4 +1,9 @@
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <signal.h>
+
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <fstream>
 
 #include "support/cluster.h"
@@ -82,4 +87,22 @@
   REQUIRE(test::RunBasilctl({"dump"}).status == 2);
 }
 
+TEST_CASE("A stop does not wait for peers that keep their connections",
+          "[process][stop]") {
+  test::Cluster cluster;
+  cluster.AddEntries(1);
+  cluster.StartEntry(0);
+  const test::EntryProcess& entry = cluster.entries[0];
+  REQUIRE(test::Eventually([&entry] {
+    return test::RunBasilctl(
+               {"dump", "127.0.0.1:" + std::to_string(entry.admin)})
+               .status == 0;
+  }));
+  // A peer that is frozen neither sends nor closes.
+  Poco::Net::StreamSocket frozen(
+      Poco::Net::SocketAddress("127.0.0.1", entry.peer));
+  entry.process->Signal(SIGTERM);
+  CHECK(entry.process->WaitForExit(std::chrono::seconds(5)) == 0);
+}
+
 }  // namespace
