--- /dev/null
+++ b/packages/core/tests/support/store_world_log.cc
@@ -0,0 +1,32 @@
+#include "support/store_world_log.h"
+
+#include <variant>
+
+namespace basilspread::test {
+
+std::string KeyOf(const WorkRecord& record) {
+  if (const auto* accepted = std::get_if<AcceptedRecord>(&record)) {
+    return "s/" + accepted->spec->id.value;
+  }
+  if (const auto* progress = std::get_if<ProgressRecord>(&record)) {
+    return "p/" + progress->id.value;
+  }
+  if (const auto* dropped = std::get_if<SpecDroppedRecord>(&record)) {
+    return "s/" + dropped->id.value;
+  }
+  if (const auto* worker = std::get_if<WorkerRecord>(&record)) {
+    return "w/" + worker->worker.value;
+  }
+  if (const auto* gone = std::get_if<WorkerGoneRecord>(&record)) {
+    return "w/" + gone->worker.value;
+  }
+  return "p/" + std::get<ForgottenRecord>(record).id.value;
+}
+
+bool IsDrop(const WorkRecord& record) {
+  return std::holds_alternative<ForgottenRecord>(record) ||
+         std::holds_alternative<WorkerGoneRecord>(record) ||
+         std::holds_alternative<SpecDroppedRecord>(record);
+}
+
+}  // namespace basilspread::test
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <atomic>
+#include <exception>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -28,6 +29,12 @@
   return path.string();
 }
 
+std::string ReadText(const std::string& path) {
+  std::ostringstream text;
+  text << std::ifstream(path).rdbuf();
+  return text.str();
+}
+
 }  // namespace
 
 Cluster::Cluster()
@@ -42,7 +49,16 @@
   });
 }
 
-Cluster::~Cluster() { std::filesystem::remove_all(this->folder); }
+Cluster::~Cluster() {
+  if (std::uncaught_exceptions() > 0) {
+    // The test has failed: what the processes said may tell why.
+    for (const EntryProcess& entry : this->entries) {
+      fmt::print(stderr, "log of {}:\n{}\n", entry.name,
+                 ReadText(entry.log_path));
+    }
+  }
+  std::filesystem::remove_all(this->folder);
+}
 
 void Cluster::AddEntries(int count) {
   for (int i = 0; i < count; ++i) {
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -1,5 +1,6 @@
 #include "support/process.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <fcntl.h>
 #include <signal.h>
@@ -8,7 +9,6 @@
 
 #include <condition_variable>
 #include <mutex>
-#include <set>
 #include <utility>
 
 namespace test {
@@ -24,14 +24,28 @@
   never.wait_for(lock, duration, [] { return false; });
 }
 
-void RedirectStandardError(const std::string& path) {
+void RedirectOutput(const std::string& path) {
   const int file = open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   if (file >= 0) {
+    dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
     close(file);
   }
 }
 
+bool IsFree(std::uint16_t port) {
+  try {
+    Poco::Net::ServerSocket socket;
+    // By default POCO shares the port of another listener.
+    socket.bind(Poco::Net::SocketAddress("127.0.0.1", port), false, false);
+    socket.listen();
+    return true;
+  } catch (const Poco::Exception&) {
+    // Another process listens there.
+    return false;
+  }
+}
+
 }  // namespace
 
 Process::Process(const std::vector<std::string>& arguments,
@@ -45,7 +59,7 @@
   this->pid = fork();
   if (this->pid == 0) {
     if (!log_path.empty()) {
-      RedirectStandardError(log_path);
+      RedirectOutput(log_path);
     }
     execv(argv[0], argv.data());
     _exit(127);
@@ -91,11 +105,16 @@
 }
 
 std::uint16_t FreePort() {
-  static std::set<std::uint16_t> given;
+  // Below the ports that systems give to outgoing connections, which could
+  // take one between this check and its use. Test programs that run side by
+  // side begin at different ones.
+  constexpr std::uint32_t kFirst = 10000;
+  constexpr std::uint32_t kCount = 20000;
+  constexpr std::uint32_t kSpacing = 397;
+  static std::uint32_t next = static_cast<std::uint32_t>(getpid()) * kSpacing;
   while (true) {
-    Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
-    const std::uint16_t port = socket.address().port();
-    if (given.insert(port).second) {
+    const auto port = static_cast<std::uint16_t>(kFirst + next++ % kCount);
+    if (IsFree(port)) {
       return port;
     }
   }
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -15,7 +15,7 @@
 /// A child process that is killed when this goes out of scope.
 class Process {
  public:
-  /// Starts the program; its standard error goes to `log_path` when set.
+  /// Starts the program; its output goes to `log_path` when set.
   explicit Process(const std::vector<std::string>& arguments,
                    const std::string& log_path = "");
   ~Process();
@@ -32,7 +32,8 @@
   pid_t pid = -1;
 };
 
-/// A TCP port of the loopback that was free a moment ago.
+/// A TCP port of the loopback that nobody listens on and no outgoing
+/// connection is given.
 std::uint16_t FreePort();
 
 /// Checks the condition until it holds; false when the timeout passes first.
