--- a/packages/node/src/line_log.cc
+++ b/packages/node/src/line_log.cc
@@ -216,8 +216,8 @@
 
 LineWriter& TheWriter() {
   // Never destroyed: threads of libraries may log while the process ends.
-  static auto* const writer = new LineWriter;
-  return *writer;
+  static LineWriter& writer = *new LineWriter;
+  return writer;
 }
 
 }  // namespace
