Measure the advisor's time, and check that metrics are measured

Cause: the table of metrics named basilspread_advice_seconds, and nothing measured it (found while reading the change as a whole). It is now taken from the time that a question's turn came at its asker. A test runs a submission through and wants every metric of its way; it failed for this one before.

--- a/packages/core/src/internal/step_advice.cc
+++ b/packages/core/src/internal/step_advice.cc
@@ -148,6 +148,22 @@
   }
 }
 
+/// How long the advisor took, from when the question's turn had come at its
+/// asker: what stood before it there was asked by this process too.
+void NoteTime(Context& context, const Question& question) {
+  const Submission* submission =
+      submission_progress::Find(context, question.submission);
+  if (submission == nullptr || !submission->policy.advice) {
+    return;
+  }
+  const TimePoint due = question.give_up_at - kQuestionPatience;
+  const TimePoint turn =
+      due - CostOf(*submission->policy.advice, question.workers.size());
+  context.Observe(Metric::kAdviceTime,
+                  std::max(context.now - turn, Duration::zero()),
+                  submission->route.value);
+}
+
 /// The step that a question is about, if it is still open.
 StepState* FindStep(Context& context, std::uint64_t number,
                     const Question& question) {
@@ -236,6 +252,7 @@
     return;
   }
   step->question = 0;
+  NoteTime(context, question);
   if (event.ok) {
     TakeTickets(context, question, *step, event);
   } else {
--- a/packages/core/tests/submissions_test.cc
+++ b/packages/core/tests/submissions_test.cc
@@ -253,5 +253,21 @@
   }
 }
 
+TEST_CASE("Every metric of the way of a submission is measured",
+          "[submissions][metrics]") {
+  World world;
+  world.Submit(Follower(world), kFirst, {Tasks(2)});
+  world.Run(seconds(2));
+  for (const Metric metric :
+       {Metric::kCalls, Metric::kCallTime, Metric::kAcceptTime,
+        Metric::kAdviceTime, Metric::kFirstStartWait, Metric::kRunsStarted,
+        Metric::kRunsEnded, Metric::kSubmissionsEnded, Metric::kSubmissionTime,
+        Metric::kTakeovers, Metric::kTakeoverTime, Metric::kQueueLength,
+        Metric::kWorkersUsable, Metric::kTablesVersion, Metric::kIsLeading}) {
+    CAPTURE(InfoOf(metric).name);
+    CHECK(world.measured.contains(metric));
+  }
+}
+
 }  // namespace
 }  // namespace basilspread::test
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -64,6 +64,18 @@
   StoreWorld& world;
   Node& node;
 
+  void operator()(const CountMetric& effect) const {
+    this->world.measured.insert(effect.metric);
+  }
+
+  void operator()(const ObserveTime& effect) const {
+    this->world.measured.insert(effect.metric);
+  }
+
+  void operator()(const SetGauge& effect) const {
+    this->world.measured.insert(effect.metric);
+  }
+
   void operator()(const SetTimer& effect) const {
     this->node.timers[effect.kind] = effect.at;
     StoreWorld* target = &this->world;
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -116,6 +116,8 @@
   /// Workers that the advisor allows.
   std::function<bool(const HostName&)> is_allowed;
 
+  /// Metrics that a process has measured.
+  std::set<Metric> measured;
   /// Broken promises, in words.
   std::vector<std::string> faults;
 
