Measure how busy the control thread is, and what placement looks at

Callers of the grown deployments saw work lost and little served; the lines and metrics at hand could not tell a busy leader from a silent store or a blocked queue. New: the wait of events and the time of each kind, processor time by thread, events, calls and questions that wait, submissions and workers looked at, free cores; once a second a line of the leader with all of them; the process's own delay in the lines of a hand-over.

--- a/packages/core/include/basilspread/core/event.h
+++ b/packages/core/include/basilspread/core/event.h
@@ -1,8 +1,10 @@
 #ifndef BASILSPREAD_CORE_EVENT_H_
 #define BASILSPREAD_CORE_EVENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -171,11 +173,25 @@
                  WorkAppended, WorkListed, TablesRead, FleetRead, WorkerLooked,
                  RunOrdered, AdviceGiven, PeerRefused>;
 
+/// Stable name of the kind of event, for metrics: for example "peer-message".
+std::string_view NameOf(const EventBody& body);
+
+/// How busy the control thread is as it takes an event up.
+struct LoopLoad {
+  /// How long the event waited, or the oldest of those that still wait.
+  Duration delay{};
+  /// Events that wait behind this one.
+  std::size_t waiting = 0;
+  /// Time spent on events since the process began.
+  Duration busy{};
+};
+
 /// Everything that can change the state of a process.
 struct Event {
   /// When the control thread took the event up.
   TimePoint time;
   EventBody body;
+  LoopLoad load = {};
 };
 
 }  // namespace basilspread
--- /dev/null
+++ b/packages/core/include/basilspread/core/load.h
@@ -0,0 +1,38 @@
+#ifndef BASILSPREAD_CORE_LOAD_H_
+#define BASILSPREAD_CORE_LOAD_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "basilspread/core/time.h"
+
+namespace basilspread {
+
+/// What the control thread did in a window of time.
+struct LoadWindow {
+  TimePoint began;
+  std::uint64_t events = 0;
+  /// Time spent on them.
+  Duration busy{};
+  /// Longest time that an event waited.
+  Duration longest_delay{};
+  std::size_t most_waiting = 0;
+  /// Passes over the queue of submissions, and what they did.
+  std::uint64_t passes = 0;
+  std::uint64_t submissions_looked_at = 0;
+  std::uint64_t workers_looked_at = 0;
+  std::uint64_t tasks_placed = 0;
+};
+
+/// How busy this process is, by its own measure.
+struct LoadState {
+  LoadWindow now;
+  /// The last whole window.
+  LoadWindow before;
+  /// Time spent on events when the running window began.
+  Duration busy_before{};
+};
+
+}  // namespace basilspread
+
+#endif  // BASILSPREAD_CORE_LOAD_H_
--- a/packages/core/include/basilspread/core/metric.h
+++ b/packages/core/include/basilspread/core/metric.h
@@ -25,6 +25,12 @@
   kWorkersAvoided,
   kQueueLength,
   kWorkersUsable,
+  kFreeCores,
+  kOpenQuestions,
+  kOpenCalls,
+  kEventsWaiting,
+  kSubmissionsLookedAt,
+  kWorkersLookedAt,
   kTablesVersion,
   kIsLeading,
 };
--- a/packages/core/include/basilspread/core/state.h
+++ b/packages/core/include/basilspread/core/state.h
@@ -5,6 +5,7 @@
 #include "basilspread/core/hooks.h"
 #include "basilspread/core/hosts.h"
 #include "basilspread/core/jobs.h"
+#include "basilspread/core/load.h"
 #include "basilspread/core/log_state.h"
 #include "basilspread/core/membership.h"
 #include "basilspread/core/ownership.h"
@@ -30,6 +31,7 @@
   RequestsState requests;
   JobsState jobs;
   SubmissionsState submissions;
+  LoadState load;
   /// Set by StopRequested.
   bool stopping = false;
 };
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "internal/fleet.h"
+#include "internal/own_load.h"
 #include "internal/step_placement.h"
 #include "internal/submission_calls.h"
 #include "internal/work_log.h"
@@ -107,7 +108,12 @@
     return;
   }
   context.Log(LogLevel::kWarning, kPart, "Stopped leading.",
-              {{"epoch", state.epoch.value}, {"reason", reason}});
+              {{"epoch", state.epoch.value},
+               {"reason", reason},
+               {"led_ms", context.now - state.gained_at},
+               {"store_heard_ms", context.now - state.store_heard_at},
+               {"own_delay_ms", own_load::RecentDelay(context)},
+               {"busy_share", own_load::BusyShare(context)}});
   work_log::DeclineQueued(context, ErrorKind::kNotOwner);
   Enter(context, LeaderPhase::kFollowing);
   submission_calls::DropLeaderState(context);
@@ -401,10 +407,12 @@
     return;
   }
   state.released_at = context.now;
-  context.Log(
-      LogLevel::kWarning, kPart,
-      "The store does not answer; asks for another leader.",
-      {{"epoch", state.epoch.value}, {"silent_ms", context.now - heard_at}});
+  context.Log(LogLevel::kWarning, kPart,
+              "The store does not answer; asks for another leader.",
+              {{"epoch", state.epoch.value},
+               {"silent_ms", context.now - heard_at},
+               {"own_delay_ms", own_load::RecentDelay(context)},
+               {"busy_share", own_load::BusyShare(context)}});
   AskForRelease(context);
 }
 
--- /dev/null
+++ b/packages/core/src/internal/own_load.cc
@@ -0,0 +1,36 @@
+#include "internal/own_load.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace basilspread::internal::own_load {
+
+void OnEvent(Context& context, const LoopLoad& load) {
+  LoadState& state = context.state.load;
+  if (context.now >= state.now.began + kWindow) {
+    state.before = std::exchange(state.now, LoadWindow{});
+    state.now.began = context.now;
+    state.busy_before = load.busy;
+  }
+  ++state.now.events;
+  state.now.busy = load.busy - state.busy_before;
+  state.now.longest_delay = std::max(state.now.longest_delay, load.delay);
+  state.now.most_waiting = std::max(state.now.most_waiting, load.waiting);
+}
+
+Duration RecentDelay(const Context& context) {
+  const LoadState& state = context.state.load;
+  return std::max(state.now.longest_delay, state.before.longest_delay);
+}
+
+double BusyShare(const Context& context) {
+  const LoadState& state = context.state.load;
+  const Duration length = state.now.began - state.before.began;
+  if (length <= Duration::zero()) {
+    return 0;
+  }
+  return std::chrono::duration<double>(state.before.busy) /
+         std::chrono::duration<double>(length);
+}
+
+}  // namespace basilspread::internal::own_load
--- a/packages/core/src/internal/step_placement.cc
+++ b/packages/core/src/internal/step_placement.cc
@@ -82,9 +82,11 @@
   return count;
 }
 
-std::vector<Candidate> Candidates(const Context& context, const Round& round,
+std::vector<Candidate> Candidates(Context& context, const Round& round,
                                   bool allowed_only) {
   std::vector<Candidate> candidates;
+  context.state.load.now.workers_looked_at +=
+      context.state.submissions.fleet.workers.size();
   for (const auto& [name, worker] : context.state.submissions.fleet.workers) {
     const bool is_excluded =
         allowed_only ? !step_advice::IsAllowed(context, round.step, name)
@@ -211,6 +213,7 @@
   for (const auto& [worker, count] : round.placed) {
     workers += (workers.empty() ? "" : " ") + worker.value;
   }
+  context.state.load.now.tasks_placed += placed;
   context.Count(Metric::kRunsStarted, submission.route.value,
                 static_cast<double>(placed));
   context.Log(
@@ -376,6 +379,10 @@
     }
     looked.push_back(entry);
   }
+  LoadWindow& load = context.state.load.now;
+  const std::uint64_t workers_before = load.workers_looked_at;
+  ++load.passes;
+  load.submissions_looked_at += looked.size();
   for (const auto& entry : looked) {
     Submission* submission = submission_progress::Find(context, entry.second);
     if (submission == nullptr) {
@@ -384,6 +391,10 @@
       step_order::Dequeue(context, *submission);
     }
   }
+  context.Count(Metric::kSubmissionsLookedAt, "",
+                static_cast<double>(looked.size()));
+  context.Count(Metric::kWorkersLookedAt, "",
+                static_cast<double>(load.workers_looked_at - workers_before));
   if (!state.queue.empty() && !state.placement_due) {
     context.ArmIn(TimerKind::kPlacement, kNextPass);
   }
--- a/packages/core/src/internal/submission_service.cc
+++ b/packages/core/src/internal/submission_service.cc
@@ -8,6 +8,7 @@
 
 #include "internal/fleet.h"
 #include "internal/leadership.h"
+#include "internal/own_load.h"
 #include "internal/queue_tables.h"
 #include "internal/step_advice.h"
 #include "internal/step_order.h"
@@ -22,6 +23,7 @@
 constexpr std::string_view kPart = "submissions";
 /// How old the gauges may be: well below the usual time between scrapes.
 constexpr Duration kGaugeInterval = std::chrono::seconds(1);
+constexpr std::int64_t kMillicores = 1000;
 constexpr Duration kForgetInterval = std::chrono::seconds(5);
 
 SubmissionsState& StateOf(Context& context) {
@@ -137,18 +139,56 @@
   Reply(context, from, answer);
 }
 
+/// What the leader has to do, has done in the last second, and has room for.
+void NoteLoad(Context& context, std::int64_t usable, const Resources& free) {
+  const SubmissionsState& state = StateOf(context);
+  const LoadWindow& load = context.state.load.before;
+  const auto& in_flight = state.log.in_flight;
+  context.Log(
+      LogLevel::kInfo, "load", "The leader's last second.",
+      {{"epoch", state.leadership.epoch.value},
+       {"busy_share", own_load::BusyShare(context)},
+       {"events", load.events},
+       {"most_waiting", load.most_waiting},
+       {"longest_delay_ms", load.longest_delay},
+       {"passes", load.passes},
+       {"submissions_looked_at", load.submissions_looked_at},
+       {"workers_looked_at", load.workers_looked_at},
+       {"tasks_placed", load.tasks_placed},
+       {"queue", state.queue.size()},
+       {"workers_usable", usable},
+       {"free_cores", free.cpu_millicores / kMillicores},
+       {"questions", state.questions.size()},
+       {"calls", state.calls.size()},
+       {"records_waiting",
+        state.log.accepted.size() + state.log.changed.size()},
+       {"append_age_ms", in_flight ? context.now - state.log.in_flight_since
+                                   : Duration::zero()}});
+}
+
 void SetGauges(Context& context) {
   const SubmissionsState& state = StateOf(context);
-  const auto& workers = state.fleet.workers;
-  const auto usable = std::count_if(
-      workers.begin(), workers.end(), [&context](const auto& entry) {
-        return fleet::HasRoom(context, entry.second, Resources{});
-      });
-  context.Emit(
-      SetGauge{Metric::kQueueLength, static_cast<double>(state.queue.size())});
-  context.Emit(SetGauge{Metric::kWorkersUsable, static_cast<double>(usable)});
-  context.Emit(
-      SetGauge{Metric::kIsLeading, leadership::IsLeading(context) ? 1.0 : 0.0});
+  std::int64_t usable = 0;
+  Resources free;
+  for (const auto& [name, worker] : state.fleet.workers) {
+    if (fleet::HasRoom(context, worker, Resources{})) {
+      ++usable;
+      free += worker.entry.capacity - worker.reserved;
+    }
+  }
+  const auto set = [&context](Metric metric, auto value) {
+    context.Emit(SetGauge{metric, static_cast<double>(value)});
+  };
+  set(Metric::kQueueLength, state.queue.size());
+  set(Metric::kWorkersUsable, usable);
+  set(Metric::kFreeCores, free.cpu_millicores / kMillicores);
+  set(Metric::kOpenQuestions, state.questions.size());
+  set(Metric::kOpenCalls, state.calls.size());
+  set(Metric::kEventsWaiting, context.state.load.before.most_waiting);
+  set(Metric::kIsLeading, leadership::IsLeading(context) ? 1 : 0);
+  if (leadership::IsLeading(context)) {
+    NoteLoad(context, usable, free);
+  }
 }
 
 }  // namespace
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -11,6 +11,7 @@
 #include "internal/leadership.h"
 #include "internal/log.h"
 #include "internal/membership.h"
+#include "internal/own_load.h"
 #include "internal/peers.h"
 #include "internal/queue_tables.h"
 #include "internal/report.h"
@@ -270,6 +271,7 @@
 Effects Reduce(State& state, const Event& event) {
   Effects effects;
   Context context{state, event.time, effects};
+  internal::own_load::OnEvent(context, event.load);
   if (state.settings.store.enabled) {
     std::visit(Dispatcher{context}, event.body);
     return effects;
--- a/packages/node/src/control_loop.cc
+++ b/packages/node/src/control_loop.cc
@@ -2,10 +2,12 @@
 
 #include <time.h>
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
 #include "basilspread/core/reducer.h"
+#include "thread_usage.h"
 
 namespace basilspread::node {
 namespace {
@@ -37,7 +39,7 @@
 void ControlLoop::Post(EventBody body) {
   {
     const std::lock_guard lock(this->mutex);
-    this->events.push_back(std::move(body));
+    this->events.push_back({std::move(body), std::chrono::steady_clock::now()});
   }
   this->has_events.notify_one();
 }
@@ -51,7 +53,7 @@
     if (this->ended) {
       return false;
     }
-    this->events.push_back(std::move(body));
+    this->events.push_back({std::move(body), std::chrono::steady_clock::now()});
   }
   this->has_events.notify_one();
   return true;
@@ -63,13 +65,14 @@
 }
 
 void ControlLoop::Run() {
+  const NamedThread named("control");
   this->suspended_before = SuspendedSinceBoot();
-  this->Handle(Started{});
+  this->Handle({Started{}, std::chrono::steady_clock::now()});
   while (this->running) {
-    std::optional<EventBody> body = this->Next();
+    std::optional<Waiting> next = this->Next();
     this->CheckSuspension();
-    if (body) {
-      this->Handle(*std::move(body));
+    if (next) {
+      this->Handle(*std::move(next));
     }
   }
   {
@@ -79,10 +82,10 @@
   this->has_room.notify_all();
 }
 
-std::optional<EventBody> ControlLoop::Next() {
+std::optional<ControlLoop::Waiting> ControlLoop::Next() {
   // Timers go first, so that a flood of events cannot starve the heartbeat.
-  if (const auto timer = this->TakeDueTimer(std::chrono::steady_clock::now())) {
-    return TimerFired{*timer};
+  if (auto timer = this->TakeDueTimer(std::chrono::steady_clock::now())) {
+    return timer;
   }
   std::unique_lock lock(this->mutex);
   const auto is_ready = [this] { return !this->events.empty(); };
@@ -94,18 +97,18 @@
   if (this->events.empty()) {
     return std::nullopt;
   }
-  EventBody body = std::move(this->events.front());
+  Waiting next = std::move(this->events.front());
   this->events.pop_front();
   lock.unlock();
   this->has_room.notify_one();
-  return body;
+  return next;
 }
 
-std::optional<TimerKind> ControlLoop::TakeDueTimer(TimePoint now) {
+std::optional<ControlLoop::Waiting> ControlLoop::TakeDueTimer(TimePoint now) {
   for (const auto& [kind, at] : this->timers) {
     if (at <= now) {
-      const TimerKind due = kind;
-      this->timers.erase(due);
+      const Waiting due{TimerFired{kind}, at};
+      this->timers.erase(kind);
       return due;
     }
   }
@@ -127,12 +130,25 @@
   const Duration suspended = offset - this->suspended_before;
   this->suspended_before = offset;
   if (suspended >= kLeastSuspension) {
-    this->Handle(Resumed{suspended});
+    this->Handle({Resumed{suspended}, std::chrono::steady_clock::now()});
   }
 }
 
-void ControlLoop::Handle(EventBody body) {
-  const Event event{std::chrono::steady_clock::now(), std::move(body)};
+TimePoint ControlLoop::OldestSince(TimePoint taken_up, std::size_t& waiting) {
+  const std::lock_guard lock(this->mutex);
+  waiting = this->events.size();
+  return this->events.empty() ? taken_up
+                              : std::min(taken_up, this->events.front().since);
+}
+
+void ControlLoop::Handle(Waiting next) {
+  const TimePoint now = std::chrono::steady_clock::now();
+  const Duration waited = now - next.since;
+  LoopLoad load;
+  // A timer overtakes the events that came before it was due.
+  load.delay = now - this->OldestSince(next.since, load.waiting);
+  load.busy = this->busy;
+  const Event event{now, std::move(next.body), load};
   for (const Effect& effect : Reduce(this->state, event)) {
     if (const auto* timer = std::get_if<SetTimer>(&effect)) {
       this->timers[timer->kind] = timer->at;
@@ -142,7 +158,9 @@
       this->interpret(effect);
     }
   }
-  this->on_handled(std::chrono::steady_clock::now() - event.time);
+  const Duration took = std::chrono::steady_clock::now() - now;
+  this->busy += took;
+  this->on_handled(event, waited, took);
 }
 
 }  // namespace basilspread::node
--- a/packages/node/src/control_loop.h
+++ b/packages/node/src/control_loop.h
@@ -21,8 +21,10 @@
  public:
   /// Carries out one effect without blocking.
   using Interpreter = std::function<void(const Effect&)>;
-  /// Told how long each event took, its effects included.
-  using OnHandled = std::function<void(Duration)>;
+  /// Told of each event, how long it waited, and how long it took with its
+  /// effects.
+  using OnHandled =
+      std::function<void(const Event&, Duration waited, Duration took)>;
 
   ControlLoop(State& control_state, Interpreter effect_hook,
               OnHandled handled_hook);
@@ -42,12 +44,19 @@
   void Run();
 
  private:
-  std::optional<EventBody> Next();
-  std::optional<TimerKind> TakeDueTimer(TimePoint now);
+  struct Waiting {
+    EventBody body;
+    TimePoint since;
+  };
+
+  std::optional<Waiting> Next();
+  std::optional<Waiting> TakeDueTimer(TimePoint now);
   std::optional<TimePoint> NextDeadline() const;
   /// Handles Resumed first when the process was suspended.
   void CheckSuspension();
-  void Handle(EventBody body);
+  void Handle(Waiting next);
+  /// Also sets how many events wait.
+  TimePoint OldestSince(TimePoint taken_up, std::size_t& waiting);
 
   State& state;
   Interpreter interpret;
@@ -59,7 +68,8 @@
   std::condition_variable has_events;
   std::condition_variable has_room;
   bool ended = false;
-  std::deque<EventBody> events;
+  std::deque<Waiting> events;
+  Duration busy{};
 };
 
 }  // namespace basilspread::node
--- a/packages/node/src/http_client_loop.cc
+++ b/packages/node/src/http_client_loop.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "thread_usage.h"
+
 namespace basilspread::node {
 namespace {
 
@@ -48,6 +50,7 @@
 }
 
 void HttpClientLoop::Run() {
+  const NamedThread named("calls");
   while (true) {
     {
       const std::lock_guard lock(this->mutex);
--- a/packages/node/src/http_loop.cc
+++ b/packages/node/src/http_loop.cc
@@ -7,6 +7,7 @@
 
 #include "line_log.h"
 #include "listener.h"
+#include "thread_usage.h"
 
 namespace basilspread::node {
 namespace {
@@ -73,6 +74,7 @@
 }
 
 void HttpLoop::Run() {
+  const NamedThread named("callers");
   while (!this->IsDone()) {
     for (const auto& [socket, mode] : this->poll_set.poll(kCheckInterval)) {
       this->OnReady(socket, mode);
--- a/packages/node/src/inbound_connection.cc
+++ b/packages/node/src/inbound_connection.cc
@@ -7,6 +7,7 @@
 
 #include "basilspread/wire/peer_codec.h"
 #include "line_log.h"
+#include "thread_usage.h"
 
 namespace basilspread::node {
 namespace {
@@ -33,6 +34,7 @@
     : TCPServerConnection(socket), post(received_hook) {}
 
 void InboundConnection::run() {
+  const NamedThread named("links in");
   try {
     this->socket().setReceiveTimeout(ToTimespan(kSilenceTimeout));
     while (this->TakeFrame()) {
--- a/packages/node/src/line_log.cc
+++ b/packages/node/src/line_log.cc
@@ -17,6 +17,7 @@
 #include <utility>
 
 #include "log_limiter.h"
+#include "thread_usage.h"
 
 namespace basilspread::node {
 namespace {
@@ -135,6 +136,7 @@
 
  private:
   void Run() {
+    const NamedThread named("log");
     while (this->WaitForLines()) {
       this->WriteQueued();
     }
--- a/packages/node/src/metrics.cc
+++ b/packages/node/src/metrics.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "process_usage.h"
+#include "thread_usage.h"
 
 namespace basilspread::node {
 namespace {
@@ -60,9 +61,14 @@
   ++stats.kinds[kind];
 }
 
-void Metrics::AddReduction(Duration time) {
+void Metrics::AddEvent(std::string_view kind, Duration waited, Duration took) {
   const std::lock_guard lock(this->mutex);
-  this->reductions.Add(time);
+  auto found = this->events.find(kind);
+  if (found == this->events.end()) {
+    found = this->events.try_emplace(std::string(kind)).first;
+  }
+  found->second.Add(took);
+  this->event_waits.Add(waited);
 }
 
 void Metrics::AddExchange(std::string_view service, bool is_ok, Duration time) {
@@ -141,8 +147,19 @@
 void Metrics::ExposeProcess(Exposition& text) const {
   constexpr double kBytesPerKibibyte = 1024;
   text.Begin("basilspread_event_seconds", "summary",
-             "Time that the control thread takes over one event.");
-  text.Add("", "", this->reductions.Summarize());
+             "Time that the control thread takes over one event, by kind.");
+  for (const auto& [kind, stats] : this->events) {
+    text.Add("kind", kind, stats.Summarize());
+  }
+  text.Begin("basilspread_event_wait_seconds", "summary",
+             "Time that events wait for the control thread.");
+  text.Add("", "", this->event_waits.Summarize());
+  text.Begin("basilspread_thread_cpu_seconds_total", "counter",
+             "Processor time, by thread.");
+  for (const ThreadUsage& thread : ReadThreadUsage()) {
+    text.Add("thread", thread.name,
+             std::chrono::duration<double>(thread.cpu_time).count());
+  }
   const ProcessUsage usage = ReadProcessUsage();
   text.Begin("process_cpu_seconds_total", "counter",
              "Processor time of all threads.");
@@ -174,10 +191,17 @@
   return section;
 }
 
-ReportSection Metrics::DescribeReductions() const {
-  ReportRow row{{"thread", "control"}};
-  AddSummary(row, this->reductions);
-  return {"time of one event", {std::move(row)}};
+ReportSection Metrics::DescribeEvents() const {
+  ReportSection section{"time of one event", {}};
+  ReportRow waits{{"kind", "(wait)"}};
+  AddSummary(waits, this->event_waits);
+  section.rows.push_back(std::move(waits));
+  for (const auto& [kind, stats] : this->events) {
+    ReportRow row{{"kind", kind}};
+    AddSummary(row, stats);
+    section.rows.push_back(std::move(row));
+  }
+  return section;
 }
 
 ReportSection Metrics::DescribeExchanges() const {
@@ -194,7 +218,7 @@
 StateReport Metrics::Describe() const {
   const std::lock_guard lock(this->mutex);
   return {this->DescribeRoutes(), this->DescribeAnswers(),
-          this->DescribeReductions(), this->DescribeExchanges()};
+          this->DescribeEvents(), this->DescribeExchanges()};
 }
 
 }  // namespace basilspread::node
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -24,8 +24,9 @@
  public:
   /// A caller was answered this long after its request was read.
   void AddAnswer(const RouteName& route, ErrorKind kind, Duration time);
-  /// The control thread took this long over one event.
-  void AddReduction(Duration time);
+  /// An event of the kind waited for the control thread, which then took this
+  /// long over it.
+  void AddEvent(std::string_view kind, Duration waited, Duration took);
   /// A call to the platform or a minion took this long.
   void AddExchange(std::string_view service, bool is_ok, Duration time);
 
@@ -54,12 +55,13 @@
   void ExposeProcess(Exposition& text) const;
   ReportSection DescribeRoutes() const;
   ReportSection DescribeAnswers() const;
-  ReportSection DescribeReductions() const;
+  ReportSection DescribeEvents() const;
   ReportSection DescribeExchanges() const;
 
   mutable std::mutex mutex;
   std::map<RouteName, RouteStats> routes;
-  DurationStats reductions;
+  std::map<std::string, DurationStats, std::less<>> events;
+  DurationStats event_waits;
   std::map<std::string, ExchangeStats, std::less<>> exchanges;
   /// Counters and gauges, and histograms, by metric and label.
   std::map<std::pair<Metric, std::string>, double> values;
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -31,7 +31,9 @@
       loop(
           this->state,
           [this](const Effect& effect) { this->interpreter.Carry(effect); },
-          [this](Duration time) { this->metrics.AddReduction(time); }),
+          [this](const Event& event, Duration waited, Duration took) {
+            this->metrics.AddEvent(NameOf(event.body), waited, took);
+          }),
       log(this->settings.platform_log.host, this->settings.platform_log.port,
           kLogTimeout),
       host_list(this->settings.platform_hosts.host,
--- a/packages/node/src/outbound_link.cc
+++ b/packages/node/src/outbound_link.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "liveness.h"
+#include "thread_usage.h"
 
 namespace basilspread::node {
 namespace {
@@ -112,6 +113,7 @@
 }
 
 void OutboundLink::Run() {
+  const NamedThread named("links out");
   Duration delay = kFirstRetryDelay;
   while (true) {
     bool was_connected = false;
--- a/packages/node/src/store_node.cc
+++ b/packages/node/src/store_node.cc
@@ -55,7 +55,9 @@
       state(this->settings.core, DefaultHooks()),
       loop(
           this->state, [this](const Effect& effect) { this->Carry(effect); },
-          [this](Duration time) { this->metrics.AddReduction(time); }),
+          [this](const Event& event, Duration waited, Duration took) {
+            this->metrics.AddEvent(NameOf(event.body), waited, took);
+          }),
       admin(this->settings.admin,
             Admin::Hooks{this->MakePost(), [] { return StateReport{}; },
                          [this] { return this->metrics.Describe(); },
