Look only at submissions for which something has changed

Callers of the grown deployments saw little served: with a long queue fewer tasks were started than with a short one, beside 6,000 free cores.

Cause: every 4 ms a pass weighed all workers for each of the first 96 waiting submissions, up to 8 million workers a second, and never came to what stood behind the 96th. Two tests, both seen failing before: 150 submissions that cannot be placed held up one that could for ever, and 40 waiting submissions cost 160,000 weighed workers a second with 200 workers against 8,000 with 10.

Workers stand in an index by free room. Questions name the tightest workers for single tasks and the emptiest for gangs, and count the room that more urgent ones look for.

--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -12,9 +12,36 @@
 
 namespace basilspread {
 
+struct FleetWorker;
+
+/// Orders the workers of a pool by the processor time that is not reserved.
+struct RoomKey {
+  std::int64_t free_cpu_millicores = 0;
+  std::uint32_t number = 0;
+  FleetWorker* worker = nullptr;
+
+  friend auto operator<=>(const RoomKey&, const RoomKey&) = default;
+};
+
+/// The room of a pool's workers, whether or not they may be used now.
+struct PoolRoom {
+  std::set<RoomKey> workers;
+  Resources free;
+};
+
 /// A worker as its only placer, the leader, knows it.
 struct FleetWorker {
   WorkerEntry entry;
+  /// Tells the workers of a leadership apart.
+  std::uint32_t number = 0;
+  /// Where it stands among the workers of its pool; unset: nowhere.
+  std::optional<RoomKey> place;
+  PoolName place_pool;
+  Resources place_free;
+  /// Submissions that wait and may run there.
+  std::set<SubmissionId> wanted_by;
+  /// A gang for which its room is kept.
+  std::optional<SubmissionId> claimed_by;
   /// The store no longer lists it.
   bool unlisted = false;
   /// The work log names it, so that the next leader looks at it even if it is
@@ -58,6 +85,8 @@
 
 struct FleetState {
   std::map<HostName, FleetWorker> workers;
+  std::map<PoolName, PoolRoom> rooms;
+  std::uint32_t last_number = 0;
   bool is_listed = false;
   Offset next;
   /// Names seen in the listing that is being read.
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -72,8 +72,8 @@
   /// expire.
   std::map<HostName, TicketState> allowed;
   std::set<HostName> forbidden;
-  /// Number of the question that is not answered yet; 0: none.
-  std::uint64_t question = 0;
+  /// Questions about it that are not answered yet.
+  std::set<std::uint64_t> questions;
   /// Not asked again before then.
   TimePoint ask_not_before;
   /// A member of the gang ended or could not be started: the others are
@@ -112,6 +112,8 @@
   TimePoint arrived;
   /// Set while it is in the queue.
   std::optional<QueueRank> queued_as;
+  /// The next pass looks at it.
+  bool is_due = false;
   std::vector<StepState> steps;
   /// Callers that wait for the acceptance or the cancellation to be stored.
   std::vector<std::pair<ProcessId, CallId>> submitters;
@@ -151,6 +153,9 @@
 struct Question {
   SubmissionId submission;
   std::uint32_t step = 0;
+  /// Where the submission stood in the queue, and the room that it looked for.
+  QueueRank rank;
+  Resources sought;
   ProcessId asker;
   std::vector<HostName> workers;
   TimePoint give_up_at;
@@ -178,6 +183,18 @@
   std::map<SubmissionId, SubmissionPtr> all;
   /// Those with tasks that are to be placed, the most urgent first.
   std::set<std::pair<QueueRank, SubmissionId>> queue;
+  /// Those of the queue that the next pass looks at.
+  std::vector<SubmissionId> due;
+  /// Those that would ask for advice and could not.
+  std::set<std::pair<QueueRank, SubmissionId>> seeking;
+  /// Gangs of which some members are placed and others wait.
+  std::set<SubmissionId> partial_gangs;
+  /// Workers whose room is kept for a gang.
+  std::map<SubmissionId, std::vector<HostName>> claims;
+  /// When the queue is next looked through for what events do not tell, and
+  /// the last one that was looked at.
+  TimePoint next_sweep;
+  std::pair<QueueRank, SubmissionId> last_swept;
   std::map<CallId, OpenCall> calls;
   std::map<NodeName, Helper> helpers;
   /// Counts the changes of `helpers`.
--- a/packages/core/src/event.cc
+++ b/packages/core/src/event.cc
@@ -16,9 +16,9 @@
     case TimerKind::kConfiguration:
       return "timer-configuration";
     case TimerKind::kLogRead:
-      return "timer-log-read";
+      return "timer-stream-read";
     case TimerKind::kLogAppend:
-      return "timer-log-append";
+      return "timer-stream-append";
     case TimerKind::kRequests:
       return "timer-requests";
     case TimerKind::kJobs:
@@ -70,10 +70,10 @@
     return "peer-message-not-sent";
   }
   std::string_view operator()(const LogAppended& /*event*/) const {
-    return "log-appended";
+    return "stream-appended";
   }
   std::string_view operator()(const LogRead& /*event*/) const {
-    return "log-read";
+    return "stream-read";
   }
   std::string_view operator()(const HostsListed& /*event*/) const {
     return "hosts-listed";
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -11,6 +11,7 @@
 #include "internal/step_placement.h"
 #include "internal/submission_progress.h"
 #include "internal/work_log.h"
+#include "internal/worker_room.h"
 #include "internal/worker_trust.h"
 
 namespace basilspread::internal::fleet {
@@ -56,6 +57,7 @@
   const bool was_draining = worker.entry.draining;
   worker.entry = entry;
   worker.unlisted = false;
+  worker_room::Update(context, worker);
   if (is_new || has_moved) {
     Note(context, worker);
   }
@@ -118,7 +120,7 @@
               {{"run", ToString(event.name)},
                {"worker", event.worker.value},
                {"reason", NameOf(event.result)}});
-  Release(worker, event.name);
+  Release(context, worker, event.name);
   submission_progress::OnNotStarted(context, event);
   if (event.result == OrderResult::kRefused) {
     worker_trust::OnStartRefused(context, worker);
@@ -160,6 +162,7 @@
   for (const HostName& name : names) {
     if (FleetWorker* worker = Find(context, name)) {
       worker->is_noted = true;
+      step_placement::OnRoom(context, *worker);
     }
   }
   step_placement::Request(context);
@@ -230,6 +233,7 @@
   for (const HostName& name : gone) {
     FleetWorker& worker = fleet.workers.at(name);
     looks::LoseRuns(context, worker, "the worker is gone");
+    worker_room::Remove(context, worker);
     fleet.workers.erase(name);
     work_log::Note(context, name);
   }
@@ -338,6 +342,7 @@
 void StartRunOn(Context& context, FleetWorker& worker, RunOrder order) {
   worker.runs[order.name] = order.demand;
   worker.reserved += order.demand;
+  worker_room::Update(context, worker);
   const WorkerTime lease_until = looks::NextLease(context, worker);
   context.Emit(StartRun{worker.entry.name, worker.entry.address,
                         looks::FenceOf(context, worker), std::move(order.name),
@@ -355,6 +360,7 @@
            const Resources& demand) {
   if (worker.runs.emplace(name, demand).second) {
     worker.reserved += demand;
+    worker_room::Update(context, worker);
   }
   looks::Watch(context, worker);
 }
@@ -367,7 +373,7 @@
   StopRunOn(context, worker, name);
 }
 
-void Release(FleetWorker& worker, const RunName& name) {
+void Release(Context& context, FleetWorker& worker, const RunName& name) {
   const auto found = worker.runs.find(name);
   if (found == worker.runs.end()) {
     return;
@@ -375,6 +381,8 @@
   worker.strangers.erase(name);
   worker.reserved -= found->second;
   worker.runs.erase(found);
+  worker_room::Update(context, worker);
+  step_placement::OnRoom(context, worker);
 }
 
 }  // namespace basilspread::internal::fleet
--- a/packages/core/src/internal/fleet.h
+++ b/packages/core/src/internal/fleet.h
@@ -53,7 +53,7 @@
 /// started beside it, since its size may be unknown.
 void StopStranger(Context& context, FleetWorker& worker, const RunName& name);
 /// The run no longer occupies room.
-void Release(FleetWorker& worker, const RunName& name);
+void Release(Context& context, FleetWorker& worker, const RunName& name);
 
 }  // namespace basilspread::internal::fleet
 
--- a/packages/core/src/internal/fleet_looks.cc
+++ b/packages/core/src/internal/fleet_looks.cc
@@ -87,7 +87,7 @@
       continue;
     }
     worker.seen_end = end.number;
-    Release(worker, end.name);
+    Release(context, worker, end.name);
     submission_progress::OnEnded(context, worker, end);
   }
 }
@@ -115,7 +115,7 @@
     context.Log(LogLevel::kInfo, kPart, "A run is not on its worker.",
                 {{"run", ToString(name)}, {"worker", worker.entry.name.value}});
     context.Count(Metric::kRunsLost, "not on its worker");
-    Release(worker, name);
+    Release(context, worker, name);
     submission_progress::OnLost(context, name);
   }
 }
@@ -219,6 +219,7 @@
                  {"runs", worker.runs.size()},
                  {"fence", event.fence}});
   }
+  const bool was_usable = worker.is_known && !worker.is_silent;
   worker.is_silent = false;
   worker.is_known = worker.is_known || is_present;
   TakeEnds(context, worker, event);
@@ -234,7 +235,9 @@
   if (worker.unlisted) {
     ArmTimer(context);
   }
-  step_placement::Request(context);
+  if (!was_usable) {
+    step_placement::OnRoom(context, worker);
+  }
 }
 
 void OnFailed(Context& context, FleetWorker& worker,
@@ -274,7 +277,7 @@
                  {"worker", worker.entry.name.value},
                  {"reason", reason}});
     context.Count(Metric::kRunsLost, reason);
-    Release(worker, name);
+    Release(context, worker, name);
     submission_progress::OnLost(context, name);
   }
 }
--- a/packages/core/src/internal/step_advice.cc
+++ b/packages/core/src/internal/step_advice.cc
@@ -7,13 +7,19 @@
 #include <optional>
 #include <utility>
 
+#include "internal/fleet.h"
+#include "internal/gang_claims.h"
 #include "internal/leadership.h"
+#include "internal/step_offers.h"
 #include "internal/step_placement.h"
 #include "internal/submission_progress.h"
 
 namespace basilspread::internal::step_advice {
 namespace {
 
+using step_offers::Round;
+using step_offers::Tickets;
+
 constexpr std::string_view kPart = "advice";
 /// A ticket must outlast the way of the start to its worker.
 constexpr Duration kTicketMargin = std::chrono::milliseconds(60);
@@ -98,40 +104,97 @@
   context.Emit(SendToPeer{helper.process.node, std::move(report)});
 }
 
-/// The workers to name: those known to be allowed first, then those with the
-/// most room, as many as will likely hold what is needed.
-std::vector<HostName> ChooseWorkers(const Context& context,
-                                    const Submission& submission,
-                                    const StepState& step,
-                                    std::vector<Candidate>& candidates,
-                                    std::uint32_t needed) {
-  const auto statistics =
-      context.state.submissions.advice.find(submission.route);
-  const double share = statistics == context.state.submissions.advice.end()
-                           ? AdviceStatistics{}.allowed_share
-                           : statistics->second.allowed_share;
-  const auto is_known = [&step](const Candidate& candidate) {
-    return step.allowed.contains(candidate.worker->entry.name);
-  };
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [&is_known](const Candidate& left, const Candidate& right) {
-                     const bool left_known = is_known(left);
-                     const bool right_known = is_known(right);
-                     return left_known != right_known ? left_known
-                                                      : left.room > right.room;
-                   });
+double AllowedShare(const Context& context, const RouteName& route) {
+  const auto& advice = context.state.submissions.advice;
+  const auto found = advice.find(route);
+  return found == advice.end() ? AdviceStatistics{}.allowed_share
+                               : found->second.allowed_share;
+}
+
+Resources Times(const Resources& demand, std::size_t count) {
+  const auto factor = static_cast<std::int64_t>(count);
+  return {demand.cpu_millicores * factor, demand.memory_mebibytes * factor,
+          demand.accelerators * factor};
+}
+
+/// Whether the pool has room beyond what open questions of more urgent
+/// submissions look for. Without that, a crowd of waiting steps would ask
+/// about the same room again and again.
+bool HasRoomToSeek(const Context& context, const Round& round) {
+  const SubmissionsState& state = context.state.submissions;
+  const auto room = state.fleet.rooms.find(round.submission.policy.pool);
+  if (room == state.fleet.rooms.end()) {
+    return false;
+  }
+  Resources free = room->second.free;
+  for (const auto& [number, question] : state.questions) {
+    if (question.rank <= round.submission.queued_as) {
+      free -= question.sought;
+    }
+  }
+  const std::size_t least =
+      step_offers::IsNewGang(round) ? round.waiting.size() : 1;
+  return Fits(Times(round.spec.demand, least), free);
+}
+
+/// What a question is to name.
+struct Search {
   std::vector<HostName> workers;
+  /// Tasks for which there will likely be room.
   double expected = 0;
-  for (const Candidate& candidate : candidates) {
-    const bool is_enough =
-        expected >= needed * kSpareFactor && workers.size() >= kSpareWorkers;
-    if (is_enough || workers.size() >= kMaxWorkers) {
-      break;
+};
+
+/// Those that are allowed, whose tickets have expired.
+void AddKnown(Context& context, const Round& round, Search& search) {
+  for (const step_offers::Offer& offer :
+       step_offers::Allowed(context, round, Tickets::kExpired)) {
+    search.workers.push_back(offer.worker->entry.name);
+    search.expected += offer.room;
+  }
+}
+
+/// Those with room of which nothing is known, as many as will likely do.
+void AddUnknown(Context& context, const Round& round, Search& search) {
+  const double share = AllowedShare(context, round.submission.route);
+  const double wanted =
+      static_cast<double>(round.waiting.size()) * kSpareFactor;
+  const std::size_t least = search.workers.size() + kSpareWorkers;
+  step_offers::VisitRoom(context, round, [&](const step_offers::Offer& offer) {
+    const HostName& name = offer.worker->entry.name;
+    if (!round.step.allowed.contains(name) &&
+        !round.step.forbidden.contains(name)) {
+      search.workers.push_back(name);
+      search.expected += offer.room * share;
     }
-    workers.push_back(candidate.worker->entry.name);
-    expected += candidate.room * (is_known(candidate) ? kSpareFactor : share);
+    const bool is_enough =
+        search.expected >= wanted && search.workers.size() >= least;
+    return !is_enough && search.workers.size() < kMaxWorkers;
+  });
+}
+
+/// The workers to ask about now; none when no answer would help.
+Search ChooseWorkers(Context& context, const Round& round) {
+  const auto valid = static_cast<double>(step_offers::TotalRoom(
+      step_offers::Allowed(context, round, Tickets::kValid)));
+  Search search;
+  search.expected = valid;
+  AddKnown(context, round, search);
+  const auto needed = static_cast<double>(round.waiting.size());
+  const bool is_new_gang = step_offers::IsNewGang(round);
+  if (search.expected >= needed) {
+    return search;
+  }
+  if (is_new_gang && gang_claims::Claim(context, round)) {
+    // Enough workers are allowed: only their room is missing.
+    search.workers.clear();
+    return search;
+  }
+  const std::size_t known = search.workers.size();
+  AddUnknown(context, round, search);
+  if (is_new_gang && search.workers.size() == known) {
+    search.workers.clear();
   }
-  return workers;
+  return search;
 }
 
 /// The question has an answer, or none is waited for any longer.
@@ -173,7 +236,7 @@
     return nullptr;
   }
   StepState& step = submission->steps[question.step];
-  return step.question == number ? &step : nullptr;
+  return step.questions.contains(number) ? &step : nullptr;
 }
 
 void TakeTickets(Context& context, const Question& question, StepState& step,
@@ -185,6 +248,9 @@
     step.forbidden.erase(ticket.worker);
     step.allowed[ticket.worker] = {
         ticket.ticket, context.now + event.validity - kTicketMargin};
+    if (FleetWorker* worker = fleet::Find(context, ticket.worker)) {
+      worker->wanted_by.insert(question.submission);
+    }
   }
   const Submission* submission =
       submission_progress::Find(context, question.submission);
@@ -196,36 +262,39 @@
 
 }  // namespace
 
-bool IsAllowed(const Context& context, const StepState& step,
-               const HostName& worker) {
-  const auto ticket = step.allowed.find(worker);
-  return ticket != step.allowed.end() &&
-         context.now < ticket->second.valid_until;
-}
-
-void Ask(Context& context, Submission& submission, std::uint32_t index,
-         std::vector<Candidate> candidates, std::uint32_t needed) {
+void Seek(Context& context, Round& round) {
   SubmissionsState& state = StateOf(context);
-  StepState& step = submission.steps[index];
-  if (step.question != 0 || context.now < step.ask_not_before ||
-      candidates.empty()) {
+  Submission& submission = round.submission;
+  if (!round.step.questions.empty() ||
+      context.now < round.step.ask_not_before ||
+      !HasRoomToSeek(context, round)) {
     return;
   }
   const std::optional<ProcessId> asker = ChooseAsker(context);
   if (!asker) {
+    state.seeking.insert({*submission.queued_as, submission.id});
+    return;
+  }
+  Search search = ChooseWorkers(context, round);
+  if (search.workers.empty()) {
     return;
   }
   AskAdvice ask;
-  ask.workers = ChooseWorkers(context, submission, step, candidates, needed);
+  ask.workers = std::move(search.workers);
   ask.number = NextNumber(context);
   ask.submission = submission.id;
-  ask.step = index;
-  step.question = ask.number;
+  ask.step = round.index;
+  round.step.questions.insert(ask.number);
   Helper& helper = state.helpers[asker->node];
   ++helper.open_questions;
   helper.busy_until = std::max(helper.busy_until, context.now) +
                       CostOf(*submission.policy.advice, ask.workers.size());
-  state.questions[ask.number] = {submission.id, index, *asker, ask.workers,
+  state.questions[ask.number] = {submission.id,
+                                 round.index,
+                                 *submission.queued_as,
+                                 Times(round.spec.demand, round.waiting.size()),
+                                 *asker,
+                                 ask.workers,
                                  helper.busy_until + kQuestionPatience};
   if (*asker == context.state.settings.self) {
     context.Emit(std::move(ask));
@@ -248,10 +317,11 @@
   const Question question = found->second;
   StepState* step = FindStep(context, event.number, question);
   Finish(context, event.number, question);
+  step_placement::OnLineFree(context);
   if (step == nullptr) {
     return;
   }
-  step->question = 0;
+  step->questions.erase(event.number);
   NoteTime(context, question);
   if (event.ok) {
     TakeTickets(context, question, *step, event);
@@ -262,7 +332,10 @@
                  {"step", question.step},
                  {"asker", question.asker.node.value}});
   }
-  step_placement::Request(context);
+  if (Submission* submission =
+          submission_progress::Find(context, question.submission)) {
+    step_placement::Wake(context, *submission);
+  }
 }
 
 void OnTimer(Context& context) {
--- a/packages/core/src/internal/step_placement.cc
+++ b/packages/core/src/internal/step_placement.cc
@@ -1,14 +1,18 @@
 #include "internal/step_placement.h"
 
 #include <algorithm>
-#include <limits>
 #include <map>
 #include <optional>
+#include <string>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 #include "internal/fleet.h"
+#include "internal/gang_claims.h"
 #include "internal/leadership.h"
 #include "internal/step_advice.h"
+#include "internal/step_offers.h"
 #include "internal/step_order.h"
 #include "internal/submission_progress.h"
 #include "internal/submission_runs.h"
@@ -16,152 +20,32 @@
 namespace basilspread::internal::step_placement {
 namespace {
 
-using step_advice::Candidate;
+using step_offers::Offer;
+using step_offers::Round;
+using step_offers::Tickets;
 
 constexpr std::string_view kPart = "placement";
-/// Events that come close together share a pass over the queue.
+/// Events that come close together share a pass.
 constexpr Duration kPassDelay = std::chrono::milliseconds(3);
-/// Another pass is due this long after one that left tasks waiting: tickets
-/// and avoidances end by time alone.
-constexpr Duration kNextPass = std::chrono::milliseconds(50);
+/// What events do not tell (tickets and avoidances end by time, workers that
+/// nobody has asked about have room) is found by a sweep over part of the
+/// queue.
+constexpr Duration kSweepInterval = std::chrono::milliseconds(100);
+constexpr std::size_t kSwept = 32;
+/// Submissions that one pass looks at, so that no pass takes long; the rest
+/// follows in the next.
+constexpr std::size_t kMaxLooked = 64;
+/// Submissions that a free line of the advisor wakes.
+constexpr std::size_t kWokenSeekers = 4;
 /// A gang whose members are not all placed after this is broken up: half of
 /// the shortest time that a member waits for the others.
 constexpr Duration kGangPatience = std::chrono::milliseconds(1500);
-/// Submissions that one pass looks at; what waits behind them has the most
-/// slack, and the room goes to those before.
-constexpr std::size_t kMaxLooked = 96;
-
-/// What a step still needs, and the workers that may give it.
-struct Round {
-  Submission& submission;
-  std::uint32_t index;
-  const StepSpec& spec;
-  StepState& step;
-  std::vector<std::uint32_t> waiting;
-  /// Tasks of the step that a worker has.
-  std::map<HostName, std::uint32_t> placed;
-};
 
 bool IsPlaceable(const Context& context, const Submission& submission) {
   return submission.accepted &&
          (!submission.inherited || fleet::MayStartInherited(context));
 }
 
-bool Suits(const Round& round, const FleetWorker& worker) {
-  const bool is_in_pool = worker.entry.pool == round.submission.policy.pool;
-  const std::string& label = round.spec.required_label;
-  const auto& labels = worker.entry.labels;
-  return is_in_pool && (label.empty() || std::find(labels.begin(), labels.end(),
-                                                   label) != labels.end());
-}
-
-std::uint32_t PlacedOn(const Round& round, const HostName& worker) {
-  const auto placed = round.placed.find(worker);
-  return placed == round.placed.end() ? 0 : placed->second;
-}
-
-/// Tasks of the step that fit on the worker now, at most those that wait.
-std::uint32_t RoomOn(const Context& context, const Round& round,
-                     const FleetWorker& worker) {
-  if (!Suits(round, worker) ||
-      !fleet::HasRoom(context, worker, round.spec.demand)) {
-    return 0;
-  }
-  std::uint32_t limit = static_cast<std::uint32_t>(round.waiting.size());
-  if (round.spec.max_per_worker > 0) {
-    const std::uint32_t placed = PlacedOn(round, worker.entry.name);
-    limit = std::min(limit, round.spec.max_per_worker -
-                                std::min(placed, round.spec.max_per_worker));
-  }
-  Resources free = worker.entry.capacity - worker.reserved;
-  std::uint32_t count = 0;
-  while (count < limit && Fits(round.spec.demand, free)) {
-    free -= round.spec.demand;
-    ++count;
-  }
-  return count;
-}
-
-std::vector<Candidate> Candidates(Context& context, const Round& round,
-                                  bool allowed_only) {
-  std::vector<Candidate> candidates;
-  context.state.load.now.workers_looked_at +=
-      context.state.submissions.fleet.workers.size();
-  for (const auto& [name, worker] : context.state.submissions.fleet.workers) {
-    const bool is_excluded =
-        allowed_only ? !step_advice::IsAllowed(context, round.step, name)
-                     : round.step.forbidden.contains(name);
-    if (is_excluded) {
-      continue;
-    }
-    const std::uint32_t room = RoomOn(context, round, worker);
-    if (room > 0) {
-      candidates.push_back({&worker, room});
-    }
-  }
-  return candidates;
-}
-
-std::uint32_t TotalRoom(const std::vector<Candidate>& candidates) {
-  std::uint32_t total = 0;
-  for (const Candidate& candidate : candidates) {
-    total += candidate.room;
-  }
-  return total;
-}
-
-/// Lower is better: the rack of the data, then of the other tasks, then the
-/// least processor time left over, so that large tasks find whole workers.
-std::int64_t CostOf(const Round& round, const FleetWorker& worker,
-                    const std::map<RackName, std::uint32_t>& racks) {
-  constexpr std::int64_t kOtherRack = 1'000'000'000;
-  std::int64_t cost = (worker.entry.capacity - worker.reserved).cpu_millicores;
-  if (!round.spec.data_rack.value.empty() &&
-      worker.entry.rack != round.spec.data_rack) {
-    cost += kOtherRack;
-  }
-  if (round.spec.rack_local) {
-    const auto rack = racks.find(worker.entry.rack);
-    cost += rack == racks.end() ? kOtherRack : 0;
-  }
-  return cost;
-}
-
-std::map<RackName, std::uint32_t> RacksOf(Context& context,
-                                          const Round& round) {
-  std::map<RackName, std::uint32_t> racks;
-  for (const auto& [name, count] : round.placed) {
-    if (const FleetWorker* worker = fleet::Find(context, name)) {
-      racks[worker->entry.rack] += count;
-    }
-  }
-  return racks;
-}
-
-FleetWorker* ChooseWorker(Context& context, const Round& round,
-                          const RunState& task,
-                          const std::vector<Candidate>& candidates) {
-  /// Above all else that makes a worker less suitable.
-  constexpr std::int64_t kFailedThere = 4'000'000'000;
-  const auto racks = RacksOf(context, round);
-  FleetWorker* best = nullptr;
-  std::int64_t best_cost = std::numeric_limits<std::int64_t>::max();
-  for (const Candidate& candidate : candidates) {
-    if (RoomOn(context, round, *candidate.worker) == 0) {
-      continue;
-    }
-    std::int64_t cost = CostOf(round, *candidate.worker, racks);
-    if (task.failed_on.contains(candidate.worker->entry.name)) {
-      cost += kFailedThere;
-    }
-    if (cost < best_cost) {
-      best = fleet::Find(context, candidate.worker->entry.name);
-      best_cost = cost;
-    }
-  }
-  return best;
-}
-
 Attempt NextRun(const Round& round, const RunState& task) {
   if (!round.spec.gang) {
     return Attempt{task.run.value + 1};
@@ -229,29 +113,97 @@
        {"queue", context.state.submissions.queue.size()}});
 }
 
-/// Places what fits. Of a gang that has not begun: all or nothing.
-void Place(Context& context, Round& round,
-           const std::vector<Candidate>& candidates) {
-  const bool is_new_gang = round.spec.gang && !round.step.gang_began;
-  if (is_new_gang && TotalRoom(candidates) < round.waiting.size()) {
+/// The rack of the data first, then of the step's other tasks, then the rack
+/// that holds most, then the worker with the least room left over, so that
+/// large tasks find whole workers.
+void SortOffers(Context& context, const Round& round,
+                std::vector<Offer>& offers) {
+  std::map<RackName, std::uint32_t> in_rack;
+  for (const auto& [name, count] : round.placed) {
+    if (const FleetWorker* worker = fleet::Find(context, name)) {
+      in_rack[worker->entry.rack] += count;
+    }
+  }
+  std::map<RackName, std::uint32_t> room_in_rack;
+  if (round.spec.rack_local) {
+    for (const Offer& offer : offers) {
+      room_in_rack[offer.worker->entry.rack] += offer.room;
+    }
+  }
+  const auto key = [&](const Offer& offer) {
+    const FleetWorker& worker = *offer.worker;
+    const RackName& rack = worker.entry.rack;
+    const bool is_far =
+        !round.spec.data_rack.value.empty() && rack != round.spec.data_rack;
+    const bool is_apart = round.spec.rack_local && !in_rack.contains(rack);
+    const auto together = room_in_rack.find(rack);
+    const std::int64_t rack_room =
+        together == room_in_rack.end() ? 0 : together->second;
+    return std::make_tuple(
+        is_far, is_apart, -rack_room, rack.value,
+        (worker.entry.capacity - worker.reserved).cpu_millicores,
+        worker.number);
+  };
+  if (!round.spec.rack_local) {
+    // Without a wish for one rack its name does not matter.
+    std::sort(offers.begin(), offers.end(),
+              [&](const Offer& left, const Offer& right) {
+                const auto a = key(left);
+                const auto b = key(right);
+                return std::tie(std::get<0>(a), std::get<4>(a),
+                                std::get<5>(a)) <
+                       std::tie(std::get<0>(b), std::get<4>(b), std::get<5>(b));
+              });
+    return;
+  }
+  std::sort(offers.begin(), offers.end(),
+            [&key](const Offer& left, const Offer& right) {
+              return key(left) < key(right);
+            });
+}
+
+/// The first worker with room, but for those where the task has failed if
+/// there is another.
+Offer* ChooseOffer(const RunState& task, std::vector<Offer>& offers) {
+  Offer* second_best = nullptr;
+  for (Offer& offer : offers) {
+    if (offer.room == 0) {
+      continue;
+    }
+    if (!task.failed_on.contains(offer.worker->entry.name)) {
+      return &offer;
+    }
+    if (second_best == nullptr) {
+      second_best = &offer;
+    }
+  }
+  return second_best;
+}
+
+/// Places what fits. Of a new gang: all or nothing.
+void Place(Context& context, Round& round, std::vector<Offer> offers) {
+  const bool is_new_gang = step_offers::IsNewGang(round);
+  if (offers.empty() ||
+      (is_new_gang && step_offers::TotalRoom(offers) < round.waiting.size())) {
     return;
   }
   if (is_new_gang) {
     ShareCheckpoint(round);
   }
+  SortOffers(context, round, offers);
   const Attempt gang_run = NextRun(round, round.step.tasks.front());
   std::vector<std::uint32_t> left;
   const std::vector<std::uint32_t> waiting = round.waiting;
   for (const std::uint32_t index : waiting) {
-    FleetWorker* worker =
-        ChooseWorker(context, round, round.step.tasks[index], candidates);
-    if (worker == nullptr) {
+    Offer* offer = ChooseOffer(round.step.tasks[index], offers);
+    if (offer == nullptr) {
       left.push_back(index);
       continue;
     }
+    --offer->room;
     const Attempt run =
         round.spec.gang ? gang_run : NextRun(round, round.step.tasks[index]);
-    StartTask(context, round, *worker, index, run);
+    StartTask(context, round, *offer->worker, index, run);
   }
   NotePlaced(context, round, waiting.size() - left.size(), left.size());
   if (is_new_gang) {
@@ -260,100 +212,132 @@
   round.waiting = std::move(left);
 }
 
-Round MakeRound(Submission& submission, std::uint32_t index) {
-  Round round{
-      submission, index, submission.spec->steps[index], submission.steps[index],
-      {},         {}};
-  for (std::uint32_t i = 0; i < round.step.tasks.size(); ++i) {
-    const RunState& task = round.step.tasks[i];
-    if (!task.worker.value.empty()) {
-      ++round.placed[task.worker];
-    } else if (task.phase == RunPhase::kWaiting) {
-      round.waiting.push_back(i);
-    }
-  }
-  return round;
+std::vector<Offer> AllRoom(Context& context, const Round& round) {
+  std::vector<Offer> offers;
+  std::uint32_t room = 0;
+  step_offers::VisitRoom(context, round, [&](const Offer& offer) {
+    offers.push_back(offer);
+    room += offer.room;
+    return room < round.waiting.size();
+  });
+  return offers;
 }
 
-/// What all usable workers have free together.
-Resources TotalFree(const Context& context) {
-  Resources total;
-  for (const auto& [name, worker] : context.state.submissions.fleet.workers) {
-    if (fleet::HasRoom(context, worker, Resources{})) {
-      total += worker.entry.capacity - worker.reserved;
-    }
-  }
-  return total;
-}
-
-Resources Times(const Resources& demand, std::size_t count) {
-  const auto factor = static_cast<std::int64_t>(count);
-  return {demand.cpu_millicores * factor, demand.memory_mebibytes * factor,
-          demand.accelerators * factor};
-}
-
-/// Asks for advice if the room that the steps ahead leave is enough, and
-/// counts that room as taken. Without that, every step that waits would ask
-/// again for the same room whenever its tickets expire, and the advisor's
-/// line would grow without end.
-void AskForRoom(Context& context, Round& round, Resources& free) {
-  const bool is_new_gang = round.spec.gang && !round.step.gang_began;
-  const std::size_t needed = round.waiting.size();
-  const std::size_t least = is_new_gang ? needed : 1;
-  const bool has_room = Fits(Times(round.spec.demand, least), free);
-  free -= Times(round.spec.demand, needed);
-  if (!has_room || round.step.question != 0) {
-    return;
-  }
-  std::vector<Candidate> candidates = Candidates(context, round, false);
-  if (is_new_gang && TotalRoom(candidates) < needed) {
-    return;
+/// Breaks up a gang of which some members have waited too long for the others.
+void CheckGang(Context& context, Submission& submission, const Round& round) {
+  const bool is_partial = round.spec.gang && round.step.gang_began;
+  if (is_partial && !round.step.gang_broken &&
+      context.now >= *round.step.gang_began + kGangPatience) {
+    submission_progress::BreakGang(context, submission, round.index);
   }
-  step_advice::Ask(context, round.submission, round.index,
-                   std::move(candidates), static_cast<std::uint32_t>(needed));
 }
 
-/// Returns whether tasks of the step still wait. `free` is the room that the
-/// steps ahead in the queue leave.
-bool PlaceStep(Context& context, Submission& submission, std::uint32_t index,
-               Resources& free) {
-  Round round = MakeRound(submission, index);
+/// Returns whether tasks of the step still wait.
+bool PlaceStep(Context& context, Submission& submission, std::uint32_t index) {
+  Round round = step_offers::MakeRound(submission, index);
   if (round.waiting.empty()) {
     return false;
   }
-  const bool is_partial_gang = round.spec.gang && round.step.gang_began;
-  if (is_partial_gang && !round.step.gang_broken &&
-      context.now >= *round.step.gang_began + kGangPatience) {
-    submission_progress::BreakGang(context, submission, index);
-  }
+  CheckGang(context, submission, round);
   if (round.step.gang_broken) {
     return true;
   }
   const bool needs_advice = submission.policy.advice.has_value();
   if (IsPlaceable(context, submission)) {
-    Place(context, round, Candidates(context, round, needs_advice));
+    Place(context, round,
+          needs_advice ? step_offers::Allowed(context, round, Tickets::kValid)
+                       : AllRoom(context, round));
   }
   if (needs_advice && !round.waiting.empty()) {
-    AskForRoom(context, round, free);
+    step_advice::Seek(context, round);
+  }
+  if (round.spec.gang && round.step.gang_began && !round.waiting.empty()) {
+    context.state.submissions.partial_gangs.insert(submission.id);
   }
   return !round.waiting.empty();
 }
 
 /// Returns whether the submission is to stay in the queue.
-bool PlaceSubmission(Context& context, Submission& submission,
-                     Resources& free) {
+bool PlaceSubmission(Context& context, Submission& submission) {
   if (!submission.spec || HasEnded(submission.state)) {
     return false;
   }
   bool waits = false;
   for (std::uint32_t i = 0; i < submission.steps.size(); ++i) {
     if (submission_runs::IsReady(submission, i)) {
-      waits = PlaceStep(context, submission, i, free) || waits;
+      waits = PlaceStep(context, submission, i) || waits;
     }
   }
   return waits;
 }
 
+void WakeById(Context& context, const SubmissionId& id) {
+  if (Submission* submission = submission_progress::Find(context, id)) {
+    Wake(context, *submission);
+  }
+}
+
+/// Wakes the most urgent submissions and, in turn, all others.
+void Sweep(Context& context) {
+  SubmissionsState& state = context.state.submissions;
+  if (context.now < state.next_sweep) {
+    return;
+  }
+  state.next_sweep = context.now + kSweepInterval;
+  for (const SubmissionId& id : std::exchange(state.partial_gangs, {})) {
+    WakeById(context, id);
+  }
+  std::size_t count = 0;
+  for (const auto& [rank, id] : state.queue) {
+    if (count++ == kSwept) {
+      break;
+    }
+    WakeById(context, id);
+  }
+  auto next = state.queue.upper_bound(state.last_swept);
+  for (std::size_t i = 0; i < std::min(kSwept, state.queue.size()); ++i) {
+    if (next == state.queue.end()) {
+      next = state.queue.begin();
+    }
+    state.last_swept = *next;
+    WakeById(context, (next++)->second);
+  }
+}
+
+/// The most urgent of those that are due; the others stay due.
+std::vector<SubmissionPtr> TakeDue(Context& context) {
+  SubmissionsState& state = context.state.submissions;
+  std::vector<SubmissionPtr> due;
+  for (const SubmissionId& id : std::exchange(state.due, {})) {
+    if (Submission* submission = submission_progress::Find(context, id)) {
+      submission->is_due = false;
+      if (submission->queued_as) {
+        due.emplace_back(submission);
+      }
+    }
+  }
+  std::sort(due.begin(), due.end(),
+            [](const SubmissionPtr& left, const SubmissionPtr& right) {
+              return std::tie(*left->queued_as, left->id) <
+                     std::tie(*right->queued_as, right->id);
+            });
+  while (due.size() > kMaxLooked) {
+    Wake(context, *due.back());
+    due.pop_back();
+  }
+  return due;
+}
+
+void CountLooked(Context& context, std::size_t submissions,
+                 std::uint64_t workers) {
+  LoadWindow& load = context.state.load.now;
+  ++load.passes;
+  load.submissions_looked_at += submissions;
+  context.Count(Metric::kSubmissionsLookedAt, "",
+                static_cast<double>(submissions));
+  context.Count(Metric::kWorkersLookedAt, "", static_cast<double>(workers));
+}
+
 }  // namespace
 
 void Request(Context& context) {
@@ -364,6 +348,34 @@
   }
 }
 
+void Wake(Context& context, Submission& submission) {
+  if (!submission.queued_as || submission.is_due) {
+    return;
+  }
+  submission.is_due = true;
+  context.state.submissions.due.push_back(submission.id);
+  Request(context);
+}
+
+void OnRoom(Context& context, FleetWorker& worker) {
+  std::erase_if(worker.wanted_by, [&context](const SubmissionId& id) {
+    Submission* submission = submission_progress::Find(context, id);
+    if (submission == nullptr || HasEnded(submission->state)) {
+      return true;
+    }
+    Wake(context, *submission);
+    return false;
+  });
+}
+
+void OnLineFree(Context& context) {
+  SubmissionsState& state = context.state.submissions;
+  for (std::size_t i = 0; i < kWokenSeekers && !state.seeking.empty(); ++i) {
+    WakeById(context, state.seeking.begin()->second);
+    state.seeking.erase(state.seeking.begin());
+  }
+}
+
 void OnTimer(Context& context) {
   SubmissionsState& state = context.state.submissions;
   state.placement_due = false;
@@ -371,46 +383,20 @@
     return;
   }
   step_order::RefreshQueue(context);
-  Resources free = TotalFree(context);
-  std::vector<std::pair<QueueRank, SubmissionId>> looked;
-  for (const auto& entry : state.queue) {
-    if (looked.size() >= kMaxLooked) {
-      break;
-    }
-    looked.push_back(entry);
-  }
-  LoadWindow& load = context.state.load.now;
-  const std::uint64_t workers_before = load.workers_looked_at;
-  ++load.passes;
-  load.submissions_looked_at += looked.size();
-  for (const auto& entry : looked) {
-    Submission* submission = submission_progress::Find(context, entry.second);
-    if (submission == nullptr) {
-      state.queue.erase(entry);
-    } else if (!PlaceSubmission(context, *submission, free)) {
+  Sweep(context);
+  const std::uint64_t before = context.state.load.now.workers_looked_at;
+  const std::vector<SubmissionPtr> due = TakeDue(context);
+  for (const SubmissionPtr& submission : due) {
+    if (!PlaceSubmission(context, *submission)) {
       step_order::Dequeue(context, *submission);
+      gang_claims::Drop(context, submission->id);
     }
   }
-  context.Count(Metric::kSubmissionsLookedAt, "",
-                static_cast<double>(looked.size()));
-  context.Count(Metric::kWorkersLookedAt, "",
-                static_cast<double>(load.workers_looked_at - workers_before));
+  CountLooked(context, due.size(),
+              context.state.load.now.workers_looked_at - before);
   if (!state.queue.empty() && !state.placement_due) {
-    context.ArmIn(TimerKind::kPlacement, kNextPass);
+    context.ArmIn(TimerKind::kPlacement, kSweepInterval);
   }
 }
 
-bool CanEverFit(const Context& context, const SubmissionSpec& spec,
-                const PoolName& pool) {
-  const auto& workers = context.state.submissions.fleet.workers;
-  return std::all_of(
-      spec.steps.begin(), spec.steps.end(), [&](const StepSpec& step) {
-        return std::any_of(
-            workers.begin(), workers.end(), [&](const auto& entry) {
-              return entry.second.entry.pool == pool &&
-                     Fits(step.demand, entry.second.entry.capacity);
-            });
-      });
-}
-
 }  // namespace basilspread::internal::step_placement
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -371,6 +371,10 @@
   state.all.clear();
   state.queue.clear();
   state.questions.clear();
+  state.due.clear();
+  state.seeking.clear();
+  state.partial_gangs.clear();
+  state.claims.clear();
   for (auto& [node, helper] : state.helpers) {
     helper.open_questions = 0;
   }
--- a/packages/core/src/internal/submission_progress.cc
+++ b/packages/core/src/internal/submission_progress.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "internal/fleet.h"
+#include "internal/gang_claims.h"
 #include "internal/run_watch.h"
 #include "internal/step_order.h"
 #include "internal/step_placement.h"
@@ -55,6 +56,7 @@
   context.Observe(Metric::kSubmissionTime, context.now - submission.arrived,
                   submission.route.value);
   step_order::Dequeue(context, submission);
+  gang_claims::Drop(context, submission.id);
   submission.state = state;
   submission.is_stored = false;
   submission.ended_at = context.now;
@@ -146,7 +148,7 @@
     return;
   }
   step_order::Enqueue(context, submission);
-  step_placement::Request(context);
+  step_placement::Wake(context, submission);
 }
 
 void Cancel(Context& context, Submission& submission) {
--- /dev/null
+++ b/packages/core/tests/placement_load_test.cc
@@ -0,0 +1,67 @@
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "support/store_world.h"
+
+namespace basilspread::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::vector<std::string> Names(int count) {
+  std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    names.push_back(fmt::format("w{}", i));
+  }
+  return names;
+}
+
+std::string Id(int number) { return fmt::format("{:016x}", number); }
+
+/// A step that no worker has the label for.
+StepSpec Unplaceable() {
+  StepSpec step = Tasks(1);
+  step.required_label = "nowhere";
+  return step;
+}
+
+/// Workers weighed for placement in a second while 40 submissions wait for
+/// room.
+std::uint64_t WorkersWeighed(int workers) {
+  StoreWorld world(1, Names(workers));
+  world.run_time = seconds(30);
+  // Fills all workers but the room of one task.
+  world.Submit(0, Id(1), {Tasks(static_cast<std::uint32_t>(workers * 4 - 1))});
+  world.Run(seconds(3));
+  for (int i = 0; i < 40; ++i) {
+    world.Submit(0, Id(100 + i), {Tasks(4)});
+  }
+  world.Run(seconds(4));
+  return world.StateOf(0).load.before.workers_looked_at;
+}
+
+TEST_CASE("What cannot be placed does not hold up what stands behind it",
+          "[placement-load]") {
+  StoreWorld world(1, Names(4));
+  for (int i = 0; i < 150; ++i) {
+    world.Submit(0, Id(i), {Unplaceable()});
+  }
+  world.Run(milliseconds(300));
+  world.Submit(0, Id(1000), {Tasks(2)});
+  world.Run(milliseconds(300));
+  CHECK(world.Starts(Id(1000)) == 1);
+}
+
+TEST_CASE("Waiting steps do not weigh more workers in a larger fleet",
+          "[placement-load]") {
+  CHECK(WorkersWeighed(200) <= 2 * WorkersWeighed(10) + 100);
+}
+
+}  // namespace
+}  // namespace basilspread::test
