Do not take a process's own delay for a silent store

What callers saw: on the grown deployments ten hand-overs in a minute, each with a gap in which no call was answered, though the store was never away.

Cause: a leader judged the store by when it had handled the last answer. Timers go before events, so that an answer that lay in its own queue for longer than 400 ms counted as missing ("silent_ms 447" beside "own_delay_ms 1069"). The same held for the answers of a peer's join that is to prove a swift store, for looks of a new leader (150 ms), and for the link to a leader (1 s).

StoreWorld can make a process slow: each event costs it time, events wait, and Event::load tells how long.

Evidence: "A leader does not take its own delay for a silent store" failed before (the leadership moved), and "A new leader waits for looks whose answers wait in its own queue" too; "A leader asks for another one when the store is silent for 400 ms" passed before and passes now.

Why it works: waits for an answer end only up to the point up to which everything that came has been handled (own_load::CaughtUpTo). Of the store the longest delay of the last one to two seconds is added, since the threads that read answers were late too.

--- a/packages/core/include/basilspread/core/load.h
+++ b/packages/core/include/basilspread/core/load.h
@@ -26,6 +26,8 @@
 
 /// How busy this process is, by its own measure.
 struct LoadState {
+  /// How long the event in hand, or an older one behind it, has waited.
+  Duration delay{};
   LoadWindow now;
   /// The last whole window.
   LoadWindow before;
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -208,8 +208,9 @@
     return;
   }
   const GroupMember member = *std::exchange(state.releasing, std::nullopt);
-  const bool is_old = context.now > state.release_asked_at + kSwiftJoin * 2;
-  if (!state.holds && !is_old && context.now - sent_at <= kSwiftJoin) {
+  const TimePoint arrived = own_load::CaughtUpTo(context);
+  const bool is_old = arrived > state.release_asked_at + kSwiftJoin * 2;
+  if (!state.holds && !is_old && arrived - sent_at <= kSwiftJoin) {
     EndMembership(context, member, "it gives the leadership up");
   }
 }
@@ -229,7 +230,8 @@
   }
   const bool is_unlinked = state.leader && !state.holds &&
                            !state.linked.contains(state.leader->process.node);
-  if (is_unlinked && context.now >= state.leader_adopted_at + kLinkPatience) {
+  if (is_unlinked && own_load::CaughtUpTo(context) >=
+                         state.leader_adopted_at + kLinkPatience) {
     OnLeaderLost(context);
   }
   // Whoever this process follows may itself be cut off from the store.
@@ -401,8 +403,10 @@
   }
   state.store_checked_at = context.now;
   const TimePoint heard_at = state.store_heard_at;
-  if (!IsLeading(context) || context.now < heard_at + kStoreSilence ||
-      !work_log::IsWaiting(context, kStoreSilence) ||
+  // Other threads of a process that was late may still be.
+  const Duration patience = kStoreSilence + own_load::RecentDelay(context);
+  if (!IsLeading(context) || context.now < heard_at + patience ||
+      !work_log::IsWaiting(context, patience) ||
       context.now < state.released_at + kReleaseInterval) {
     return;
   }
@@ -467,7 +471,8 @@
   }
   const std::size_t unknown = fleet::CountUnknown(context);
   const bool is_complete = fleet::IsListed(context) && unknown == 0;
-  if (!is_complete && context.now < state.phase_began + kLookPatience) {
+  if (!is_complete &&
+      own_load::CaughtUpTo(context) < state.phase_began + kLookPatience) {
     return;
   }
   if (!is_complete) {
--- a/packages/core/src/internal/own_load.cc
+++ b/packages/core/src/internal/own_load.cc
@@ -7,6 +7,7 @@
 
 void OnEvent(Context& context, const LoopLoad& load) {
   LoadState& state = context.state.load;
+  state.delay = load.delay;
   if (context.now >= state.now.began + kWindow) {
     state.before = std::exchange(state.now, LoadWindow{});
     state.now.began = context.now;
@@ -18,6 +19,10 @@
   state.now.most_waiting = std::max(state.now.most_waiting, load.waiting);
 }
 
+TimePoint CaughtUpTo(const Context& context) {
+  return context.now - context.state.load.delay;
+}
+
 Duration RecentDelay(const Context& context) {
   const LoadState& state = context.state.load;
   return std::max(state.now.longest_delay, state.before.longest_delay);
--- a/packages/core/src/internal/own_load.h
+++ b/packages/core/src/internal/own_load.h
@@ -14,6 +14,11 @@
 
 void OnEvent(Context& context, const LoopLoad& load);
 
+/// Everything that came before this point has been handled. Whoever waits for
+/// an answer counts his patience up to it: a later answer may lie in this
+/// process's own queue.
+TimePoint CaughtUpTo(const Context& context);
+
 /// Longest time that an event has waited in the last one to two seconds.
 Duration RecentDelay(const Context& context);
 
--- /dev/null
+++ b/packages/core/tests/own_delay_test.cc
@@ -0,0 +1,102 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+#include "support/store_world.h"
+
+namespace basilspread::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kFirst = "00000000000000d1";
+const std::string kSecond = "00000000000000d2";
+
+constexpr Duration kEventCost = milliseconds(10);
+constexpr Duration kStep = milliseconds(10);
+
+struct World : StoreWorld {
+  World() : StoreWorld(3, {"w1", "w2"}) { REQUIRE(this->Leader() >= 0); }
+
+  /// Runs while the events of a process wait for `delay`.
+  void RunBehind(int node, Duration delay, Duration time) {
+    this->event_cost[node] = kEventCost;
+    const auto depth = static_cast<std::size_t>(delay / kEventCost);
+    for (Duration passed{}; passed < time; passed += kStep) {
+      while (this->Waiting(node) < depth) {
+        this->Ask(node, SubmissionOperation::kStatus, kSecond);
+      }
+      this->Run(kStep);
+    }
+  }
+
+  bool Leads(int node) const {
+    return this->StateOf(node).submissions.leadership.phase ==
+           LeaderPhase::kLeading;
+  }
+
+  TimePoint ReleasedAt(int node) const {
+    return this->StateOf(node).submissions.leadership.released_at;
+  }
+
+  Epoch EpochAt(int node) const {
+    return this->StateOf(node).submissions.leadership.epoch;
+  }
+};
+
+TEST_CASE("A leader does not take its own delay for a silent store",
+          "[own-delay]") {
+  World world;
+  const int leader = world.Leader();
+  const Epoch epoch = world.EpochAt(leader);
+  world.store_time = milliseconds(5);
+  for (int i = 0; i < 4; ++i) {
+    world.Submit(leader, "00000000000000e" + std::to_string(i), {Tasks(1)});
+    world.Run(kStep);
+    world.RunBehind(leader, milliseconds(600), milliseconds(700));
+    world.event_cost.clear();
+    world.Run(milliseconds(500));
+  }
+  CHECK(world.ReleasedAt(leader) == TimePoint{});
+  CHECK(world.Leader() == leader);
+  CHECK(world.EpochAt(leader) == epoch);
+}
+
+TEST_CASE("A leader asks for another one when the store is silent for 400 ms",
+          "[own-delay]") {
+  World world;
+  const int leader = world.Leader();
+  world.cut_from_store = {leader};
+  world.Submit(leader, kFirst, {Tasks(1)});
+  world.Run(milliseconds(390));
+  CHECK(world.ReleasedAt(leader) == TimePoint{});
+  world.Run(milliseconds(100));
+  CHECK(world.ReleasedAt(leader) != TimePoint{});
+  world.Run(milliseconds(200));
+  CHECK((world.Leads((leader + 1) % 3) || world.Leads((leader + 2) % 3)));
+}
+
+TEST_CASE("A new leader waits for looks whose answers wait in its own queue",
+          "[own-delay]") {
+  World world;
+  world.run_time = seconds(3);
+  world.Submit(world.Leader(), kFirst, {Tasks(2)});
+  world.Run(milliseconds(300));
+  const int before = world.Leader();
+  for (int node = 0; node < 3; ++node) {
+    if (node != before) {
+      world.event_cost[node] = milliseconds(15);
+    }
+  }
+  world.KillProcess(before);
+  for (int i = 0; i < 300 && world.Leader() < 0; ++i) {
+    world.Run(kStep);
+  }
+  const int next = world.Leader();
+  REQUIRE(next >= 0);
+  CHECK_FALSE(world.StateOf(next).submissions.fleet.unknown_until);
+}
+
+}  // namespace
+}  // namespace basilspread::test
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -88,12 +88,21 @@
   /// The process that leads; -1 when none does.
   int Leader() const;
   const State& StateOf(int node) const;
+  /// Events and timers that wait for a slow process.
+  std::size_t Waiting(int node) const;
+  TimePoint Now() const { return this->now; }
+  /// Appends that processes have sent.
+  int Appends() const { return this->appends; }
+  /// How often a process sent its leader the calls about a submission.
+  int CallsSent(int node, const std::string& id) const;
   /// Questions that the advisor was asked.
   int Questions() const { return this->questions; }
   /// Starts that a worker carried out, by task.
   int Starts(const std::string& id, std::uint32_t step = 0,
              std::uint32_t index = 0) const;
 
+  /// What each event costs a process; none: processes are not slow.
+  std::map<int, Duration> event_cost;
   /// The store answers no call.
   bool store_is_down = false;
   /// Processes that the store answers no call of.
@@ -139,6 +148,10 @@
   bool ReachesStore(int node) const;
   void In(Duration delay, std::function<void()> action);
   void Post(int node, EventBody body);
+  void Handle(Node& node, EventBody body, const LoopLoad& load);
+  /// Has a slow process take up what waits, once it is through with the last.
+  void Schedule(Node& node);
+  void TakeUp(Node& node);
   void PostIn(int node, Duration delay, EventBody body);
   /// What every process that follows the list reads next.
   void PostToAll(const FleetRead& read);
@@ -172,6 +185,8 @@
   std::uint64_t log_sequence = 0;
   std::map<std::string, WorkRecord> log;
   int questions = 0;
+  int appends = 0;
+  std::map<std::pair<int, SubmissionId>, int> calls_sent;
   std::map<StepTask, int> starts;
   std::set<StepTask> acknowledged_done;
 };
--- /dev/null
+++ b/packages/core/tests/support/store_world_loop.cc
@@ -0,0 +1,86 @@
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "support/store_world_node.h"
+
+/// The control threads of a StoreWorld's processes: timers go before events.
+namespace basilspread::test {
+
+void StoreWorld::Post(int index, EventBody body) {
+  Node& node = *this->nodes.at(static_cast<std::size_t>(index));
+  if (!node.is_up) {
+    return;
+  }
+  const bool is_slow = this->event_cost.contains(index);
+  if (!is_slow && node.events.empty() && node.due_timers.empty()) {
+    this->Handle(node, std::move(body), {});
+    return;
+  }
+  if (const auto* timer = std::get_if<TimerFired>(&body)) {
+    node.due_timers.emplace(timer->kind, this->now);
+  } else {
+    node.events.push_back({std::move(body), this->now});
+  }
+  this->Schedule(node);
+}
+
+void StoreWorld::Schedule(Node& node) {
+  if (node.is_scheduled) {
+    return;
+  }
+  node.is_scheduled = true;
+  Node* owner = &node;
+  this->In(std::max(node.busy_until - this->now, Duration::zero()),
+           [this, owner] {
+             owner->is_scheduled = false;
+             this->TakeUp(*owner);
+           });
+}
+
+void StoreWorld::TakeUp(Node& node) {
+  if (!node.is_up || (node.events.empty() && node.due_timers.empty())) {
+    return;
+  }
+  TimePoint oldest = this->now;
+  if (!node.events.empty()) {
+    oldest = std::min(oldest, node.events.front().since);
+  }
+  EventBody body;
+  TimePoint since;
+  if (!node.due_timers.empty()) {
+    const auto timer = node.due_timers.extract(node.due_timers.begin());
+    body = TimerFired{timer.key()};
+    since = timer.mapped();
+  } else {
+    body = std::move(node.events.front().body);
+    since = node.events.front().since;
+    node.events.pop_front();
+  }
+  LoopLoad load;
+  load.delay = this->now - std::min(oldest, since);
+  load.waiting = node.events.size();
+  load.busy = node.busy;
+  const auto cost = this->event_cost.find(node.index);
+  const Duration took =
+      cost == this->event_cost.end() ? Duration::zero() : cost->second;
+  node.busy += took;
+  // Several events may fit into a tick of the world.
+  node.busy_until = std::max(node.busy_until, since) + took;
+  this->Handle(node, std::move(body), load);
+  if (!node.events.empty() || !node.due_timers.empty()) {
+    this->Schedule(node);
+  }
+}
+
+std::size_t StoreWorld::Waiting(int node) const {
+  const Node& found = *this->nodes.at(static_cast<std::size_t>(node));
+  return found.events.size() + found.due_timers.size();
+}
+
+int StoreWorld::CallsSent(int node, const std::string& id) const {
+  const auto found = this->calls_sent.find({node, SubmissionId{id}});
+  return found == this->calls_sent.end() ? 0 : found->second;
+}
+
+}  // namespace basilspread::test
