Do not repeat an append whose answer waits in the own queue

What callers saw: 503 for submissions behind an append that the store had long stored, and twice the calls to the store, each of which is priced.

Cause: the timers of the repeat (250 ms) and of the silence limit (1 s) are handled before the answer, which waits in the process's queue.

Evidence: both tests failed before: a second append, and the answer "log-unavailable".

Why it works: both wait until the process has handled what came in time.

--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -7,6 +7,7 @@
 
 #include "internal/fleet.h"
 #include "internal/leadership.h"
+#include "internal/own_load.h"
 #include "internal/submission_loading.h"
 #include "internal/submission_service.h"
 
@@ -369,7 +370,14 @@
     Pump(context);
     return;
   }
-  if (context.now >= log.in_flight_since + kSilenceLimit) {
+  const TimePoint caught_up = own_load::CaughtUpTo(context);
+  if (caught_up < log.last_sent + kRepeatAfter && caught_up < context.now) {
+    // The answer may lie in this process's queue.
+    context.ArmIn(TimerKind::kWorkLog,
+                  log.last_sent + kRepeatAfter - caught_up);
+    return;
+  }
+  if (caught_up >= log.in_flight_since + kSilenceLimit) {
     NoteFailure(context, "no answer");
     DeclineQueued(context, ErrorKind::kLogUnavailable);
   }
--- a/packages/core/tests/own_delay_test.cc
+++ b/packages/core/tests/own_delay_test.cc
@@ -77,6 +77,35 @@
   CHECK((world.Leads((leader + 1) % 3) || world.Leads((leader + 2) % 3)));
 }
 
+TEST_CASE("An append whose answer waits in the own queue is not repeated",
+          "[own-delay]") {
+  World world;
+  const int leader = world.Leader();
+  world.RunBehind(leader, milliseconds(600), milliseconds(700));
+  const int before = world.Appends();
+  world.Submit(leader, kFirst, {Tasks(1)});
+  // The submission, its answer and what comes of it wait for 600 ms each.
+  world.RunBehind(leader, milliseconds(600), milliseconds(1150));
+  CHECK(world.Appends() == before + 1);
+}
+
+TEST_CASE("Work behind an append whose answer waits in the own queue is taken",
+          "[own-delay]") {
+  World world;
+  const int leader = world.Leader();
+  world.RunBehind(leader, milliseconds(1200), milliseconds(1300));
+  const CallId first = world.Submit(leader, kFirst, {Tasks(1)});
+  world.RunBehind(leader, milliseconds(1200), milliseconds(100));
+  const CallId second = world.Submit(leader, kSecond, {Tasks(1)});
+  world.RunBehind(leader, milliseconds(1200), milliseconds(2500));
+  world.event_cost.clear();
+  world.Run(seconds(1));
+  REQUIRE(world.AnswerTo(first));
+  CHECK(world.AnswerTo(first)->kind == ErrorKind::kNone);
+  REQUIRE(world.AnswerTo(second));
+  CHECK(world.AnswerTo(second)->kind == ErrorKind::kNone);
+}
+
 TEST_CASE("A new leader waits for looks whose answers wait in its own queue",
           "[own-delay]") {
   World world;
