Judge the answers to calls by what the process has taken up

What callers saw: calls sent to the leader twice, which adds load to a leader that is behind; "no leader" while the join's answer lay in the process's queue; and answers after the caller's own time was over, since the time that a call had waited in the queue was not counted.

Cause: the waits of 800 ms for an answer and of 600 ms for joins, and the caller's deadline, all counted from when the process handled the event.

Evidence: the three tests failed before.

--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "internal/leadership.h"
+#include "internal/own_load.h"
 #include "internal/queue_tables.h"
 #include "internal/submission_service.h"
 
@@ -127,7 +128,7 @@
 
 void Send(Context& context, OpenCall& call) {
   const auto& leader = StateOf(context).leadership.leader;
-  if (!leader || context.now < call.send_not_before) {
+  if (!leader || own_load::CaughtUpTo(context) < call.send_not_before) {
     return;
   }
   call.send_not_before = context.now + kUnansweredDelay;
@@ -180,7 +181,8 @@
 bool IsHopeless(const Context& context) {
   const LeadershipState& leadership = context.state.submissions.leadership;
   return !leadership.leader && leadership.joins_fail_since &&
-         context.now >= *leadership.joins_fail_since + kLeaderPatience;
+         own_load::CaughtUpTo(context) >=
+             *leadership.joins_fail_since + kLeaderPatience;
 }
 
 void Expire(Context& context, CallId id) {
@@ -247,13 +249,13 @@
   OpenCall call;
   call.message.call = event.call;
   call.message.operation = event.operation;
-  call.arrived = context.now;
+  call.arrived = own_load::CaughtUpTo(context);
   const ErrorKind fault = Admit(context, event, call.message);
   if (fault != ErrorKind::kNone) {
     return Refuse(context, call, fault);
   }
   SubmissionsState& state = StateOf(context);
-  call.deadline = context.now + event.time_left - kAnswerMargin;
+  call.deadline = call.arrived + event.time_left - kAnswerMargin;
   if (context.state.stopping) {
     call.deadline = std::min(call.deadline, state.stop_by);
   }
@@ -338,7 +340,7 @@
   Report(context);
   // What was sent on the old connection may be lost.
   ForEachOpen(context, [&](CallId /*id*/, OpenCall& call) {
-    call.send_not_before = context.now;
+    call.send_not_before = own_load::CaughtUpTo(context);
     Send(context, call);
   });
 }
@@ -346,7 +348,7 @@
 void OnLeaderChanged(Context& context) {
   Report(context);
   ForEachOpen(context, [&context](CallId /*id*/, OpenCall& call) {
-    call.send_not_before = context.now;
+    call.send_not_before = own_load::CaughtUpTo(context);
     Send(context, call);
   });
 }
--- a/packages/core/tests/own_delay_test.cc
+++ b/packages/core/tests/own_delay_test.cc
@@ -106,6 +106,35 @@
   CHECK(world.AnswerTo(second)->kind == ErrorKind::kNone);
 }
 
+TEST_CASE("A call whose answer waits in the own queue is not sent again",
+          "[own-delay]") {
+  World world;
+  const int leader = world.Leader();
+  const int follower = leader == 0 ? 1 : 0;
+  world.RunBehind(follower, milliseconds(600), milliseconds(700));
+  const int before = world.CallsSent(follower, kFirst);
+  world.Submit(follower, kFirst, {Tasks(1)});
+  world.RunBehind(follower, milliseconds(1000), milliseconds(1700));
+  CHECK(world.CallsSent(follower, kFirst) == before + 1);
+}
+
+TEST_CASE("A caller is not refused while a join's answer waits in the queue",
+          "[own-delay]") {
+  World world;
+  const int node = world.Leader() == 0 ? 1 : 0;
+  // Joins have just failed, and are answered again.
+  world.Kill(world.Leader());
+  world.store_is_down = true;
+  world.Run(milliseconds(1200));
+  REQUIRE(world.StateOf(node).submissions.leadership.joins_fail_since);
+  world.store_is_down = false;
+  const CallId call = world.Submit(node, kFirst, {Tasks(1)});
+  world.Run(kStep);
+  world.RunBehind(node, milliseconds(900), milliseconds(1100));
+  const auto answer = world.AnswerTo(call);
+  CHECK((!answer || answer->kind == ErrorKind::kNone));
+}
+
 TEST_CASE("A new leader waits for looks whose answers wait in its own queue",
           "[own-delay]") {
   World world;
@@ -127,5 +156,26 @@
   CHECK_FALSE(world.StateOf(next).submissions.fleet.unknown_until);
 }
 
+TEST_CASE("The time that a call waited in the own queue is the caller's",
+          "[own-delay]") {
+  World world;
+  const int leader = world.Leader();
+  const int follower = leader == 0 ? 1 : 0;
+  world.Kill(leader);
+  world.store_is_down = true;
+  const TimePoint came = world.Now();
+  world.RunBehind(follower, milliseconds(500), milliseconds(600));
+  world.Submit(follower, kFirst, {Tasks(1)});
+  world.RunBehind(follower, milliseconds(500), milliseconds(700));
+  const auto& calls = world.StateOf(follower).submissions.calls;
+  for (const auto& [id, call] : calls) {
+    CHECK(call.deadline <= world.Now() + seconds(3));
+    CHECK(call.arrived >= came);
+    if (call.message.operation == SubmissionOperation::kSubmit) {
+      CHECK(call.arrived < world.Now() - milliseconds(600));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace basilspread::test
