Keep questions whose answers wait in the own queue

What callers saw: late first starts; the advisor was asked again about steps that it had answered, which lengthened its line.

Why it works: both are judged by what the process has taken up.

--- a/packages/core/src/internal/step_advice.cc
+++ b/packages/core/src/internal/step_advice.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "internal/leadership.h"
+#include "internal/own_load.h"
 #include "internal/step_placement.h"
 #include "internal/submission_progress.h"
 
@@ -53,8 +54,9 @@
   std::optional<ProcessId> best;
   TimePoint best_free = context.now + kMaxLine;
   for (const auto& [node, helper] : state.helpers) {
-    const bool is_free = context.now < helper.heard_at + kHelperTimeout &&
-                         helper.open_questions < kMaxOpenQuestions;
+    const bool is_heard =
+        own_load::CaughtUpTo(context) < helper.heard_at + kHelperTimeout;
+    const bool is_free = is_heard && helper.open_questions < kMaxOpenQuestions;
     if (is_free && helper.busy_until < best_free) {
       best = helper.process;
       best_free = helper.busy_until;
@@ -268,7 +270,7 @@
 void OnTimer(Context& context) {
   std::vector<std::uint64_t> overdue;
   for (const auto& [number, question] : StateOf(context).questions) {
-    if (context.now >= question.give_up_at) {
+    if (own_load::CaughtUpTo(context) >= question.give_up_at) {
       overdue.push_back(number);
     }
   }
--- a/packages/core/tests/own_delay_test.cc
+++ b/packages/core/tests/own_delay_test.cc
@@ -135,6 +135,20 @@
   CHECK((!answer || answer->kind == ErrorKind::kNone));
 }
 
+TEST_CASE("A question whose answer waits in the own queue is not given up",
+          "[own-delay]") {
+  World world;
+  const int leader = world.Leader();
+  world.Submit(leader, kFirst, {Tasks(1)});
+  while (world.Questions() == 0) {
+    world.Run(milliseconds(5));
+  }
+  world.RunBehind(leader, milliseconds(1800), milliseconds(2600));
+  world.event_cost.clear();
+  world.Run(seconds(1));
+  CHECK(world.Questions() == 1);
+}
+
 TEST_CASE("A new leader waits for looks whose answers wait in its own queue",
           "[own-delay]") {
   World world;
