Let the hosts with the most room lead

What callers saw: on the grown deployments a leader that could not carry the work; calls without an answer for 3 s.

Ruled out: joins in the order of strength alone, since the store moves the leadership to a member that joins later; one number for a capacity, since what a leader needs of its link for each second of its processor differs by deployment.

Why it works: a process states what its host grants ([host] of its settings) to the leader, which tells all who stands; those that a candidate outranks (twice of one resource, no less of the other) stay out of the group and follow by reports, and by a read of the owner on a sign. When nobody leads they join, the stronger the sooner. A leader that is outranked makes way once the weaker members have left; so does one that has been behind for 3 s if another has more to spare than it has at all. Where all are equal, all join as before.

--- a/packages/config/include/basilspread/config/reader.h
+++ b/packages/config/include/basilspread/config/reader.h
@@ -26,6 +26,7 @@
   void Read(std::string_view key, Duration low, Duration high,
             Duration& target);
   /// A whole number within [low, high].
+  void Read(std::string_view key, double low, double high, double& target);
   void Read(std::string_view key, std::uint32_t low, std::uint32_t high,
             std::uint32_t& target);
   /// One of the names of `choices`.
--- a/packages/config/src/node_settings.cc
+++ b/packages/config/src/node_settings.cc
@@ -45,6 +45,8 @@
       this->ReadPlatform(reader);
     } else if (section.name == "store") {
       this->ReadStore(reader);
+    } else if (section.name == "host") {
+      this->ReadHost(reader);
     } else if (section.name == "peers") {
       this->ReadPeers(section, reader);
     } else if (section.name == "limits") {
@@ -135,6 +137,12 @@
     ReadStoreTiming(reader, store);
   }
 
+  void ReadHost(SectionReader& reader) {
+    Capacity& capacity = this->settings.core.capacity;
+    reader.Read("processor_share", 0.001, 1.0, capacity.processor_share);
+    reader.Read("link_mbps", 0.001, 1e6, capacity.link_mbps);
+  }
+
   void ReadPeers(const IniSection& section, SectionReader& reader) {
     for (const IniEntry& entry : section.entries) {
       PeerEndpoint peer;
--- a/packages/config/src/reader.cc
+++ b/packages/config/src/reader.cc
@@ -114,6 +114,21 @@
   target = *parsed;
 }
 
+void SectionReader::Read(std::string_view key, double low, double high,
+                         double& target) {
+  const IniEntry* entry = this->Find(key);
+  if (entry == nullptr) {
+    return;
+  }
+  const auto parsed = ParseNumber<double>(entry->value);
+  if (!parsed || !(*parsed >= low && *parsed <= high)) {
+    this->Fault(key, fmt::format("\"{}\" is not a number from {} to {}",
+                                 entry->value, low, high));
+    return;
+  }
+  target = *parsed;
+}
+
 void SectionReader::Read(std::string_view key, std::uint32_t low,
                          std::uint32_t high, std::uint32_t& target) {
   const IniEntry* entry = this->Find(key);
--- a/packages/config/tests/store_settings_test.cc
+++ b/packages/config/tests/store_settings_test.cc
@@ -48,6 +48,25 @@
   CHECK(parsed.value().core.store.member_time_to_live == milliseconds(2500));
 }
 
+TEST_CASE("What the host grants is read from its section",
+          "[config][settings]") {
+  const auto parsed = ParseNodeSettings(
+      kHead + "[host]\nprocessor_share = 0.12\nlink_mbps = 10.0\n" + kAddresses,
+      "node.ini");
+  REQUIRE(parsed);
+  CHECK(parsed.value().core.capacity.processor_share == Approx(0.12));
+  CHECK(parsed.value().core.capacity.link_mbps == Approx(10));
+  const auto none = ParseNodeSettings(kHead + kAddresses, "node.ini");
+  REQUIRE(none);
+  CHECK_FALSE(IsStated(none.value().core.capacity));
+  for (const char* text : {"0", "-1", "1.5", "much", "nan", "0.1x"}) {
+    const std::string section =
+        std::string("[host]\nprocessor_share = ") + text + "\n";
+    CHECK(FaultsOf(section + kAddresses).find("processor_share") !=
+          std::string::npos);
+  }
+}
+
 TEST_CASE("A store needs no advisor", "[config][settings]") {
   const auto parsed = ParseNodeSettings(kHead + kAddresses, "node.ini");
   REQUIRE(parsed);
--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -42,6 +42,25 @@
 /// Unset for a text that ToString does not write.
 std::optional<GroupMember> ParseGroupMember(const std::string& text);
 
+/// Whether a process joins the group, so that it can come to lead.
+struct CandidacyState {
+  bool stands = false;
+  /// When this process began to look for a leader.
+  TimePoint began;
+  /// Whether a leader has told who stands.
+  bool is_told = false;
+  /// Since when every read has found that nobody leads.
+  std::optional<TimePoint> vacant_since;
+  /// Since when the host of the leader has refused connections.
+  std::optional<TimePoint> refused_since;
+  /// The process that this one has made way for.
+  std::optional<NodeName> yields_to;
+  /// When the leader is next read because it seems to be another.
+  TimePoint next_doubt;
+  /// While leading: since when this process has been behind all the time.
+  std::optional<TimePoint> behind_since;
+};
+
 struct LeadershipState {
   LeaderPhase phase = LeaderPhase::kFollowing;
   /// Last generation of the group that was received.
@@ -63,6 +82,7 @@
   TimePoint leader_adopted_at;
   /// Peers to which the connection stands.
   std::set<NodeName> linked;
+  CandidacyState candidacy;
   /// The other live members, as the leader last named them.
   std::map<NodeName, GroupMember> peers;
   /// When the store last answered a call with success, and when that was last
--- a/packages/core/include/basilspread/core/load.h
+++ b/packages/core/include/basilspread/core/load.h
@@ -26,6 +26,11 @@
 
 /// How busy this process is, by its own measure.
 struct LoadState {
+  /// Least delay of the running and of the last short window: what waits all
+  /// the time, in contrast to what comes at once.
+  TimePoint short_window_began;
+  Duration least_delay{};
+  Duration least_delay_before{};
   /// How long the event in hand, or an older one behind it, has waited.
   Duration delay{};
   LoadWindow now;
--- a/packages/core/include/basilspread/core/settings.h
+++ b/packages/core/include/basilspread/core/settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "basilspread/core/capacity.h"
 #include "basilspread/core/ids.h"
 #include "basilspread/core/time.h"
 
@@ -42,6 +43,8 @@
   /// Seed of everything random in the state.
   std::uint64_t seed = 1;
 
+  Capacity capacity;
+
   /// Where peers connect to this process, as it advertises it.
   std::string peer_address;
 
--- a/packages/core/include/basilspread/core/submission_message.h
+++ b/packages/core/include/basilspread/core/submission_message.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "basilspread/core/capacity.h"
 #include "basilspread/core/error.h"
 #include "basilspread/core/fleet_call.h"
 #include "basilspread/core/ids.h"
@@ -36,10 +37,22 @@
   Duration retry_after{};
 };
 
-/// Tells the leader that a process can ask for advice on its behalf.
+/// Tells the leader that a process can ask for advice on its behalf, and
+/// whether it could lead.
 struct HelperReport {
   /// Where the leader connects to.
   std::string address;
+  Capacity capacity = {};
+  /// Whether it is a member of the group.
+  bool stands = false;
+  /// Share of the last second that its control thread was busy.
+  double busy_share = 0;
+};
+
+/// A process that may come to lead.
+struct Candidate {
+  NodeName node;
+  Capacity capacity;
 };
 
 /// Who leads, as far as the sender knows. The leader's own report names the
@@ -49,6 +62,9 @@
   /// Texts of group members; see ToString(GroupMember).
   std::string leader;
   std::vector<std::string> members;
+  /// Only in the leader's own report: itself and the other members of the
+  /// group.
+  std::vector<Candidate> candidates;
   /// The group's generation at which the sender knew it.
   std::uint64_t generation = 0;
   /// The sender leads and gives it up, since it stops or the store does not
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -139,6 +139,10 @@
 struct Helper {
   ProcessId process;
   std::string address;
+  Capacity capacity;
+  /// Whether it is a member of the group.
+  bool stands = false;
+  double busy_share = 0;
   TimePoint heard_at;
   /// The number of helpers' changes that it was told of.
   std::uint64_t told_change = 0;
@@ -191,6 +195,8 @@
   std::map<std::uint64_t, ProcessId> asked_for;
   bool placement_due = false;
   TimePoint next_report;
+  /// Routes whose submissions the leader has refused for load, until when.
+  std::map<RouteName, TimePoint> refused_until;
   /// Of a stop: from when on callers are refused, and when it no longer waits
   /// for open calls.
   TimePoint refuse_from;
--- /dev/null
+++ b/packages/core/src/internal/candidacy.cc
@@ -0,0 +1,299 @@
+#include "internal/candidacy.h"
+
+#include <algorithm>
+
+#include "internal/leadership.h"
+#include "internal/own_load.h"
+#include "internal/submission_calls.h"
+
+namespace basilspread::internal::candidacy {
+namespace {
+
+constexpr std::string_view kPart = "leadership";
+/// A process with a whole core joins a group without a leader after this, one
+/// with less of a core accordingly later: five times what a read of the owner
+/// takes, so that the next one reads that somebody leads.
+constexpr Duration kVacancyDelay = std::chrono::milliseconds(25);
+/// A leader that tells nothing of the candidates for so long tells nothing.
+constexpr Duration kReportPatience = std::chrono::seconds(1);
+/// Every helper reports within this; see kReportInterval of the calls.
+constexpr Duration kReportTime = std::chrono::seconds(1);
+constexpr Duration kHelperTimeout = std::chrono::seconds(3);
+/// A leader that waits for its events for this long cannot serve callers who
+/// want their work begun within a quarter of a second.
+constexpr Duration kLongDelay = std::chrono::milliseconds(250);
+/// For so long without a break; a burst is over sooner.
+constexpr Duration kStarvedTime = std::chrono::seconds(3);
+
+CandidacyState& StateOf(Context& context) {
+  return context.state.submissions.leadership.candidacy;
+}
+
+const Capacity& Own(const Context& context) {
+  return context.state.settings.capacity;
+}
+
+/// The less a process has of a core, the longer it leaves a vacancy to others.
+Duration VacancyDelay(const Context& context) {
+  const double share = Own(context).processor_share;
+  if (share <= 0) {
+    return Duration::zero();
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(kVacancyDelay) / std::min(share, 1.0));
+}
+
+void Stand(Context& context, std::string_view reason) {
+  CandidacyState& state = StateOf(context);
+  state.stands = true;
+  state.vacant_since.reset();
+  state.refused_since.reset();
+  state.yields_to.reset();
+  context.Log(LogLevel::kInfo, kPart, "Joins the group.",
+              {{"reason", reason},
+               {"processor_share", Own(context).processor_share},
+               {"link_mbps", Own(context).link_mbps}});
+  leadership::Join(context);
+  submission_calls::Report(context);
+}
+
+void Withdraw(Context& context, const Candidate& other) {
+  StateOf(context).stands = false;
+  context.Log(LogLevel::kInfo, kPart, "Leaves the group to stronger ones.",
+              {{"candidate", other.node.value},
+               {"processor_share", other.capacity.processor_share},
+               {"link_mbps", other.capacity.link_mbps}});
+  leadership::LeaveGroupOnly(context);
+  submission_calls::Report(context);
+}
+
+bool IsHeard(const Context& context, const Helper& helper) {
+  return own_load::CaughtUpTo(context) < helper.heard_at + kHelperTimeout;
+}
+
+/// A member of the group that could take over.
+bool IsCandidate(const Context& context, const Helper& helper) {
+  return helper.stands && !helper.address.empty() && IsHeard(context, helper);
+}
+
+/// Whether another candidate has more to spare than this process has at all.
+bool HasMoreRoom(const Context& context, const Helper& helper) {
+  const Capacity& own = Own(context);
+  const double spare =
+      helper.capacity.processor_share * (1 - helper.busy_share);
+  return own.processor_share > 0 && spare > own.processor_share &&
+         helper.capacity.link_mbps >= own.link_mbps;
+}
+
+bool IsStarved(const Context& context) {
+  const auto& since =
+      context.state.submissions.leadership.candidacy.behind_since;
+  return since && context.now >= *since + kStarvedTime;
+}
+
+void NoteDelay(Context& context) {
+  CandidacyState& state = StateOf(context);
+  if (own_load::StandingDelay(context) < kLongDelay) {
+    state.behind_since.reset();
+  } else if (!state.behind_since) {
+    state.behind_since = context.now;
+  }
+}
+
+/// The strongest candidate that this leader is to make way for.
+const Helper* FindSuccessor(const Context& context) {
+  const Helper* best = nullptr;
+  for (const auto& [node, helper] : context.state.submissions.helpers) {
+    const bool is_better = Outranks(helper.capacity, Own(context)) ||
+                           (IsStarved(context) && HasMoreRoom(context, helper));
+    if (!IsCandidate(context, helper) || !is_better) {
+      continue;
+    }
+    if (best == nullptr ||
+        helper.capacity.processor_share > best->capacity.processor_share) {
+      best = &helper;
+    }
+  }
+  return best;
+}
+
+/// Members that have not withdrawn yet could get the leadership instead.
+bool HasWeakMembers(const Context& context, const Helper& successor) {
+  const auto& helpers = context.state.submissions.helpers;
+  return std::any_of(helpers.begin(), helpers.end(), [&](const auto& entry) {
+    return IsCandidate(context, entry.second) &&
+           Outranks(successor.capacity, entry.second.capacity);
+  });
+}
+
+}  // namespace
+
+void Start(Context& context) {
+  CandidacyState& state = StateOf(context);
+  state.began = context.now;
+  // Where nothing is known of the hosts, every process can lead.
+  state.stands = !IsStated(Own(context));
+}
+
+bool Stands(const Context& context) {
+  return context.state.submissions.leadership.candidacy.stands;
+}
+
+void OnTimer(Context& context) {
+  CandidacyState& state = StateOf(context);
+  const LeadershipState& leadership = context.state.submissions.leadership;
+  if (state.stands || context.state.stopping) {
+    return;
+  }
+  const TimePoint heard_until = own_load::CaughtUpTo(context);
+  const Duration delay = VacancyDelay(context);
+  if (!state.is_told && heard_until >= state.began + kReportPatience + delay) {
+    Stand(context, "no leader tells who stands");
+    return;
+  }
+  const bool is_refused = leadership.leader && state.refused_since &&
+                          heard_until >= *state.refused_since + delay;
+  if (is_refused) {
+    state.refused_since.reset();
+    leadership::EndMembership(context, *leadership.leader,
+                              "its host refuses connections");
+  }
+}
+
+Duration NextCheck(const Context& context, Duration interval) {
+  const CandidacyState& state = context.state.submissions.leadership.candidacy;
+  if (state.stands) {
+    return interval;
+  }
+  const auto& since =
+      state.vacant_since ? state.vacant_since : state.refused_since;
+  if (!since) {
+    return interval;
+  }
+  const TimePoint due = *since + VacancyDelay(context);
+  return due > context.now ? std::min(due - context.now, interval) : interval;
+}
+
+void OnOwnerRead(Context& context, bool is_vacant) {
+  CandidacyState& state = StateOf(context);
+  if (!is_vacant || state.stands || context.state.stopping) {
+    state.vacant_since.reset();
+    return;
+  }
+  if (!state.vacant_since) {
+    state.vacant_since = context.now;
+    context.ArmIn(TimerKind::kLeadership, VacancyDelay(context));
+  }
+  const TimePoint heard_until = own_load::CaughtUpTo(context);
+  if (heard_until >= *state.vacant_since + VacancyDelay(context)) {
+    Stand(context, "nobody leads");
+  }
+}
+
+void OnReport(Context& context, const LeaderReport& report) {
+  CandidacyState& state = StateOf(context);
+  const LeadershipState& leadership = context.state.submissions.leadership;
+  if (report.candidates.empty() || leadership.holds || context.state.stopping) {
+    return;
+  }
+  state.is_told = true;
+  const auto stronger =
+      std::find_if(report.candidates.begin(), report.candidates.end(),
+                   [&context](const Candidate& candidate) {
+                     return Outranks(candidate.capacity, Own(context));
+                   });
+  if (stronger != report.candidates.end()) {
+    if (state.stands) {
+      Withdraw(context, *stronger);
+    }
+    return;
+  }
+  const bool yields = leadership.leader && state.yields_to &&
+                      leadership.leader->process.node == *state.yields_to;
+  if (!state.stands && !yields) {
+    Stand(context, "no candidate is clearly stronger");
+  }
+}
+
+void OnHelper(Context& context, Helper& helper, const HelperReport& report) {
+  if (helper.stands != report.stands || helper.capacity != report.capacity) {
+    ++context.state.submissions.helper_changes;
+  }
+  helper.stands = report.stands;
+  helper.capacity = report.capacity;
+  helper.busy_share = report.busy_share;
+}
+
+void Describe(Context& context, LeaderReport& report) {
+  report.candidates.push_back({context.state.settings.self.node, Own(context)});
+  for (const auto& [node, helper] : context.state.submissions.helpers) {
+    if (IsCandidate(context, helper)) {
+      report.candidates.push_back({node, helper.capacity});
+    }
+  }
+}
+
+HelperReport DescribeSelf(const Context& context) {
+  const LeadershipState& state = context.state.submissions.leadership;
+  HelperReport report;
+  report.address = context.state.settings.peer_address;
+  report.capacity = Own(context);
+  // Not while it is cut off from the store and can't be named by the group.
+  report.stands = state.candidacy.stands && !state.joins_fail_since;
+  report.busy_share = own_load::BusyShare(context);
+  return report;
+}
+
+void OnAsked(Context& context) {
+  if (!Stands(context)) {
+    Stand(context, "the leader asks for a successor");
+  }
+}
+
+bool MaySucceed(const Context& context, const NodeName& peer) {
+  const auto& helpers = context.state.submissions.helpers;
+  const auto found = helpers.find(peer);
+  if (found == helpers.end()) {
+    return true;
+  }
+  return std::none_of(helpers.begin(), helpers.end(), [&](const auto& entry) {
+    return IsCandidate(context, entry.second) &&
+           Outranks(entry.second.capacity, found->second.capacity);
+  });
+}
+
+bool MayEndMembership(Context& context) {
+  CandidacyState& state = StateOf(context);
+  if (!state.stands && !state.refused_since) {
+    state.refused_since = context.now;
+    context.ArmIn(TimerKind::kLeadership, VacancyDelay(context));
+  }
+  return state.stands;
+}
+
+void CheckHeadroom(Context& context) {
+  const LeadershipState& leadership = context.state.submissions.leadership;
+  if (!leadership.holds || context.state.stopping) {
+    StateOf(context).behind_since.reset();
+    return;
+  }
+  NoteDelay(context);
+  if (context.now < leadership.gained_at + kReportTime) {
+    return;
+  }
+  const Helper* successor = FindSuccessor(context);
+  if (successor == nullptr || HasWeakMembers(context, *successor)) {
+    return;
+  }
+  context.Log(LogLevel::kInfo, kPart, "Makes way for a stronger process.",
+              {{"successor", successor->process.node.value},
+               {"processor_share", successor->capacity.processor_share},
+               {"own_share", Own(context).processor_share},
+               {"own_delay_ms", own_load::StandingDelay(context)},
+               {"is_starved", IsStarved(context)}});
+  StateOf(context).stands = false;
+  StateOf(context).yields_to = successor->process.node;
+  leadership::Leave(context, "a stronger process stands");
+}
+
+}  // namespace basilspread::internal::candidacy
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "internal/candidacy.h"
 #include "internal/fleet.h"
+#include "internal/leader_release.h"
 #include "internal/own_load.h"
 #include "internal/step_placement.h"
 #include "internal/submission_calls.h"
@@ -22,17 +24,6 @@
 /// look, ten times what one takes; what may run on them is then waited for
 /// task by task.
 constexpr Duration kLookPatience = std::chrono::milliseconds(150);
-/// A leader whose append has had no answer for so long, nor any other call,
-/// hands over: forty times what an append takes, and long before the
-/// membership ends by time.
-constexpr Duration kStoreSilence = std::chrono::milliseconds(400);
-/// A longer time between two checks is this process's own pause.
-constexpr Duration kCheckGap = std::chrono::milliseconds(250);
-/// Time for a hand-over before another one is asked for.
-constexpr Duration kReleaseInterval = std::chrono::seconds(3);
-/// A peer whose own joins take longer ends no membership: the store is slow
-/// for everyone, and the next leader would do no better.
-constexpr Duration kSwiftJoin = std::chrono::milliseconds(100);
 /// A process without the store asks some of its peers this often who leads,
 /// in turn, so that in an outage for all the messages grow with their number
 /// only.
@@ -53,20 +44,6 @@
   return {context.state.settings.self, context.state.settings.peer_address};
 }
 
-void Join(Context& context) {
-  LeadershipState& state = StateOf(context);
-  if (context.state.stopping) {
-    return;
-  }
-  const std::optional<CallChannel> channel = state.join_channels.Take();
-  if (!channel) {
-    return;
-  }
-  context.Emit(JoinGroup{ToString(Self(context)),
-                         context.state.settings.store.member_time_to_live,
-                         state.generation, *channel});
-}
-
 void Enter(Context& context, LeaderPhase phase) {
   LeadershipState& state = StateOf(context);
   context.Log(LogLevel::kInfo, kPart, "Phase changed.",
@@ -86,16 +63,7 @@
   submission_calls::DropLeaderState(context);
   Enter(context, LeaderPhase::kFencing);
   work_log::RaiseEpoch(context);
-}
-
-/// What the helpers are to the leader, the peers are to all others.
-void RememberHelpers(Context& context) {
-  LeadershipState& state = StateOf(context);
-  for (const auto& [node, helper] : context.state.submissions.helpers) {
-    if (!helper.address.empty()) {
-      state.peers[node] = {helper.process, helper.address};
-    }
-  }
+  Announce(context);
 }
 
 void StepDown(Context& context, std::string_view reason) {
@@ -128,6 +96,7 @@
   }
   state.leader = member;
   state.leader_adopted_at = context.now;
+  state.candidacy.refused_since.reset();
   context.Log(
       LogLevel::kInfo, kPart, "Follows a leader.",
       {{"leader", member.process.node.value}, {"generation", generation}});
@@ -162,8 +131,32 @@
               {{"generation", state.generation}, {"leads", state.holds}});
 }
 
-/// Ends the membership of a process that leads no longer, so that the group
-/// names the next leader at once and not when the membership lapses.
+}  // namespace
+
+void Join(Context& context) {
+  LeadershipState& state = StateOf(context);
+  if (context.state.stopping || !candidacy::Stands(context)) {
+    return;
+  }
+  const std::optional<CallChannel> channel = state.join_channels.Take();
+  if (!channel) {
+    return;
+  }
+  context.Emit(JoinGroup{ToString(Self(context)),
+                         context.state.settings.store.member_time_to_live,
+                         state.generation, *channel});
+}
+
+/// What the helpers are to the leader, the peers are to all others.
+void RememberHelpers(Context& context) {
+  LeadershipState& state = StateOf(context);
+  for (const auto& [node, helper] : context.state.submissions.helpers) {
+    if (!helper.address.empty()) {
+      state.peers[node] = {helper.process, helper.address};
+    }
+  }
+}
+
 void EndMembership(Context& context, const GroupMember& member,
                    std::string_view reason) {
   const std::string name = ToString(member);
@@ -176,54 +169,18 @@
   context.ArmIn(TimerKind::kLeadership, kAfterLeave);
 }
 
-/// Asks the peers to end this process's membership.
-void AskForRelease(Context& context) {
-  RememberHelpers(context);
-  LeaderReport report;
-  report.leader = ToString(Self(context));
-  report.generation = StateOf(context).generation;
-  report.releases = true;
-  for (const auto& [node, member] : StateOf(context).peers) {
-    context.Emit(SendToPeer{node, report});
-  }
-}
-
-void OnRelease(Context& context, const LeaderReport& report) {
-  LeadershipState& state = StateOf(context);
-  const std::optional<GroupMember> leader = ParseGroupMember(report.leader);
-  const bool is_old = report.generation < state.leader_generation;
-  if (!leader || is_old || state.holds || context.state.stopping) {
-    return;
-  }
-  state.releasing = leader;
-  state.release_asked_at = context.now;
-  Join(context);
+void Start(Context& context) {
+  candidacy::Start(context);
+  OnTimer(context);
 }
 
-/// A join that was sent after a leader asked for its release has been
-/// answered.
-void Release(Context& context, TimePoint sent_at) {
-  LeadershipState& state = StateOf(context);
-  if (!state.releasing || sent_at < state.release_asked_at) {
-    return;
-  }
-  const GroupMember member = *std::exchange(state.releasing, std::nullopt);
-  const TimePoint arrived = own_load::CaughtUpTo(context);
-  const bool is_old = arrived > state.release_asked_at + kSwiftJoin * 2;
-  if (!state.holds && !is_old && arrived - sent_at <= kSwiftJoin) {
-    EndMembership(context, member, "it gives the leadership up");
-  }
-}
-
-}  // namespace
-
-void Start(Context& context) { OnTimer(context); }
-
 void OnTimer(Context& context) {
   Join(context);
   const LeadershipState& state = StateOf(context);
+  // Only members learn of the group's changes by their joins.
   const bool is_outdated =
-      !state.leader || state.leader_generation != state.generation;
+      !state.leader || (candidacy::Stands(context) &&
+                        state.leader_generation != state.generation);
   // A join that is carried out late makes a process that stops a member again.
   if (is_outdated || context.state.stopping) {
     AskForLeader(context);
@@ -245,10 +202,11 @@
   }
   CheckLooks(context);
   const Duration interval = context.state.settings.store.join_interval;
-  context.ArmIn(TimerKind::kLeadership,
-                context.now < state.settles_until
-                    ? std::min(interval, kSettleInterval)
-                    : interval);
+  const Duration next = candidacy::NextCheck(context, interval);
+  context.ArmIn(TimerKind::kLeadership, context.now < state.settles_until
+                                            ? std::min(next, kSettleInterval)
+                                            : next);
+  candidacy::OnTimer(context);
 }
 
 void OnJoined(Context& context, const GroupJoined& event) {
@@ -259,6 +217,11 @@
     return;
   }
   OnStoreHeard(context);
+  if (!candidacy::Stands(context)) {
+    // A join that was carried out after this process had left the group.
+    LeaveGroupOnly(context);
+    return;
+  }
   // Joins on several channels overtake each other; what the group says of
   // itself is ordered by its generation.
   if (context.state.stopping || event.generation < state.generation) {
@@ -277,7 +240,7 @@
       TakeOver(context, std::max(Epoch{event.generation}, state.epoch));
     }
   }
-  Release(context, event.sent_at);
+  leader_release::OnJoined(context, event.sent_at);
   if (has_changed) {
     // A partition moves only once its former holder has joined with the new
     // generation, so that its next holder learns of it by a later join.
@@ -294,6 +257,10 @@
   if (state.holds) {
     return;
   }
+  const bool stands = candidacy::Stands(context);
+  if (!stands) {
+    NoteStore(context, event.ok);
+  }
   if (!event.ok) {
     if (!state.leader) {
       AskPeers(context);
@@ -306,6 +273,7 @@
     EndMembership(context, *member, "it is an earlier run of this process");
     return;
   }
+  candidacy::OnOwnerRead(context, !member);
   if (!member || member->process == self) {
     // Nobody leads, or this process is about to learn that it does.
     state.leader.reset();
@@ -317,14 +285,18 @@
     }
     return;
   }
-  Adopt(context, *member, state.generation);
+  // One that does not join knows the generation by reports only.
+  Adopt(context, *member,
+        stands ? state.generation
+               : std::max(state.generation, state.leader_generation));
 }
 
 void OnPeerRefused(Context& context, const PeerRefused& event) {
   const LeadershipState& state = StateOf(context);
   const bool is_leader =
       state.leader && state.leader->process.node == event.peer;
-  if (is_leader && !state.holds && !state.linked.contains(event.peer)) {
+  if (is_leader && !state.holds && !state.linked.contains(event.peer) &&
+      candidacy::MayEndMembership(context)) {
     // A listener lives as long as its process, so the leader has ended.
     EndMembership(context, *state.leader, "its host refuses connections");
   }
@@ -332,7 +304,7 @@
 
 void OnReport(Context& context, const LeaderReport& report) {
   if (report.releases) {
-    OnRelease(context, report);
+    leader_release::OnAsked(context, report);
     return;
   }
   LeadershipState& state = StateOf(context);
@@ -357,6 +329,9 @@
     }
     Adopt(context, *leader, report.generation);
   }
+  if (leader && state.leader == *leader) {
+    candidacy::OnReport(context, report);
+  }
 }
 
 void OnLeaderLost(Context& context) {
@@ -379,8 +354,7 @@
     }
     const auto& [node, member] = *peer++;
     context.Emit(ConnectPeer{node, member.address});
-    context.Emit(
-        SendToPeer{node, HelperReport{context.state.settings.peer_address}});
+    context.Emit(SendToPeer{node, candidacy::DescribeSelf(context)});
     state.last_asked = node;
   }
 }
@@ -396,37 +370,46 @@
   StateOf(context).store_heard_at = context.now;
 }
 
-void CheckStore(Context& context) {
+void LeaveGroupOnly(Context& context) {
+  context.Emit(LeaveGroup{ToString(Self(context))});
+}
+
+void Leave(Context& context, std::string_view reason) {
+  LeaveGroupOnly(context);
+  if (StateOf(context).holds) {
+    leader_release::Ask(context);
+  }
+  StepDown(context, reason);
+  AskForLeader(context);
+}
+
+void Doubt(Context& context) {
   LeadershipState& state = StateOf(context);
-  if (context.now > state.store_checked_at + kCheckGap) {
-    state.store_heard_at = context.now;
-  }
-  state.store_checked_at = context.now;
-  const TimePoint heard_at = state.store_heard_at;
-  // Other threads of a process that was late may still be.
-  const Duration patience = kStoreSilence + own_load::RecentDelay(context);
-  if (!IsLeading(context) || context.now < heard_at + patience ||
-      !work_log::IsWaiting(context, patience) ||
-      context.now < state.released_at + kReleaseInterval) {
+  if (candidacy::Stands(context) || context.now < state.candidacy.next_doubt) {
     return;
   }
-  state.released_at = context.now;
-  context.Log(LogLevel::kWarning, kPart,
-              "The store does not answer; asks for another leader.",
-              {{"epoch", state.epoch.value},
-               {"silent_ms", context.now - heard_at},
-               {"own_delay_ms", own_load::RecentDelay(context)},
-               {"busy_share", own_load::BusyShare(context)}});
-  AskForRelease(context);
+  state.candidacy.next_doubt =
+      context.now + context.state.settings.store.join_interval;
+  AskForLeader(context);
 }
 
-void Leave(Context& context) {
-  context.Emit(LeaveGroup{ToString(Self(context))});
-  if (StateOf(context).holds) {
-    AskForRelease(context);
+void TellLeadership(Context& context, const NodeName& peer) {
+  LeaderReport report;
+  report.leader = ToString(Self(context));
+  report.generation = StateOf(context).generation;
+  context.Emit(SendToPeer{peer, std::move(report)});
+}
+
+void Announce(Context& context) {
+  const LeadershipState& state = StateOf(context);
+  for (const auto& [node, member] : state.peers) {
+    if (state.linked.contains(node)) {
+      TellLeadership(context, node);
+    } else {
+      // It is told once the connection stands.
+      context.Emit(ConnectPeer{node, member.address});
+    }
   }
-  StepDown(context, "the process stops");
-  AskForLeader(context);
 }
 
 void OnFenced(Context& context, Epoch in_force) {
--- a/packages/core/src/internal/leadership.h
+++ b/packages/core/src/internal/leadership.h
@@ -1,6 +1,8 @@
 #ifndef BASILSPREAD_CORE_INTERNAL_LEADERSHIP_H_
 #define BASILSPREAD_CORE_INTERNAL_LEADERSHIP_H_
 
+#include <string_view>
+
 #include "basilspread/core/event.h"
 #include "internal/context.h"
 
@@ -22,11 +24,25 @@
 void OnResumed(Context& context, const Resumed& event);
 /// The store has answered a call with success.
 void OnStoreHeard(Context& context);
-/// While leading: asks the peers to end this leadership when the store has
-/// been silent for too long.
-void CheckStore(Context& context);
-/// Hands the leadership back.
-void Leave(Context& context);
+/// Joins the group or stays in it, if this process stands for it.
+void Join(Context& context);
+/// Leaves the group, and hands the leadership over if this process has it.
+void Leave(Context& context, std::string_view reason);
+/// Leaves the group; for a process that does not lead.
+void LeaveGroupOnly(Context& context);
+/// Ends the membership of a process that leads no longer, so that the group
+/// names the next leader at once and not when the membership lapses.
+void EndMembership(Context& context, const GroupMember& member,
+                   std::string_view reason);
+/// The leader did not answer or does not lead: another one may. A process
+/// that does not join the group reads who.
+void Doubt(Context& context);
+/// While leading: tells the peer so.
+void TellLeadership(Context& context, const NodeName& peer);
+/// While leading: tells the peers so, since not all of them join the group.
+void Announce(Context& context);
+/// Takes the helpers into the peers.
+void RememberHelpers(Context& context);
 
 /// A higher epoch stands at the store or at a worker.
 void OnFenced(Context& context, Epoch in_force);
--- a/packages/core/src/internal/own_load.cc
+++ b/packages/core/src/internal/own_load.cc
@@ -5,9 +5,26 @@
 
 namespace basilspread::internal::own_load {
 
+namespace {
+
+void NoteDelay(LoadState& state, TimePoint now) {
+  const Duration passed = now - state.short_window_began;
+  if (passed >= kShortWindow) {
+    // Nothing came in a whole window, so nothing waited.
+    const bool was_idle = passed >= 2 * kShortWindow && state.delay < passed;
+    state.least_delay_before = was_idle ? Duration::zero() : state.least_delay;
+    state.least_delay = state.delay;
+    state.short_window_began = now;
+  }
+  state.least_delay = std::min(state.least_delay, state.delay);
+}
+
+}  // namespace
+
 void OnEvent(Context& context, const LoopLoad& load) {
   LoadState& state = context.state.load;
   state.delay = load.delay;
+  NoteDelay(state, context.now);
   if (context.now >= state.now.began + kWindow) {
     state.before = std::exchange(state.now, LoadWindow{});
     state.now.began = context.now;
@@ -28,6 +45,11 @@
   return std::max(state.now.longest_delay, state.before.longest_delay);
 }
 
+Duration StandingDelay(const Context& context) {
+  const LoadState& state = context.state.load;
+  return std::min(state.least_delay, state.least_delay_before);
+}
+
 double BusyShare(const Context& context) {
   const LoadState& state = context.state.load;
   const Duration length = state.now.began - state.before.began;
--- a/packages/core/src/internal/own_load.h
+++ b/packages/core/src/internal/own_load.h
@@ -12,6 +12,10 @@
 /// Length of a window.
 inline constexpr Duration kWindow = std::chrono::seconds(1);
 
+/// Length of a short window: a burst that is worked off within it is no
+/// overload.
+inline constexpr Duration kShortWindow = std::chrono::milliseconds(250);
+
 void OnEvent(Context& context, const LoopLoad& load);
 
 /// Everything that came before this point has been handled. Whoever waits for
@@ -22,6 +26,9 @@
 /// Longest time that an event has waited in the last one to two seconds.
 Duration RecentDelay(const Context& context);
 
+/// Time that every event has waited of late; zero once one did not.
+Duration StandingDelay(const Context& context);
+
 /// Share of the last whole window that was spent on events.
 double BusyShare(const Context& context);
 
--- a/packages/core/src/internal/step_advice.cc
+++ b/packages/core/src/internal/step_advice.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "internal/candidacy.h"
 #include "internal/leadership.h"
 #include "internal/own_load.h"
 #include "internal/step_placement.h"
@@ -89,6 +90,7 @@
       return;
     }
     helper.told_change = state.helper_changes;
+    candidacy::Describe(context, report);
     for (const auto& [node, member] : state.helpers) {
       if (member.address.empty()) {
         // This process itself, which asks for advice too.
@@ -291,6 +293,7 @@
     context.Emit(ConnectPeer{from.node, report.address});
   }
   helper.heard_at = context.now;
+  candidacy::OnHelper(context, helper, report);
   TellLeader(context, helper);
 }
 
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "internal/candidacy.h"
 #include "internal/leadership.h"
 #include "internal/own_load.h"
 #include "internal/queue_tables.h"
@@ -131,6 +132,9 @@
   if (!leader || own_load::CaughtUpTo(context) < call.send_not_before) {
     return;
   }
+  if (!call.takers.empty()) {
+    leadership::Doubt(context);
+  }
   call.send_not_before = context.now + kUnansweredDelay;
   ++call.takers[leader->process.node];
   const SubmissionCall message = call.message;
@@ -291,6 +295,9 @@
                            answer.kind == ErrorKind::kNotReady;
   if (is_declined) {
     TakeBack(context, found->second, from);
+    if (answer.kind == ErrorKind::kNotOwner) {
+      leadership::Doubt(context);
+    }
     return;
   }
   SubmissionAnswer told = answer;
@@ -327,8 +334,10 @@
   if (!leader && event.connected &&
       state.leadership.peers.contains(event.peer)) {
     // Opened to ask who leads.
-    context.Emit(SendToPeer{event.peer,
-                            HelperReport{context.state.settings.peer_address}});
+    context.Emit(SendToPeer{event.peer, candidacy::DescribeSelf(context)});
+  }
+  if (state.leadership.holds && event.connected) {
+    leadership::TellLeadership(context, event.peer);
   }
   if (!leader || leader->process.node != event.peer) {
     return;
@@ -362,8 +371,8 @@
     return;
   }
   state.next_report = context.now + kReportInterval;
-  context.Emit(SendToPeer{leader->process.node,
-                          HelperReport{context.state.settings.peer_address}});
+  context.Emit(
+      SendToPeer{leader->process.node, candidacy::DescribeSelf(context)});
 }
 
 void OnLeading(Context& context) { OnLeaderChanged(context); }
@@ -388,7 +397,7 @@
   context.state.stopping = true;
   context.Log(LogLevel::kInfo, kPart, "A stop was requested.");
   context.Emit(SetReadiness{false});
-  leadership::Leave(context);
+  leadership::Leave(context, "the process stops");
   SubmissionsState& state = StateOf(context);
   const StoreSettings& settings = context.state.settings.store;
   state.refuse_from = context.now + settings.drain_time;
--- a/packages/core/src/internal/submission_service.cc
+++ b/packages/core/src/internal/submission_service.cc
@@ -6,7 +6,9 @@
 #include <utility>
 #include <vector>
 
+#include "internal/candidacy.h"
 #include "internal/fleet.h"
+#include "internal/leader_release.h"
 #include "internal/leadership.h"
 #include "internal/own_load.h"
 #include "internal/queue_tables.h"
@@ -265,7 +267,8 @@
 void OnTimer(Context& context) {
   SubmissionsState& state = StateOf(context);
   step_advice::OnTimer(context);
-  leadership::CheckStore(context);
+  leader_release::CheckStore(context);
+  candidacy::CheckHeadroom(context);
   if (context.now >= state.next_gauges) {
     state.next_gauges = context.now + kGaugeInterval;
     SetGauges(context);
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -102,6 +102,7 @@
                           effect.generation >= this->world.generation;
     if (gives_up) {
       this->world.leader_member = std::exchange(this->world.next_member, "");
+      ++this->world.moves;
     }
     this->world.PostIn(this->node.index, this->world.store_time, joined);
   }
@@ -117,6 +118,9 @@
 
   void operator()(const ReadLeader& /*effect*/) const {
     const bool ok = this->world.ReachesStore(this->node.index);
+    if (ok) {
+      this->world.DealLeadership();
+    }
     this->world.PostIn(this->node.index, ok ? this->world.store_time : kTimeout,
                        LeaderRead{ok, this->world.leader_member});
   }
@@ -242,13 +246,20 @@
   void operator()(const Other& /*effect*/) const {}
 };
 
-StoreWorld::StoreWorld(int count,
+StoreWorld::StoreWorld(int count, const std::vector<std::string>& worker_names)
+    : StoreWorld(std::vector<Capacity>(static_cast<std::size_t>(count)),
+                 worker_names) {}
+
+StoreWorld::StoreWorld(const std::vector<Capacity>& capacities,
                        const std::vector<std::string>& worker_names) {
   for (const std::string& name : worker_names) {
     this->AddWorker(name);
   }
+  const int count = static_cast<int>(capacities.size());
   for (int i = 0; i < count; ++i) {
-    this->nodes.push_back(std::make_unique<Node>(i, MakeSettings(i)));
+    Settings settings = MakeSettings(i);
+    settings.capacity = capacities[static_cast<std::size_t>(i)];
+    this->nodes.push_back(std::make_unique<Node>(i, settings));
   }
   for (int i = 0; i < count; ++i) {
     this->PostIn(i, milliseconds(i), Started{});
@@ -468,12 +479,22 @@
   if (this->members.size() != before) {
     ++this->generation;
   }
-  if (this->members.contains(this->leader_member)) {
+  const std::string first =
+      this->members.empty() ? "" : this->members.begin()->first;
+  const bool stays = this->members.contains(this->leader_member) &&
+                     (!this->joins_move_leadership || !next_member.empty() ||
+                      this->leader_member == first);
+  if (stays || (first.empty() && this->leader_member.empty())) {
     return;
   }
   ++this->generation;
-  this->leader_member =
-      this->members.empty() ? "" : this->members.begin()->first;
+  if (this->members.contains(this->leader_member)) {
+    // Its holder gives it up by its next join.
+    this->next_member = first;
+    return;
+  }
+  this->moves += first.empty() ? 0 : 1;
+  this->leader_member = first;
 }
 
 StepSpec Tasks(std::uint32_t count) {
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -53,6 +53,9 @@
  public:
   /// Runs until a process leads and inherited work no longer waits.
   StoreWorld(int nodes, const std::vector<std::string>& worker_names);
+  /// A process for each capacity.
+  StoreWorld(const std::vector<Capacity>& capacities,
+             const std::vector<std::string>& worker_names);
   ~StoreWorld();
   StoreWorld(const StoreWorld&) = delete;
   StoreWorld& operator=(const StoreWorld&) = delete;
@@ -90,6 +93,10 @@
   const State& StateOf(int node) const;
   /// Events and timers that wait for a slow process.
   std::size_t Waiting(int node) const;
+  /// Members of the group, by their nodes' numbers.
+  std::set<int> Members() const;
+  /// How often the group has named another holder of the leadership.
+  int Moves() const { return this->moves; }
   TimePoint Now() const { return this->now; }
   /// Appends that processes have sent.
   int Appends() const { return this->appends; }
@@ -107,6 +114,9 @@
   bool store_is_down = false;
   /// Processes that the store answers no call of.
   std::set<int> cut_from_store;
+  /// A member that joins may be given the leadership: the one with the lowest
+  /// number gets it.
+  bool joins_move_leadership = false;
   /// From a call of the store to its answer.
   Duration store_time = std::chrono::milliseconds(2);
   /// Appends are carried out and not answered.
@@ -184,6 +194,7 @@
   Epoch log_epoch;
   std::uint64_t log_sequence = 0;
   std::map<std::string, WorkRecord> log;
+  int moves = 0;
   int questions = 0;
   int appends = 0;
   std::map<std::pair<int, SubmissionId>, int> calls_sent;
--- a/packages/core/tests/support/store_world_loop.cc
+++ b/packages/core/tests/support/store_world_loop.cc
@@ -83,4 +83,17 @@
   return found == this->calls_sent.end() ? 0 : found->second;
 }
 
+std::set<int> StoreWorld::Members() const {
+  std::set<int> members;
+  for (const auto& node : this->nodes) {
+    const Settings& settings = node->state.settings;
+    const auto member = this->members.find(
+        ToString(GroupMember{settings.self, settings.peer_address}));
+    if (member != this->members.end() && member->second > this->now) {
+      members.insert(node->index);
+    }
+  }
+  return members;
+}
+
 }  // namespace basilspread::test
--- a/packages/wire/src/submission_codec.cc
+++ b/packages/wire/src/submission_codec.cc
@@ -100,6 +100,22 @@
       message.members.push_back(member->str());
     }
   }
+  if (packed.candidates() != nullptr) {
+    for (const auto* candidate : *packed.candidates()) {
+      message.candidates.push_back(
+          {NodeName{candidate->node()->str()},
+           {candidate->processor_share(), candidate->link_mbps()}});
+    }
+  }
+  return message;
+}
+
+PeerMessage Unpack(const fb::HelperReport& packed) {
+  HelperReport message;
+  message.address = packed.address()->str();
+  message.capacity = {packed.processor_share(), packed.link_mbps()};
+  message.stands = packed.stands();
+  message.busy_share = packed.busy_share();
   return message;
 }
 
@@ -156,15 +172,26 @@
 PackedBody Pack(Builder& builder, const HelperReport& message) {
   const auto address = builder.CreateString(message.address);
   return {fb::PeerBody::HelperReport,
-          fb::CreateHelperReport(builder, address).Union()};
+          fb::CreateHelperReport(
+              builder, address, message.capacity.processor_share,
+              message.capacity.link_mbps, message.stands, message.busy_share)
+              .Union()};
 }
 
 PackedBody Pack(Builder& builder, const LeaderReport& message) {
+  std::vector<flatbuffers::Offset<fb::Candidate>> packed;
+  for (const Candidate& candidate : message.candidates) {
+    const auto node = builder.CreateString(candidate.node.value);
+    packed.push_back(fb::CreateCandidate(builder, node,
+                                         candidate.capacity.processor_share,
+                                         candidate.capacity.link_mbps));
+  }
+  const auto candidates = builder.CreateVector(packed);
   const auto members = builder.CreateVectorOfStrings(message.members);
   const auto leader = builder.CreateString(message.leader);
   return {fb::PeerBody::LeaderReport,
           fb::CreateLeaderReport(builder, leader, members, message.generation,
-                                 message.releases)
+                                 message.releases, candidates)
               .Union()};
 }
 
@@ -203,8 +230,7 @@
     case fb::PeerBody::SubmissionAnswer:
       return Unpack(*frame.body_as_SubmissionAnswer());
     case fb::PeerBody::HelperReport:
-      return PeerMessage(
-          HelperReport{frame.body_as_HelperReport()->address()->str()});
+      return Unpack(*frame.body_as_HelperReport());
     case fb::PeerBody::LeaderReport:
       return Unpack(*frame.body_as_LeaderReport());
     case fb::PeerBody::AdviceCall:
--- a/packages/wire/tests/peer_codec_test.cc
+++ b/packages/wire/tests/peer_codec_test.cc
@@ -37,6 +37,33 @@
   REQUIRE(forward.payload->headers.at(0).value == "text/plain");
 }
 
+TEST_CASE("Reports of helpers and leaders survive", "[wire][peer]") {
+  const ProcessId sender{NodeName{"glasgow-1"}, 42};
+  HelperReport helper{"10.0.0.1:7000", {0.12, 10}, true, 0.75};
+  const PeerFrame first =
+      DecodeFrame(Body(EncodeFrame({sender, helper}).value())).value();
+  const auto& report = std::get<HelperReport>(first.message);
+  CHECK(report.address == helper.address);
+  CHECK(report.capacity == helper.capacity);
+  CHECK(report.stands);
+  CHECK(report.busy_share == 0.75);
+
+  LeaderReport leader;
+  leader.leader = "glasgow-1/42/10.0.0.1:7000";
+  leader.members = {"dundee-1/7/10.0.0.2:7000"};
+  leader.candidates = {{NodeName{"glasgow-1"}, {0.5, 200}},
+                       {NodeName{"dundee-1"}, {0.12, 10}}};
+  leader.generation = 9;
+  const PeerFrame second =
+      DecodeFrame(Body(EncodeFrame({sender, leader}).value())).value();
+  const auto& told = std::get<LeaderReport>(second.message);
+  CHECK(told.members == leader.members);
+  REQUIRE(told.candidates.size() == 2);
+  CHECK(told.candidates[1].node == NodeName{"dundee-1"});
+  CHECK(told.candidates[0].capacity == Capacity{0.5, 200});
+  CHECK(told.generation == 9);
+}
+
 TEST_CASE("Malformed frames are refused", "[wire][peer]") {
   const std::string bytes = Body(EncodeFrame(MakeForward()).value());
 
