Refuse submissions for load before they wait too long

Cause: nothing at the door looked at how long events wait. Each call was taken into the leader's queue, where it waited longer than its caller; a call without an answer after 0.8 s was sent again.

Ruled out: a limit on the number of open calls (it says nothing of a host's speed), and on the longest delay (a burst that is worked off at once would be refused).

Why it works: the least delay of the last quarter to half of a second is what waits all the time. From half of the shortest target on, the leader refuses those with the longest targets before any append, so that "not run" is true, and the more routes the longer events wait. The processes that pass calls on refuse for it until its Retry-After, which takes the load off its queue. Status and cancel calls are never refused.

--- /dev/null
+++ b/packages/core/src/internal/load_shedding.cc
@@ -0,0 +1,94 @@
+#include "internal/load_shedding.h"
+
+#include <algorithm>
+
+#include "internal/own_load.h"
+#include "internal/queue_tables.h"
+
+namespace basilspread::internal::load_shedding {
+namespace {
+
+/// Events may wait for this share of the time that the most urgent route has;
+/// the rest is needed for the append, the advice and the start.
+constexpr double kDelayShare = 0.5;
+/// Of tables that state no target.
+constexpr Duration kDefaultTarget = std::chrono::seconds(1);
+/// Callers come again no sooner: half of the 3 s that they wait for an answer
+/// would be spent on the tries otherwise.
+constexpr Duration kLeastRetryAfter = std::chrono::seconds(1);
+/// What waits now is worked off in its own time; as much may come meanwhile.
+constexpr int kDrainFactor = 2;
+/// Callers come back spread over this time.
+constexpr Duration kRetrySpread = std::chrono::seconds(1);
+
+struct Targets {
+  Duration shortest = Duration::max();
+  Duration longest{};
+};
+
+Targets FindTargets(const Context& context) {
+  Targets targets;
+  const auto& tables = context.state.submissions.tables.tables;
+  if (tables) {
+    for (const QueueRoute& route : tables->routes) {
+      const Duration target = route.policy.target_latency;
+      if (target > Duration::zero()) {
+        targets.shortest = std::min(targets.shortest, target);
+        targets.longest = std::max(targets.longest, target);
+      }
+    }
+  }
+  if (targets.longest == Duration::zero()) {
+    return {kDefaultTarget, kDefaultTarget};
+  }
+  return targets;
+}
+
+Duration RetryAfter(Context& context, Duration delay) {
+  const auto spread = static_cast<std::int64_t>(context.state.random.Below(
+      static_cast<std::uint64_t>(kRetrySpread.count())));
+  return std::max(kLeastRetryAfter, delay * kDrainFactor) + Duration(spread);
+}
+
+}  // namespace
+
+std::optional<Duration> RefuseFor(Context& context, const QueueRoute& route) {
+  const Duration delay = own_load::StandingDelay(context);
+  if (delay <= Duration::zero()) {
+    return std::nullopt;
+  }
+  const Targets targets = FindTargets(context);
+  const double pressure =
+      std::chrono::duration<double>(delay) /
+      (std::chrono::duration<double>(targets.shortest) * kDelayShare);
+  const Duration target =
+      std::max(route.policy.target_latency, targets.shortest);
+  // The longer events wait, the shorter are the targets that are refused.
+  const bool has_time = std::chrono::duration<double>(target) * pressure >
+                        std::chrono::duration<double>(targets.longest);
+  if (pressure <= 1 || !has_time) {
+    return std::nullopt;
+  }
+  return RetryAfter(context, delay);
+}
+
+std::optional<Duration> RefuseAtDoor(Context& context, const RouteName& name) {
+  auto& refused = context.state.submissions.refused_until;
+  const auto until = refused.find(name);
+  if (until != refused.end()) {
+    if (context.now < until->second) {
+      return std::max(until->second - context.now, kLeastRetryAfter);
+    }
+    refused.erase(until);
+  }
+  const QueueRoute* route = queue_tables::Find(context, name);
+  return route == nullptr ? std::nullopt : RefuseFor(context, *route);
+}
+
+void OnLeaderRefused(Context& context, const RouteName& route,
+                     Duration retry_after) {
+  TimePoint& until = context.state.submissions.refused_until[route];
+  until = std::max(until, context.now + retry_after);
+}
+
+}  // namespace basilspread::internal::load_shedding
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -11,6 +11,7 @@
 
 #include "internal/candidacy.h"
 #include "internal/leadership.h"
+#include "internal/load_shedding.h"
 #include "internal/own_load.h"
 #include "internal/queue_tables.h"
 #include "internal/submission_service.h"
@@ -106,8 +107,10 @@
   context.Emit(AnswerSubmissionCaller{answer});
 }
 
-void Refuse(Context& context, const OpenCall& call, ErrorKind kind) {
+void Refuse(Context& context, const OpenCall& call, ErrorKind kind,
+            Duration retry_after = Duration::zero()) {
   SubmissionAnswer answer;
+  answer.retry_after = retry_after;
   answer.call = call.message.call;
   answer.operation = call.message.operation;
   answer.kind = kind;
@@ -258,6 +261,12 @@
   if (fault != ErrorKind::kNone) {
     return Refuse(context, call, fault);
   }
+  if (call.message.operation == SubmissionOperation::kSubmit) {
+    const auto wait = load_shedding::RefuseAtDoor(context, call.message.route);
+    if (wait) {
+      return Refuse(context, call, ErrorKind::kOverloaded, *wait);
+    }
+  }
   SubmissionsState& state = StateOf(context);
   call.deadline = call.arrived + event.time_left - kAnswerMargin;
   if (context.state.stopping) {
@@ -300,6 +309,10 @@
     }
     return;
   }
+  if (answer.kind == ErrorKind::kOverloaded) {
+    load_shedding::OnLeaderRefused(context, found->second.message.route,
+                                   answer.retry_after);
+  }
   SubmissionAnswer told = answer;
   told.operation = found->second.message.operation;
   const bool is_refusal = answer.kind == ErrorKind::kLogUnavailable ||
--- a/packages/core/src/internal/submission_service.cc
+++ b/packages/core/src/internal/submission_service.cc
@@ -10,6 +10,7 @@
 #include "internal/fleet.h"
 #include "internal/leader_release.h"
 #include "internal/leadership.h"
+#include "internal/load_shedding.h"
 #include "internal/own_load.h"
 #include "internal/queue_tables.h"
 #include "internal/step_advice.h"
@@ -64,6 +65,13 @@
     // The other process has newer tables; these come within moments.
     return Reply(context, from, message.call, ErrorKind::kNotReady);
   }
+  if (const auto wait = load_shedding::RefuseFor(context, *route)) {
+    SubmissionAnswer answer;
+    answer.call = message.call;
+    answer.kind = ErrorKind::kOverloaded;
+    answer.retry_after = *wait;
+    return Reply(context, from, answer);
+  }
   if (!work_log::IsAvailable(context)) {
     return Reply(context, from, message.call, ErrorKind::kLogUnavailable);
   }
