--- a/packages/core/src/internal/step_advice.cc
+++ b/packages/core/src/internal/step_advice.cc
@@ -7,9 +7,11 @@
 #include <optional>
 #include <utility>
 
+#include "internal/candidacy.h"
 #include "internal/fleet.h"
 #include "internal/gang_claims.h"
 #include "internal/leadership.h"
+#include "internal/own_load.h"
 #include "internal/step_offers.h"
 #include "internal/step_placement.h"
 #include "internal/submission_progress.h"
@@ -59,8 +61,9 @@
   std::optional<ProcessId> best;
   TimePoint best_free = context.now + kMaxLine;
   for (const auto& [node, helper] : state.helpers) {
-    const bool is_free = context.now < helper.heard_at + kHelperTimeout &&
-                         helper.open_questions < kMaxOpenQuestions;
+    const bool is_heard =
+        own_load::CaughtUpTo(context) < helper.heard_at + kHelperTimeout;
+    const bool is_free = is_heard && helper.open_questions < kMaxOpenQuestions;
     if (is_free && helper.busy_until < best_free) {
       best = helper.process;
       best_free = helper.busy_until;
@@ -93,6 +96,7 @@
       return;
     }
     helper.told_change = state.helper_changes;
+    candidacy::Describe(context, report);
     for (const auto& [node, member] : state.helpers) {
       if (member.address.empty()) {
         // This process itself, which asks for advice too.
@@ -341,7 +345,7 @@
 void OnTimer(Context& context) {
   std::vector<std::uint64_t> overdue;
   for (const auto& [number, question] : StateOf(context).questions) {
-    if (context.now >= question.give_up_at) {
+    if (own_load::CaughtUpTo(context) >= question.give_up_at) {
       overdue.push_back(number);
     }
   }
@@ -362,6 +366,7 @@
     context.Emit(ConnectPeer{from.node, report.address});
   }
   helper.heard_at = context.now;
+  candidacy::OnHelper(context, helper, report);
   TellLeader(context, helper);
 }
 
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -9,7 +9,10 @@
 #include <utility>
 #include <vector>
 
+#include "internal/candidacy.h"
 #include "internal/leadership.h"
+#include "internal/load_shedding.h"
+#include "internal/own_load.h"
 #include "internal/queue_tables.h"
 #include "internal/submission_service.h"
 
@@ -104,8 +107,10 @@
   context.Emit(AnswerSubmissionCaller{answer});
 }
 
-void Refuse(Context& context, const OpenCall& call, ErrorKind kind) {
+void Refuse(Context& context, const OpenCall& call, ErrorKind kind,
+            Duration retry_after = Duration::zero()) {
   SubmissionAnswer answer;
+  answer.retry_after = retry_after;
   answer.call = call.message.call;
   answer.operation = call.message.operation;
   answer.kind = kind;
@@ -127,9 +132,12 @@
 
 void Send(Context& context, OpenCall& call) {
   const auto& leader = StateOf(context).leadership.leader;
-  if (!leader || context.now < call.send_not_before) {
+  if (!leader || own_load::CaughtUpTo(context) < call.send_not_before) {
     return;
   }
+  if (!call.takers.empty()) {
+    leadership::Doubt(context);
+  }
   call.send_not_before = context.now + kUnansweredDelay;
   ++call.takers[leader->process.node];
   const SubmissionCall message = call.message;
@@ -180,7 +188,8 @@
 bool IsHopeless(const Context& context) {
   const LeadershipState& leadership = context.state.submissions.leadership;
   return !leadership.leader && leadership.joins_fail_since &&
-         context.now >= *leadership.joins_fail_since + kLeaderPatience;
+         own_load::CaughtUpTo(context) >=
+             *leadership.joins_fail_since + kLeaderPatience;
 }
 
 void Expire(Context& context, CallId id) {
@@ -247,13 +256,19 @@
   OpenCall call;
   call.message.call = event.call;
   call.message.operation = event.operation;
-  call.arrived = context.now;
+  call.arrived = own_load::CaughtUpTo(context);
   const ErrorKind fault = Admit(context, event, call.message);
   if (fault != ErrorKind::kNone) {
     return Refuse(context, call, fault);
   }
+  if (call.message.operation == SubmissionOperation::kSubmit) {
+    const auto wait = load_shedding::RefuseAtDoor(context, call.message.route);
+    if (wait) {
+      return Refuse(context, call, ErrorKind::kOverloaded, *wait);
+    }
+  }
   SubmissionsState& state = StateOf(context);
-  call.deadline = context.now + event.time_left - kAnswerMargin;
+  call.deadline = call.arrived + event.time_left - kAnswerMargin;
   if (context.state.stopping) {
     call.deadline = std::min(call.deadline, state.stop_by);
   }
@@ -289,8 +304,15 @@
                            answer.kind == ErrorKind::kNotReady;
   if (is_declined) {
     TakeBack(context, found->second, from);
+    if (answer.kind == ErrorKind::kNotOwner) {
+      leadership::Doubt(context);
+    }
     return;
   }
+  if (answer.kind == ErrorKind::kOverloaded) {
+    load_shedding::OnLeaderRefused(context, found->second.message.route,
+                                   answer.retry_after);
+  }
   SubmissionAnswer told = answer;
   told.operation = found->second.message.operation;
   const bool is_refusal = answer.kind == ErrorKind::kLogUnavailable ||
@@ -325,8 +347,10 @@
   if (!leader && event.connected &&
       state.leadership.peers.contains(event.peer)) {
     // Opened to ask who leads.
-    context.Emit(SendToPeer{event.peer,
-                            HelperReport{context.state.settings.peer_address}});
+    context.Emit(SendToPeer{event.peer, candidacy::DescribeSelf(context)});
+  }
+  if (state.leadership.holds && event.connected) {
+    leadership::TellLeadership(context, event.peer);
   }
   if (!leader || leader->process.node != event.peer) {
     return;
@@ -338,7 +362,7 @@
   Report(context);
   // What was sent on the old connection may be lost.
   ForEachOpen(context, [&](CallId /*id*/, OpenCall& call) {
-    call.send_not_before = context.now;
+    call.send_not_before = own_load::CaughtUpTo(context);
     Send(context, call);
   });
 }
@@ -346,7 +370,7 @@
 void OnLeaderChanged(Context& context) {
   Report(context);
   ForEachOpen(context, [&context](CallId /*id*/, OpenCall& call) {
-    call.send_not_before = context.now;
+    call.send_not_before = own_load::CaughtUpTo(context);
     Send(context, call);
   });
 }
@@ -360,8 +384,8 @@
     return;
   }
   state.next_report = context.now + kReportInterval;
-  context.Emit(SendToPeer{leader->process.node,
-                          HelperReport{context.state.settings.peer_address}});
+  context.Emit(
+      SendToPeer{leader->process.node, candidacy::DescribeSelf(context)});
 }
 
 void OnLeading(Context& context) { OnLeaderChanged(context); }
@@ -390,7 +414,7 @@
   context.state.stopping = true;
   context.Log(LogLevel::kInfo, kPart, "A stop was requested.");
   context.Emit(SetReadiness{false});
-  leadership::Leave(context);
+  leadership::Leave(context, "the process stops");
   SubmissionsState& state = StateOf(context);
   const StoreSettings& settings = context.state.settings.store;
   state.refuse_from = context.now + settings.drain_time;
--- a/packages/core/src/internal/submission_service.cc
+++ b/packages/core/src/internal/submission_service.cc
@@ -6,8 +6,11 @@
 #include <utility>
 #include <vector>
 
+#include "internal/candidacy.h"
 #include "internal/fleet.h"
+#include "internal/leader_release.h"
 #include "internal/leadership.h"
+#include "internal/load_shedding.h"
 #include "internal/own_load.h"
 #include "internal/queue_tables.h"
 #include "internal/step_advice.h"
@@ -62,6 +65,13 @@
     // The other process has newer tables; these come within moments.
     return Reply(context, from, message.call, ErrorKind::kNotReady);
   }
+  if (const auto wait = load_shedding::RefuseFor(context, *route)) {
+    SubmissionAnswer answer;
+    answer.call = message.call;
+    answer.kind = ErrorKind::kOverloaded;
+    answer.retry_after = *wait;
+    return Reply(context, from, answer);
+  }
   if (!work_log::IsAvailable(context)) {
     return Reply(context, from, message.call, ErrorKind::kLogUnavailable);
   }
@@ -265,7 +275,8 @@
 void OnTimer(Context& context) {
   SubmissionsState& state = StateOf(context);
   step_advice::OnTimer(context);
-  leadership::CheckStore(context);
+  leader_release::CheckStore(context);
+  candidacy::CheckHeadroom(context);
   if (context.now >= state.next_gauges) {
     state.next_gauges = context.now + kGaugeInterval;
     SetGauges(context);
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -5,6 +5,7 @@
 
 #include "basilspread/core/hooks.h"
 #include "support/store_world_log.h"
+#include "support/store_world_node.h"
 #include "support/store_world_times.h"
 
 namespace basilspread::test {
@@ -32,6 +33,12 @@
   QueueTables tables;
   tables.version = TablesVersion{1};
   tables.routes = {route};
+  // The same pool, without advice, for those in a hurry.
+  route.name = RouteName{"previews"};
+  route.path_prefix = "/previews/";
+  route.policy.target_latency = milliseconds(250);
+  route.policy.advice.reset();
+  tables.routes.push_back(route);
   return tables;
 }
 
@@ -46,19 +53,6 @@
 
 }  // namespace
 
-struct StoreWorld::Node {
-  Node(int node_index, const Settings& settings)
-      : index(node_index), state(settings, DefaultHooks()) {}
-
-  int index;
-  State state;
-  bool is_up = true;
-  /// Down, and its host says so.
-  bool refuses = false;
-  std::map<TimerKind, TimePoint> timers;
-  std::set<NodeName> links;
-};
-
 /// Carries out the effects of one node.
 struct StoreWorld::Deliver {
   StoreWorld& world;
@@ -78,6 +72,7 @@
 
   void operator()(const SetTimer& effect) const {
     this->node.timers[effect.kind] = effect.at;
+    this->node.due_timers.erase(effect.kind);
     StoreWorld* target = &this->world;
     Node* owner = &this->node;
     target->In(effect.at - target->now, [target, owner, effect] {
@@ -113,6 +108,7 @@
                           effect.generation >= this->world.generation;
     if (gives_up) {
       this->world.leader_member = std::exchange(this->world.next_member, "");
+      ++this->world.moves;
     }
     this->world.PostIn(this->node.index, this->world.store_time, joined);
   }
@@ -128,6 +124,9 @@
 
   void operator()(const ReadLeader& /*effect*/) const {
     const bool ok = this->world.ReachesStore(this->node.index);
+    if (ok) {
+      this->world.DealLeadership();
+    }
     this->world.PostIn(this->node.index, ok ? this->world.store_time : kTimeout,
                        LeaderRead{ok, this->world.leader_member});
   }
@@ -212,6 +211,9 @@
   }
 
   void operator()(const SendToPeer& effect) const {
+    if (const auto* call = std::get_if<SubmissionCall>(&effect.message)) {
+      ++this->world.calls_sent[{this->node.index, call->id}];
+    }
     if (!this->node.links.contains(effect.peer)) {
       this->world.PostIn(this->node.index, kCallTime,
                          PeerMessageNotSent{effect.peer, effect.message});
@@ -250,13 +252,20 @@
   void operator()(const Other& /*effect*/) const {}
 };
 
-StoreWorld::StoreWorld(int count,
+StoreWorld::StoreWorld(int count, const std::vector<std::string>& worker_names)
+    : StoreWorld(std::vector<Capacity>(static_cast<std::size_t>(count)),
+                 worker_names) {}
+
+StoreWorld::StoreWorld(const std::vector<Capacity>& capacities,
                        const std::vector<std::string>& worker_names) {
   for (const std::string& name : worker_names) {
     this->AddWorker(name);
   }
+  const int count = static_cast<int>(capacities.size());
   for (int i = 0; i < count; ++i) {
-    this->nodes.push_back(std::make_unique<Node>(i, MakeSettings(i)));
+    Settings settings = MakeSettings(i);
+    settings.capacity = capacities[static_cast<std::size_t>(i)];
+    this->nodes.push_back(std::make_unique<Node>(i, settings));
   }
   for (int i = 0; i < count; ++i) {
     this->PostIn(i, milliseconds(i), Started{});
@@ -267,12 +276,13 @@
 StoreWorld::~StoreWorld() = default;
 
 CallId StoreWorld::Submit(int node, const std::string& id,
-                          std::vector<StepSpec> steps) {
+                          std::vector<StepSpec> steps,
+                          const std::string& prefix) {
   SubmissionCallArrived call;
   call.call = CallId{++this->last_call};
   call.operation = SubmissionOperation::kSubmit;
   call.authority = "cluster";
-  call.path = "/plans/" + id;
+  call.path = prefix + id;
   call.time_left = seconds(3);
   call.spec.reset(new SubmissionSpec);
   call.spec->command = "run";
@@ -399,13 +409,9 @@
       {this->now + delay, ++this->last_pending, std::move(action)});
 }
 
-void StoreWorld::Post(int index, EventBody body) {
-  Node& node = *this->nodes.at(static_cast<std::size_t>(index));
-  if (!node.is_up) {
-    return;
-  }
+void StoreWorld::Handle(Node& node, EventBody body, const LoopLoad& load) {
   for (const Effect& effect :
-       Reduce(node.state, Event{this->now, std::move(body)})) {
+       Reduce(node.state, Event{this->now, std::move(body), load})) {
     std::visit(Deliver{*this, node}, effect);
   }
 }
@@ -426,6 +432,7 @@
   appended.channel = effect.channel;
   appended.epoch = effect.epoch;
   appended.sequence = effect.sequence;
+  ++this->appends;
   if (!this->ReachesStore(node)) {
     this->PostIn(node, kTimeout, appended);
     return;
@@ -479,12 +486,22 @@
   if (this->members.size() != before) {
     ++this->generation;
   }
-  if (this->members.contains(this->leader_member)) {
+  const std::string first =
+      this->members.empty() ? "" : this->members.begin()->first;
+  const bool stays = this->members.contains(this->leader_member) &&
+                     (!this->joins_move_leadership || !next_member.empty() ||
+                      this->leader_member == first);
+  if (stays || (first.empty() && this->leader_member.empty())) {
     return;
   }
   ++this->generation;
-  this->leader_member =
-      this->members.empty() ? "" : this->members.begin()->first;
+  if (this->members.contains(this->leader_member)) {
+    // Its holder gives it up by its next join.
+    this->next_member = first;
+    return;
+  }
+  this->moves += first.empty() ? 0 : 1;
+  this->leader_member = first;
 }
 
 StepSpec Tasks(std::uint32_t count) {
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -53,6 +53,9 @@
  public:
   /// Runs until a process leads and inherited work no longer waits.
   StoreWorld(int nodes, const std::vector<std::string>& worker_names);
+  /// A process for each capacity.
+  StoreWorld(const std::vector<Capacity>& capacities,
+             const std::vector<std::string>& worker_names);
   ~StoreWorld();
   StoreWorld(const StoreWorld&) = delete;
   StoreWorld& operator=(const StoreWorld&) = delete;
@@ -64,7 +67,8 @@
   /// The worker leaves for good with all that runs there.
   void RemoveWorker(const std::string& name);
 
-  CallId Submit(int node, const std::string& id, std::vector<StepSpec> steps);
+  CallId Submit(int node, const std::string& id, std::vector<StepSpec> steps,
+                const std::string& prefix = "/plans/");
   CallId Ask(int node, SubmissionOperation operation, const std::string& id);
   /// Unset while the call waits.
   std::optional<SubmissionAnswer> AnswerTo(CallId call) const;
@@ -88,16 +92,32 @@
   /// The process that leads; -1 when none does.
   int Leader() const;
   const State& StateOf(int node) const;
+  /// Events and timers that wait for a slow process.
+  std::size_t Waiting(int node) const;
+  /// Members of the group, by their nodes' numbers.
+  std::set<int> Members() const;
+  /// How often the group has named another holder of the leadership.
+  int Moves() const { return this->moves; }
+  TimePoint Now() const { return this->now; }
+  /// Appends that processes have sent.
+  int Appends() const { return this->appends; }
+  /// How often a process sent its leader the calls about a submission.
+  int CallsSent(int node, const std::string& id) const;
   /// Questions that the advisor was asked.
   int Questions() const { return this->questions; }
   /// Starts that a worker carried out, by task.
   int Starts(const std::string& id, std::uint32_t step = 0,
              std::uint32_t index = 0) const;
 
+  /// What each event costs a process; none: processes are not slow.
+  std::map<int, Duration> event_cost;
   /// The store answers no call.
   bool store_is_down = false;
   /// Processes that the store answers no call of.
   std::set<int> cut_from_store;
+  /// A member that joins may be given the leadership: the one with the lowest
+  /// number gets it.
+  bool joins_move_leadership = false;
   /// From a call of the store to its answer.
   Duration store_time = std::chrono::milliseconds(2);
   /// Appends are carried out and not answered.
@@ -139,6 +159,10 @@
   bool ReachesStore(int node) const;
   void In(Duration delay, std::function<void()> action);
   void Post(int node, EventBody body);
+  void Handle(Node& node, EventBody body, const LoopLoad& load);
+  /// Has a slow process take up what waits, once it is through with the last.
+  void Schedule(Node& node);
+  void TakeUp(Node& node);
   void PostIn(int node, Duration delay, EventBody body);
   /// What every process that follows the list reads next.
   void PostToAll(const FleetRead& read);
@@ -171,7 +195,10 @@
   Epoch log_epoch;
   std::uint64_t log_sequence = 0;
   std::map<std::string, WorkRecord> log;
+  int moves = 0;
   int questions = 0;
+  int appends = 0;
+  std::map<std::pair<int, SubmissionId>, int> calls_sent;
   std::map<StepTask, int> starts;
   std::set<StepTask> acknowledged_done;
 };
