Keep the times of calls in order, so that a call's cost is its own

What callers saw: a leader that calls 350 workers is busy most of the time, and starts and looks leave it late.

Cause: at each turn the client loop walked all lanes three times and all left connections twice, to find deadlines, slow calls and idle connections. The earliest deadline of a lane was also searched among all its calls.

Evidence: the loop counts the lanes and connections that it works on.

Why it works: calls stand in their lane by order and by deadline, lanes in a schedule by the earliest time at which one of their calls is given up or overtaken. A lane's place changes only when that time does; a connection that its lane has left is dropped when its call ends. Deadlines are still looked at after the sockets, so that an answer that has come counts.

--- /dev/null
+++ b/packages/node/src/call_queue.h
@@ -0,0 +1,67 @@
+#ifndef BASILSPREAD_NODE_CALL_QUEUE_H_
+#define BASILSPREAD_NODE_CALL_QUEUE_H_
+
+#include <boost/intrusive/list.hpp>
+#include <boost/intrusive/set.hpp>
+#include <optional>
+#include <vector>
+
+#include "basilspread/core/time.h"
+#include "http_call.h"
+
+namespace basilspread::node {
+
+/// Calls in the order in which they are made. Each operation takes at most
+/// logarithmic time for a call that it concerns.
+class CallQueue {
+ public:
+  CallQueue() = default;
+  ~CallQueue();
+  CallQueue(const CallQueue&) = delete;
+  CallQueue& operator=(const CallQueue&) = delete;
+
+  void Add(HttpCall call);
+  /// The queue must not be empty.
+  const HttpCall& Front() const { return this->calls.front().call; }
+  HttpCall TakeFront();
+  /// All calls but the first.
+  std::vector<HttpCall> TakeWaiting();
+  /// The calls but the first whose deadline has passed, earliest first.
+  std::vector<HttpCall> TakeOverdueWaiting(TimePoint now);
+
+  bool IsEmpty() const { return this->calls.empty(); }
+  /// Whether calls wait behind the first.
+  bool HasWaiting() const {
+    return !this->calls.empty() && &this->calls.front() != &this->calls.back();
+  }
+  std::optional<TimePoint> EarliestDeadline() const;
+
+ private:
+  struct Node {
+    HttpCall call;
+    boost::intrusive::list_member_hook<> in_order;
+    boost::intrusive::set_member_hook<> by_deadline;
+  };
+  struct IsEarlier {
+    bool operator()(const Node& a, const Node& b) const {
+      return a.call.deadline < b.call.deadline;
+    }
+  };
+
+  HttpCall Take(Node& node);
+
+  boost::intrusive::list<
+      Node, boost::intrusive::member_hook<
+                Node, boost::intrusive::list_member_hook<>, &Node::in_order>>
+      calls;
+  boost::intrusive::multiset<
+      Node,
+      boost::intrusive::member_hook<Node, boost::intrusive::set_member_hook<>,
+                                    &Node::by_deadline>,
+      boost::intrusive::compare<IsEarlier>>
+      deadlines;
+};
+
+}  // namespace basilspread::node
+
+#endif  // BASILSPREAD_NODE_CALL_QUEUE_H_
--- a/packages/node/src/http_client_loop.cc
+++ b/packages/node/src/http_client_loop.cc
@@ -59,13 +59,11 @@
       }
     }
     for (const auto& [socket, mode] :
-         this->poll_set.poll(this->UntilNextDeadline())) {
+         this->poll_set.poll(this->UntilNextTime())) {
       this->OnReady(socket, mode);
     }
     this->TakeCalls();
-    this->CheckDeadlines();
-    this->OvertakeSlowCalls();
-    this->DropIdleStragglers();
+    this->HandleDue();
   }
 }
 
@@ -78,11 +76,11 @@
   for (HttpCall& call : calls) {
     HttpExchangePtr& exchange = this->lanes[{call.address, call.lane}];
     if (!exchange) {
-      exchange.reset(new HttpExchange(call.address));
+      exchange.reset(new HttpExchange({call.address, call.lane}));
     }
     exchange->Add(std::move(call));
     exchange->Advance();
-    this->Watch(exchange);
+    this->Settle(exchange);
   }
 }
 
@@ -107,7 +105,43 @@
       exchange->OnReadable();
     }
   }
+  this->Settle(exchange);
+}
+
+void HttpClientLoop::HandleDue() {
+  const TimePoint now = Now();
+  while (const HttpExchangePtr exchange = this->schedule.TakeDue(now)) {
+    exchange->Expire(now);
+    const auto overtake_at = exchange->OvertakeAt();
+    if (overtake_at && *overtake_at <= now) {
+      this->Overtake(exchange);
+    }
+    this->Settle(exchange);
+  }
+}
+
+void HttpClientLoop::Overtake(const HttpExchangePtr& slow) {
+  slow->is_straggler = true;
+  this->stragglers.insert(slow);
+  const HttpExchangePtr next(new HttpExchange(slow->lane));
+  this->lanes[slow->lane] = next;
+  for (HttpCall& call : slow->TakeWaiting()) {
+    next->Add(std::move(call));
+  }
+  next->Advance();
+  this->Settle(next);
+}
+
+void HttpClientLoop::Settle(const HttpExchangePtr& exchange) {
+  ++this->looked_at;
   this->Watch(exchange);
+  this->schedule.Update(*exchange);
+  if (exchange->is_straggler && exchange->IsIdle()) {
+    if (exchange->watched) {
+      this->Unwatch(exchange);
+    }
+    this->stragglers.erase(exchange);
+  }
 }
 
 void HttpClientLoop::Watch(const HttpExchangePtr& exchange) {
@@ -140,70 +174,16 @@
   exchange->poll_mode = 0;
 }
 
-void HttpClientLoop::CheckDeadlines() {
-  const TimePoint now = Now();
-  for (const auto& [lane, exchange] : this->lanes) {
-    this->Expire(exchange, now);
-  }
-  for (const HttpExchangePtr& exchange : this->stragglers) {
-    this->Expire(exchange, now);
-  }
-}
-
-void HttpClientLoop::Expire(const HttpExchangePtr& exchange, TimePoint now) {
-  const auto deadline = exchange->NextDeadline();
-  if (deadline && *deadline <= now) {
-    exchange->Expire(now);
-    this->Watch(exchange);
-  }
-}
-
-void HttpClientLoop::OvertakeSlowCalls() {
-  const TimePoint now = Now();
-  for (auto& [lane, exchange] : this->lanes) {
-    const auto overtake_at = exchange->OvertakeAt();
-    if (!overtake_at || *overtake_at > now) {
-      continue;
-    }
-    const HttpExchangePtr slow = exchange;
-    this->stragglers.push_back(slow);
-    exchange.reset(new HttpExchange(lane.first));
-    for (HttpCall& call : slow->TakeWaiting()) {
-      exchange->Add(std::move(call));
-    }
-    exchange->Advance();
-    this->Watch(exchange);
-  }
-}
-
-void HttpClientLoop::DropIdleStragglers() {
-  std::erase_if(this->stragglers, [this](const HttpExchangePtr& exchange) {
-    if (exchange->IsIdle() && exchange->watched) {
-      this->Unwatch(exchange);
-    }
-    return exchange->IsIdle();
-  });
-}
-
-Poco::Timespan HttpClientLoop::UntilNextDeadline() const {
-  Poco::Timespan wait = kLongestWait;
-  const TimePoint now = Now();
-  const auto wake_by = [&wait, now](std::optional<TimePoint> at) {
-    if (at) {
-      const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
-          std::max(*at - now, Duration::zero()));
-      // Rounded up, so that the thread does not wake just before.
-      wait = std::min(wait, Poco::Timespan(left.count() + 1000));
-    }
-  };
-  for (const auto& [lane, exchange] : this->lanes) {
-    wake_by(exchange->NextDeadline());
-    wake_by(exchange->OvertakeAt());
-  }
-  for (const HttpExchangePtr& exchange : this->stragglers) {
-    wake_by(exchange->NextDeadline());
+Poco::Timespan HttpClientLoop::UntilNextTime() const {
+  const auto next = this->schedule.NextTime();
+  if (!next) {
+    return kLongestWait;
   }
-  return wait;
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      std::max(*next - Now(), Duration::zero()));
+  // Rounded up, so that the thread does not wake just before.
+  return std::min(kLongestWait,
+                  Poco::Timespan(std::chrono::microseconds(left).count()));
 }
 
 }  // namespace basilspread::node
--- a/packages/node/src/http_client_loop.h
+++ b/packages/node/src/http_client_loop.h
@@ -3,16 +3,16 @@
 
 #include <Poco/Net/PollSet.h>
 
-#include <functional>
+#include <atomic>
+#include <cstdint>
 #include <map>
 #include <mutex>
-#include <optional>
-#include <string>
+#include <set>
 #include <thread>
-#include <utility>
 #include <vector>
 
 #include "basilspread/core/time.h"
+#include "exchange_schedule.h"
 #include "http_exchange.h"
 #include "wake_socket.h"
 
@@ -37,25 +37,31 @@
   /// thread.
   void Send(HttpCall call);
 
- private:
-  using Lane = std::pair<std::string, std::string>;
+  /// Lanes and connections that the loop has worked on since its start, each
+  /// time counted. May be called from any thread.
+  std::uint64_t ExchangesLookedAt() const { return this->looked_at; }
 
+ private:
   void Run();
   void TakeCalls();
   void OnReady(const Poco::Net::Socket& socket, int mode);
+  /// Gives up and overtakes the calls whose time has come.
+  void HandleDue();
+  /// The calls behind a slow one take another connection.
+  void Overtake(const HttpExchangePtr& slow);
+  /// To be called after each change of an exchange.
+  void Settle(const HttpExchangePtr& exchange);
   void Watch(const HttpExchangePtr& exchange);
   void Unwatch(const HttpExchangePtr& exchange);
-  void CheckDeadlines();
-  void Expire(const HttpExchangePtr& exchange, TimePoint now);
-  void OvertakeSlowCalls();
-  void DropIdleStragglers();
-  Poco::Timespan UntilNextDeadline() const;
+  Poco::Timespan UntilNextTime() const;
 
   Poco::Net::PollSet poll_set;
   WakeSocket wake_socket;
   std::map<Lane, HttpExchangePtr> lanes;
   /// Connections with one slow call each, which their lanes have left.
-  std::vector<HttpExchangePtr> stragglers;
+  std::set<HttpExchangePtr> stragglers;
+  ExchangeSchedule schedule;
+  std::atomic<std::uint64_t> looked_at = 0;
   std::map<Poco::Net::Socket, HttpExchangePtr> by_socket;
   std::mutex mutex;
   std::vector<HttpCall> incoming;
--- a/packages/node/src/http_exchange.cc
+++ b/packages/node/src/http_exchange.cc
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <array>
-#include <iterator>
 #include <sstream>
 #include <utility>
 
@@ -45,11 +44,10 @@
 
 }  // namespace
 
-HttpExchange::HttpExchange(std::string server_address)
-    : address(std::move(server_address)) {}
+HttpExchange::HttpExchange(Lane its_lane) : lane(std::move(its_lane)) {}
 
 void HttpExchange::Advance() {
-  if (this->busy || this->calls.empty()) {
+  if (this->busy || this->calls.IsEmpty()) {
     return;
   }
   if (!this->socket) {
@@ -60,7 +58,7 @@
     return;
   }
   this->busy = true;
-  this->output = FormatRequest(this->calls.front());
+  this->output = FormatRequest(this->calls.Front());
   this->written = 0;
   this->input.clear();
   this->Write();
@@ -69,7 +67,7 @@
 void HttpExchange::Connect() {
   try {
     Poco::Net::StreamSocket opened;
-    opened.connectNB(Poco::Net::SocketAddress(this->address));
+    opened.connectNB(Poco::Net::SocketAddress(this->lane.first));
     this->socket = opened;
     this->connecting = true;
   } catch (const Poco::Exception& exception) {
@@ -162,8 +160,7 @@
 }
 
 void HttpExchange::Finish(HttpReply reply) {
-  const HttpCall call = std::move(this->calls.front());
-  this->calls.pop_front();
+  const HttpCall call = this->calls.TakeFront();
   this->busy = false;
   this->output.clear();
   this->written = 0;
@@ -176,7 +173,7 @@
   const bool has_written = this->busy && this->written > 0;
   this->socket.reset();
   this->connecting = false;
-  if (is_idle || this->calls.empty()) {
+  if (is_idle || this->calls.IsEmpty()) {
     // The server closed a connection without a call on it.
     this->busy = false;
     this->Advance();
@@ -192,18 +189,8 @@
 
 void HttpExchange::Expire(TimePoint now) {
   const bool is_first_overdue =
-      !this->calls.empty() && this->calls.front().deadline <= now;
-  std::vector<HttpCall> overdue;
-  for (auto call = this->calls.begin(); call != this->calls.end();) {
-    const bool is_first = call == this->calls.begin();
-    if (!is_first && call->deadline <= now) {
-      overdue.push_back(std::move(*call));
-      call = this->calls.erase(call);
-    } else {
-      ++call;
-    }
-  }
-  for (const HttpCall& call : overdue) {
+      !this->calls.IsEmpty() && this->calls.Front().deadline <= now;
+  for (const HttpCall& call : this->calls.TakeOverdueWaiting(now)) {
     HttpReply reply;
     reply.outcome = HttpOutcome::kNotSent;
     call.done(std::move(reply));
@@ -214,26 +201,17 @@
 }
 
 std::optional<TimePoint> HttpExchange::OvertakeAt() const {
-  const bool has_waiting = this->written > 0 && this->calls.size() > 1;
-  if (!has_waiting || this->calls.front().slow_after == Duration::zero()) {
+  const bool has_waiting = this->written > 0 && this->calls.HasWaiting();
+  if (!has_waiting || this->calls.Front().slow_after == Duration::zero()) {
     return std::nullopt;
   }
-  return this->sent_at + this->calls.front().slow_after;
+  return this->sent_at + this->calls.Front().slow_after;
 }
 
-std::deque<HttpCall> HttpExchange::TakeWaiting() {
-  std::deque<HttpCall> waiting(std::make_move_iterator(this->calls.begin() + 1),
-                               std::make_move_iterator(this->calls.end()));
-  this->calls.erase(this->calls.begin() + 1, this->calls.end());
-  return waiting;
-}
-
-std::optional<TimePoint> HttpExchange::NextDeadline() const {
-  std::optional<TimePoint> next;
-  for (const HttpCall& call : this->calls) {
-    next = next ? std::min(*next, call.deadline) : call.deadline;
-  }
-  return next;
+std::optional<TimePoint> HttpExchange::NextTime() const {
+  const auto deadline = this->calls.EarliestDeadline();
+  const auto overtake_at = this->OvertakeAt();
+  return overtake_at ? std::min(*deadline, *overtake_at) : deadline;
 }
 
 }  // namespace basilspread::node
--- a/packages/node/src/http_exchange.h
+++ b/packages/node/src/http_exchange.h
@@ -3,54 +3,23 @@
 
 #include <Poco/Net/StreamSocket.h>
 
+#include <boost/intrusive/set_hook.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <cstddef>
-#include <deque>
-#include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
-#include "basilspread/core/payload.h"
 #include "basilspread/core/time.h"
+#include "call_queue.h"
+#include "http_call.h"
 
 namespace basilspread::node {
 
-enum class HttpOutcome {
-  kAnswered,
-  /// No byte of the request left this process.
-  kNotSent,
-  /// The request may have arrived, and no whole answer came.
-  kLost,
-};
-
-struct HttpReply {
-  HttpOutcome outcome = HttpOutcome::kLost;
-  int status = 0;
-  std::string body;
-  /// Why there is no answer.
-  std::string reason;
-  /// When the request was written.
-  TimePoint sent_at;
-};
-
-struct HttpCall {
-  /// IP number and port.
-  std::string address;
-  /// Calls of one lane to one address follow each other.
-  std::string lane;
-  std::string method;
-  std::string target;
-  std::vector<Header> headers;
-  std::string body;
-  /// The call is given up at this point.
-  TimePoint deadline;
-  /// Without an answer after this time, what waits behind the call takes
-  /// another connection; zero: it waits.
-  Duration slow_after{};
-  std::function<void(HttpReply)> done;
-};
+/// A server's address, and the name of the lane to it.
+using Lane = std::pair<std::string, std::string>;
 
 /// The calls of one lane and their connection. Used by the loop's thread
 /// only; no call blocks.
@@ -58,9 +27,9 @@
     : public boost::intrusive_ref_counter<HttpExchange,
                                           boost::thread_unsafe_counter> {
  public:
-  explicit HttpExchange(std::string server_address);
+  explicit HttpExchange(Lane its_lane);
 
-  void Add(HttpCall call) { this->calls.push_back(std::move(call)); }
+  void Add(HttpCall call) { this->calls.Add(std::move(call)); }
   /// Connects or writes the next request, if one waits and none is under way.
   void Advance();
   /// The socket can be written to, or connecting to it has ended.
@@ -71,23 +40,32 @@
   /// Gives up calls whose deadline has passed.
   void Expire(TimePoint now);
 
-  std::optional<TimePoint> NextDeadline() const;
+  /// The earliest time at which a call is given up or overtaken.
+  std::optional<TimePoint> NextTime() const;
   /// When the calls that wait are to take another connection; unset while
   /// none waits behind one under way.
   std::optional<TimePoint> OvertakeAt() const;
   /// All calls but the first.
-  std::deque<HttpCall> TakeWaiting();
-  bool IsIdle() const { return this->calls.empty(); }
+  std::vector<HttpCall> TakeWaiting() { return this->calls.TakeWaiting(); }
+  bool IsIdle() const { return this->calls.IsEmpty(); }
   bool IsConnected() const { return this->socket.has_value(); }
   bool WantsToWrite() const {
     return this->connecting || this->written < this->output.size();
   }
 
+  const Lane lane;
+  /// Its lane has left it to one slow call.
+  bool is_straggler = false;
   std::optional<Poco::Net::StreamSocket> socket;
   /// What the poll set watches the socket for; 0: it does not.
   int poll_mode = 0;
   /// The socket that the poll set watches.
   std::optional<Poco::Net::StreamSocket> watched;
+  /// Its place in the loop's schedule, and the time that it has there.
+  boost::intrusive::set_member_hook<
+      boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+      in_schedule;
+  TimePoint scheduled_for;
 
  private:
   void Connect();
@@ -97,8 +75,7 @@
   /// Poco::Exception when it is malformed.
   bool TakeReply();
 
-  const std::string address;
-  std::deque<HttpCall> calls;
+  CallQueue calls;
   bool connecting = false;
   /// The first call of the queue is being written or waits for its answer.
   bool busy = false;
--- /dev/null
+++ b/packages/node/tests/http_client_times_test.cc
@@ -0,0 +1,106 @@
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "held_server.h"
+#include "http_client_loop.h"
+
+namespace basilspread::node {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::future<HttpReply> Call(HttpClientLoop& client, const std::string& address,
+                            const std::string& target, Duration timeout,
+                            Duration slow_after) {
+  const auto promise = std::make_shared<std::promise<HttpReply>>();
+  HttpCall call;
+  call.address = address;
+  call.lane = "order";
+  call.method = "POST";
+  call.target = target;
+  call.deadline = std::chrono::steady_clock::now() + timeout;
+  call.slow_after = slow_after;
+  call.done = [promise](HttpReply reply) {
+    promise->set_value(std::move(reply));
+  };
+  client.Send(std::move(call));
+  return promise->get_future();
+}
+
+/// Whether the other side closes the connection, after the bytes it sent.
+/// Throws Poco::TimeoutException when it does not.
+bool WaitForClose(Poco::Net::StreamSocket& socket) {
+  socket.setReceiveTimeout(Poco::Timespan(10, 0));
+  std::array<char, 4096> buffer;
+  while (socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size())) >
+         0) {
+  }
+  return true;
+}
+
+void Answer(Poco::Net::StreamSocket& socket) {
+  std::array<char, 4096> buffer;
+  REQUIRE(socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size())) >
+          0);
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  socket.sendBytes(answer.data(), static_cast<int>(answer.size()));
+}
+
+TEST_CASE("A call that waits is given up at its own deadline", "[node][http]") {
+  HeldServer server;
+  HttpClientLoop client;
+  client.Start();
+  auto held = Call(client, server.Address(), "/held", seconds(60), {});
+  server.WaitForHeld(1);
+  auto late = Call(client, server.Address(), "/a", milliseconds(40), {});
+  auto soon = Call(client, server.Address(), "/b", milliseconds(20), {});
+  CHECK(soon.get().outcome == HttpOutcome::kNotSent);
+  CHECK(late.get().outcome == HttpOutcome::kNotSent);
+  CHECK(held.wait_for(seconds(0)) == std::future_status::timeout);
+  client.Stop();
+}
+
+TEST_CASE("The next call begins when the first is given up", "[node][http]") {
+  HeldServer server;
+  HttpClientLoop client;
+  client.Start();
+  auto held = Call(client, server.Address(), "/held", milliseconds(50), {});
+  auto next = Call(client, server.Address(), "/a", seconds(60), {});
+  CHECK(held.get().outcome == HttpOutcome::kLost);
+  CHECK(next.get().outcome == HttpOutcome::kAnswered);
+  client.Stop();
+}
+
+TEST_CASE("A connection that its lane has left closes after its slow call",
+          "[node][http]") {
+  Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+  const std::string address = listener.address().toString();
+  HttpClientLoop client;
+  client.Start();
+  auto slow = Call(client, address, "/slow", seconds(60), milliseconds(20));
+  auto behind = Call(client, address, "/a", seconds(60), milliseconds(20));
+  Poco::Net::StreamSocket first = listener.acceptConnection();
+  Poco::Net::StreamSocket second = listener.acceptConnection();
+  Answer(second);
+  CHECK(behind.get().outcome == HttpOutcome::kAnswered);
+  Answer(first);
+  CHECK(slow.get().outcome == HttpOutcome::kAnswered);
+  CHECK(WaitForClose(first));
+
+  auto later = Call(client, address, "/b", seconds(60), milliseconds(20));
+  Answer(second);
+  CHECK(later.get().outcome == HttpOutcome::kAnswered);
+  client.Stop();
+}
+
+}  // namespace
+}  // namespace basilspread::node
