Read and write the heads of calls without streams

What callers saw: a leader whose processor is busy with the calls it makes.

Also: a response that states two lengths was taken by the first, and bytes behind a response stayed unnoticed on a connection that was used again.

Change: a call's head is appended to one string; a response's head is parsed in place, once, and only for its status, Content-Length and Connection. Malformed heads, two different lengths, a body encoded for transfer and a head over 16 KiB lose the call and its connection; bytes that were not asked for end the connection. Before, the head was parsed anew for each part of a long body.

Ruled out: epoll updates, of which a call on an open connection makes none.

--- a/packages/node/src/http_exchange.cc
+++ b/packages/node/src/http_exchange.cc
@@ -1,47 +1,29 @@
 #include "http_exchange.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 
 #include <algorithm>
 #include <array>
-#include <sstream>
+#include <string_view>
 #include <utility>
 
+#include "http_head.h"
 #include "liveness.h"
 #include "send_some.h"
 
 namespace basilspread::node {
 namespace {
 
-using Poco::Net::HTTPMessage;
-using Poco::Net::HTTPRequest;
-using Poco::Net::HTTPResponse;
-
 constexpr std::size_t kReceiveBytes = std::size_t{32} << 10U;
+/// As servers allow their callers.
+constexpr std::size_t kMaxHeadBytes = std::size_t{16} << 10U;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 /// A server that confirms no byte for this long is cut off, or the connection
 /// has been lost track of.
 constexpr Duration kSilence = std::chrono::milliseconds(2500);
 
-std::string FormatRequest(const HttpCall& call) {
-  HTTPRequest head(call.method, call.target, HTTPMessage::HTTP_1_1);
-  head.setHost(call.address);
-  head.setKeepAlive(true);
-  for (const Header& header : call.headers) {
-    head.add(header.name, header.value);
-  }
-  if (!call.body.empty() || call.method == HTTPRequest::HTTP_POST) {
-    head.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
-  }
-  std::ostringstream out;
-  head.write(out);
-  return std::move(out).str() + call.body;
-}
-
 }  // namespace
 
 HttpExchange::HttpExchange(Lane its_lane) : lane(std::move(its_lane)) {}
@@ -60,7 +42,7 @@
   this->busy = true;
   this->output = FormatRequest(this->calls.Front());
   this->written = 0;
-  this->input.clear();
+  this->ClearInput();
   this->Write();
 }
 
@@ -131,40 +113,57 @@
   }
 }
 
-bool HttpExchange::TakeReply() {
+bool HttpExchange::TakeHead() {
   const std::size_t end = this->input.find(kHeadEnd);
   if (end == std::string::npos) {
+    if (this->input.size() > kMaxHeadBytes) {
+      throw Poco::Net::MessageException("the response's head is too long");
+    }
     return false;
   }
-  const std::size_t head_bytes = end + kHeadEnd.size();
-  std::istringstream in(this->input.substr(0, head_bytes));
-  HTTPResponse head;
-  head.read(in);
-  if (!head.hasContentLength()) {
-    throw Poco::Net::MessageException("the response states no length");
+  this->head_bytes = end + kHeadEnd.size();
+  const std::string_view received = this->input;
+  const auto parsed = ParseResponseHead(received.substr(0, this->head_bytes));
+  if (!parsed) {
+    throw Poco::Net::MessageException(parsed.error().detail);
+  }
+  this->head = parsed.value();
+  return true;
+}
+
+bool HttpExchange::TakeReply() {
+  if (!this->head && !this->TakeHead()) {
+    return false;
   }
-  const auto body_bytes = static_cast<std::size_t>(head.getContentLength64());
-  if (this->input.size() < head_bytes + body_bytes) {
+  const std::size_t bytes = this->head_bytes + this->head->body_bytes;
+  if (this->input.size() < bytes) {
     return false;
   }
   HttpReply reply;
   reply.outcome = HttpOutcome::kAnswered;
-  reply.status = head.getStatus();
-  reply.body = this->input.substr(head_bytes, body_bytes);
+  reply.status = this->head->status;
+  reply.body = this->input.substr(this->head_bytes, this->head->body_bytes);
   reply.sent_at = this->sent_at;
-  if (!head.getKeepAlive()) {
+  const bool is_in_step =
+      this->input.size() == bytes && this->written == this->output.size();
+  if (!this->head->keep_alive || !is_in_step) {
     this->socket.reset();
   }
   this->Finish(std::move(reply));
   return true;
 }
 
+void HttpExchange::ClearInput() {
+  this->input.clear();
+  this->head.reset();
+}
+
 void HttpExchange::Finish(HttpReply reply) {
   const HttpCall call = this->calls.TakeFront();
   this->busy = false;
   this->output.clear();
   this->written = 0;
-  this->input.clear();
+  this->ClearInput();
   call.done(std::move(reply));
 }
 
--- a/packages/node/src/http_exchange.h
+++ b/packages/node/src/http_exchange.h
@@ -15,6 +15,7 @@
 #include "basilspread/core/time.h"
 #include "call_queue.h"
 #include "http_call.h"
+#include "http_head.h"
 
 namespace basilspread::node {
 
@@ -71,9 +72,13 @@
   void Connect();
   void Write();
   void Finish(HttpReply reply);
-  /// Whether a whole response has come; takes it off the input. Throws
+  /// Whether a whole head has come. Throws Poco::Exception when it is
+  /// malformed.
+  bool TakeHead();
+  /// Whether a whole response has come; ends the call with it. Throws
   /// Poco::Exception when it is malformed.
   bool TakeReply();
+  void ClearInput();
 
   CallQueue calls;
   bool connecting = false;
@@ -82,6 +87,9 @@
   std::string output;
   std::size_t written = 0;
   std::string input;
+  /// Of the response that is being read.
+  std::optional<ResponseHead> head;
+  std::size_t head_bytes = 0;
   TimePoint sent_at;
 };
 
