Wake the loops by an event descriptor, and only when they wait

Cause: each first call of a batch sent a datagram over loopback to wake the client loop, also when it was at work anyway; the sender, which is the control thread, paid for the way through the network stack.

Change: the wake socket is an eventfd, and a call wakes the loop only if it is in its poll set.

--- a/packages/node/src/http_client_loop.cc
+++ b/packages/node/src/http_client_loop.cc
@@ -3,6 +3,7 @@
 #include <Poco/Exception.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "thread_usage.h"
 
@@ -38,28 +39,21 @@
 }
 
 void HttpClientLoop::Send(HttpCall call) {
-  bool was_empty = false;
+  bool was_waiting = false;
   {
     const std::lock_guard lock(this->mutex);
-    was_empty = this->incoming.empty();
+    was_waiting = std::exchange(this->is_waiting, false);
     this->incoming.push_back(std::move(call));
   }
-  if (was_empty) {
+  if (was_waiting) {
     this->wake_socket.Wake();
   }
 }
 
 void HttpClientLoop::Run() {
   const NamedThread named("calls");
-  while (true) {
-    {
-      const std::lock_guard lock(this->mutex);
-      if (this->stopping) {
-        return;
-      }
-    }
-    for (const auto& [socket, mode] :
-         this->poll_set.poll(this->UntilNextTime())) {
+  while (const auto wait = this->BeginWait()) {
+    for (const auto& [socket, mode] : this->poll_set.poll(*wait)) {
       this->OnReady(socket, mode);
     }
     this->TakeCalls();
@@ -67,10 +61,20 @@
   }
 }
 
+std::optional<Poco::Timespan> HttpClientLoop::BeginWait() {
+  const std::lock_guard lock(this->mutex);
+  if (this->stopping) {
+    return std::nullopt;
+  }
+  this->is_waiting = this->incoming.empty();
+  return this->is_waiting ? this->UntilNextTime() : Poco::Timespan();
+}
+
 void HttpClientLoop::TakeCalls() {
   std::vector<HttpCall> calls;
   {
     const std::lock_guard lock(this->mutex);
+    this->is_waiting = false;
     calls.swap(this->incoming);
   }
   for (HttpCall& call : calls) {
--- a/packages/node/src/http_client_loop.h
+++ b/packages/node/src/http_client_loop.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <thread>
 #include <vector>
@@ -43,6 +44,9 @@
 
  private:
   void Run();
+  /// How long to wait for a socket; unset when the loop is to end. From now on
+  /// a call wakes the thread.
+  std::optional<Poco::Timespan> BeginWait();
   void TakeCalls();
   void OnReady(const Poco::Net::Socket& socket, int mode);
   /// Gives up and overtakes the calls whose time has come.
@@ -65,6 +69,8 @@
   std::map<Poco::Net::Socket, HttpExchangePtr> by_socket;
   std::mutex mutex;
   std::vector<HttpCall> incoming;
+  /// The thread is, or is about to be, in its poll set.
+  bool is_waiting = false;
   bool stopping = false;
   std::thread thread;
 };
--- a/packages/node/src/wake_socket.cc
+++ b/packages/node/src/wake_socket.cc
@@ -1,28 +1,40 @@
 #include "wake_socket.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <sys/eventfd.h>
+
+#include <cerrno>
 
 namespace basilspread::node {
+namespace {
+
+/// Owns a descriptor of any kind, so that a poll set can watch it.
+class DescriptorSocket : public Poco::Net::StreamSocket {
+ public:
+  explicit DescriptorSocket(int descriptor)
+      : StreamSocket(new Poco::Net::StreamSocketImpl(descriptor)) {}
+};
+
+}  // namespace
 
 void WakeSocket::Open() {
-  this->socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
-  this->socket.setBlocking(false);
+  const int descriptor = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+  if (descriptor < 0) {
+    throw Poco::SystemException("no event descriptor", errno);
+  }
+  this->socket = DescriptorSocket(descriptor);
 }
 
 void WakeSocket::Wake() {
-  const char byte = 0;
-  try {
-    this->socket.sendTo(&byte, 1, this->socket.address());
-  } catch (const Poco::Exception&) {
-    // The socket's buffer is full: the thread is about to wake anyway.
-  }
+  // Fails only where the count is full: the thread is about to wake anyway.
+  eventfd_write(this->socket.impl()->sockfd(), 1);
 }
 
 void WakeSocket::Take() {
-  char buffer[64];
-  Poco::Net::SocketAddress sender;
-  this->socket.receiveFrom(buffer, sizeof(buffer), sender);
+  eventfd_t count = 0;
+  // Fails where nothing has woken the thread.
+  eventfd_read(this->socket.impl()->sockfd(), &count);
 }
 
 }  // namespace basilspread::node
