--- a/packages/node/src/http_exchange.cc
+++ b/packages/node/src/http_exchange.cc
@@ -1,55 +1,35 @@
 #include "http_exchange.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 
 #include <algorithm>
 #include <array>
-#include <iterator>
-#include <sstream>
+#include <string_view>
 #include <utility>
 
+#include "http_head.h"
 #include "liveness.h"
 #include "send_some.h"
 
 namespace basilspread::node {
 namespace {
 
-using Poco::Net::HTTPMessage;
-using Poco::Net::HTTPRequest;
-using Poco::Net::HTTPResponse;
-
 constexpr std::size_t kReceiveBytes = std::size_t{32} << 10U;
+/// As servers allow their callers.
+constexpr std::size_t kMaxHeadBytes = std::size_t{16} << 10U;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 /// A server that confirms no byte for this long is cut off, or the connection
 /// has been lost track of.
 constexpr Duration kSilence = std::chrono::milliseconds(2500);
 
-std::string FormatRequest(const HttpCall& call) {
-  HTTPRequest head(call.method, call.target, HTTPMessage::HTTP_1_1);
-  head.setHost(call.address);
-  head.setKeepAlive(true);
-  for (const Header& header : call.headers) {
-    head.add(header.name, header.value);
-  }
-  if (!call.body.empty() || call.method == HTTPRequest::HTTP_POST) {
-    head.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
-  }
-  std::ostringstream out;
-  head.write(out);
-  return std::move(out).str() + call.body;
-}
-
 }  // namespace
 
-HttpExchange::HttpExchange(std::string server_address)
-    : address(std::move(server_address)) {}
+HttpExchange::HttpExchange(Lane its_lane) : lane(std::move(its_lane)) {}
 
 void HttpExchange::Advance() {
-  if (this->busy || this->calls.empty()) {
+  if (this->busy || this->calls.IsEmpty()) {
     return;
   }
   if (!this->socket) {
@@ -60,16 +40,16 @@
     return;
   }
   this->busy = true;
-  this->output = FormatRequest(this->calls.front());
+  this->output = FormatRequest(this->calls.Front());
   this->written = 0;
-  this->input.clear();
+  this->ClearInput();
   this->Write();
 }
 
 void HttpExchange::Connect() {
   try {
     Poco::Net::StreamSocket opened;
-    opened.connectNB(Poco::Net::SocketAddress(this->address));
+    opened.connectNB(Poco::Net::SocketAddress(this->lane.first));
     this->socket = opened;
     this->connecting = true;
   } catch (const Poco::Exception& exception) {
@@ -133,41 +113,57 @@
   }
 }
 
-bool HttpExchange::TakeReply() {
+bool HttpExchange::TakeHead() {
   const std::size_t end = this->input.find(kHeadEnd);
   if (end == std::string::npos) {
+    if (this->input.size() > kMaxHeadBytes) {
+      throw Poco::Net::MessageException("the response's head is too long");
+    }
     return false;
   }
-  const std::size_t head_bytes = end + kHeadEnd.size();
-  std::istringstream in(this->input.substr(0, head_bytes));
-  HTTPResponse head;
-  head.read(in);
-  if (!head.hasContentLength()) {
-    throw Poco::Net::MessageException("the response states no length");
+  this->head_bytes = end + kHeadEnd.size();
+  const std::string_view received = this->input;
+  const auto parsed = ParseResponseHead(received.substr(0, this->head_bytes));
+  if (!parsed) {
+    throw Poco::Net::MessageException(parsed.error().detail);
   }
-  const auto body_bytes = static_cast<std::size_t>(head.getContentLength64());
-  if (this->input.size() < head_bytes + body_bytes) {
+  this->head = parsed.value();
+  return true;
+}
+
+bool HttpExchange::TakeReply() {
+  if (!this->head && !this->TakeHead()) {
+    return false;
+  }
+  const std::size_t bytes = this->head_bytes + this->head->body_bytes;
+  if (this->input.size() < bytes) {
     return false;
   }
   HttpReply reply;
   reply.outcome = HttpOutcome::kAnswered;
-  reply.status = head.getStatus();
-  reply.body = this->input.substr(head_bytes, body_bytes);
+  reply.status = this->head->status;
+  reply.body = this->input.substr(this->head_bytes, this->head->body_bytes);
   reply.sent_at = this->sent_at;
-  if (!head.getKeepAlive()) {
+  const bool is_in_step =
+      this->input.size() == bytes && this->written == this->output.size();
+  if (!this->head->keep_alive || !is_in_step) {
     this->socket.reset();
   }
   this->Finish(std::move(reply));
   return true;
 }
 
+void HttpExchange::ClearInput() {
+  this->input.clear();
+  this->head.reset();
+}
+
 void HttpExchange::Finish(HttpReply reply) {
-  const HttpCall call = std::move(this->calls.front());
-  this->calls.pop_front();
+  const HttpCall call = this->calls.TakeFront();
   this->busy = false;
   this->output.clear();
   this->written = 0;
-  this->input.clear();
+  this->ClearInput();
   call.done(std::move(reply));
 }
 
@@ -176,7 +172,7 @@
   const bool has_written = this->busy && this->written > 0;
   this->socket.reset();
   this->connecting = false;
-  if (is_idle || this->calls.empty()) {
+  if (is_idle || this->calls.IsEmpty()) {
     // The server closed a connection without a call on it.
     this->busy = false;
     this->Advance();
@@ -192,18 +188,8 @@
 
 void HttpExchange::Expire(TimePoint now) {
   const bool is_first_overdue =
-      !this->calls.empty() && this->calls.front().deadline <= now;
-  std::vector<HttpCall> overdue;
-  for (auto call = this->calls.begin(); call != this->calls.end();) {
-    const bool is_first = call == this->calls.begin();
-    if (!is_first && call->deadline <= now) {
-      overdue.push_back(std::move(*call));
-      call = this->calls.erase(call);
-    } else {
-      ++call;
-    }
-  }
-  for (const HttpCall& call : overdue) {
+      !this->calls.IsEmpty() && this->calls.Front().deadline <= now;
+  for (const HttpCall& call : this->calls.TakeOverdueWaiting(now)) {
     HttpReply reply;
     reply.outcome = HttpOutcome::kNotSent;
     call.done(std::move(reply));
@@ -214,26 +200,17 @@
 }
 
 std::optional<TimePoint> HttpExchange::OvertakeAt() const {
-  const bool has_waiting = this->written > 0 && this->calls.size() > 1;
-  if (!has_waiting || this->calls.front().slow_after == Duration::zero()) {
+  const bool has_waiting = this->written > 0 && this->calls.HasWaiting();
+  if (!has_waiting || this->calls.Front().slow_after == Duration::zero()) {
     return std::nullopt;
   }
-  return this->sent_at + this->calls.front().slow_after;
+  return this->sent_at + this->calls.Front().slow_after;
 }
 
-std::deque<HttpCall> HttpExchange::TakeWaiting() {
-  std::deque<HttpCall> waiting(std::make_move_iterator(this->calls.begin() + 1),
-                               std::make_move_iterator(this->calls.end()));
-  this->calls.erase(this->calls.begin() + 1, this->calls.end());
-  return waiting;
-}
-
-std::optional<TimePoint> HttpExchange::NextDeadline() const {
-  std::optional<TimePoint> next;
-  for (const HttpCall& call : this->calls) {
-    next = next ? std::min(*next, call.deadline) : call.deadline;
-  }
-  return next;
+std::optional<TimePoint> HttpExchange::NextTime() const {
+  const auto deadline = this->calls.EarliestDeadline();
+  const auto overtake_at = this->OvertakeAt();
+  return overtake_at ? std::min(*deadline, *overtake_at) : deadline;
 }
 
 }  // namespace basilspread::node
