Take only whole IP numbers as addresses

Seen: an entry of the list of workers with the address "127.0.0.1 x:7001", "127.0.0.1\0:7001", "1:7001" or one with a line break counted as a worker. It was connected to under another address than it states, and a line break went into the Host header of each call. Cause: POCO reads IPv4 numbers with inet_aton, which fills missing parts in and ignores what follows a blank or a NUL. Ruled out: ports, whose range was checked already.

Evidence: the new test failed at "1:7001". Now an IPv4 number must be written as POCO writes it back. Result: all tests of the package pass.

--- a/packages/config/src/node_settings.cc
+++ b/packages/config/src/node_settings.cc
@@ -180,6 +180,18 @@
   std::set<std::string, std::less<>> seen;
 };
 
+/// POCO also takes IPv4 numbers with missing parts, and ignores what follows a
+/// blank or a NUL.
+bool IsIpNumber(const std::string& text) {
+  Poco::Net::IPAddress address;
+  if (!Poco::Net::IPAddress::tryParse(text, address)) {
+    return false;
+  }
+  return address.family() == Poco::Net::IPAddress::IPv4
+             ? address.toString() == text
+             : text.find('\0') == std::string::npos;
+}
+
 }  // namespace
 
 std::string Endpoint::ToString() const {
@@ -198,9 +210,8 @@
   const char* first = text.data() + colon + 1;
   const char* last = text.data() + text.size();
   const auto [end, status] = std::from_chars(first, last, endpoint.port);
-  Poco::Net::IPAddress address;
-  const bool is_ip = Poco::Net::IPAddress::tryParse(endpoint.host, address);
-  if (status != std::errc() || end != last || endpoint.port == 0 || !is_ip) {
+  if (status != std::errc() || end != last || endpoint.port == 0 ||
+      !IsIpNumber(endpoint.host)) {
     return error;
   }
   return endpoint;
--- a/packages/config/tests/node_settings_test.cc
+++ b/packages/config/tests/node_settings_test.cc
@@ -1,6 +1,7 @@
 #include "basilspread/config/node_settings.h"
 
 #include <catch2/catch.hpp>
+#include <string>
 
 namespace basilspread::config {
 namespace {
@@ -84,6 +85,25 @@
       "node.ini:0: [platform]: section is missing");
 }
 
+TEST_CASE("An endpoint is a whole IP number and a port", "[config][settings]") {
+  for (const char* text : {"127.0.0.1:7001", "10.128.0.9:65535", "::1:7001"}) {
+    INFO(text);
+    REQUIRE(ParseEndpoint(text));
+    REQUIRE(ParseEndpoint(text).value().ToString() == text);
+  }
+  for (const char* text :
+       {"", ":", "127.0.0.1", "127.0.0.1:", ":7001", "127.0.0.1:0",
+        "127.0.0.1:-1", "127.0.0.1:+1", "127.0.0.1: 1", "127.0.0.1:65536",
+        "127.0.0.1:99999999999999999999", "127.0.0.1:7001x", "1:7001",
+        "127.1:7001", "0x7f000001:7001", "127.0.0.1 x:7001",
+        "127.0.0.1\r\nX-Other: 1:7001", "worker-7.example:7001"}) {
+    INFO(text);
+    REQUIRE_FALSE(ParseEndpoint(text));
+  }
+  REQUIRE_FALSE(ParseEndpoint(std::string("127.0.0.1\0:7001", 15)));
+  REQUIRE_FALSE(ParseEndpoint(std::string(100'000, '1') + ":7001"));
+}
+
 TEST_CASE("Files that are no settings are refused", "[config][settings]") {
   SECTION("an empty file") {
     REQUIRE(FaultsOf("") ==
