Refuse frames and log records that have a kind and no body

Seen: a frame without a body on the port for peers ends the process (a read through a null pointer); a record of the log of that form ends every process that reads the log, again after each start. Cause: a union of FlatBuffers is two fields, its kind and its body; the verifier takes one without the other, and the decoders of frames and of batches dereferenced the body. Ruled out: the records of the work log, whose decoder checks each body.

Result: all 256 kinds without a body are refused.

--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -69,6 +69,10 @@
 }
 
 Result<PeerMessage> UnpackBody(const fb::Frame& frame) {
+  // The verifier takes a kind without a body.
+  if (frame.body() == nullptr) {
+    return Error{ErrorKind::kBadRequest, "the frame has no body"};
+  }
   switch (frame.body_type()) {
     case fb::PeerBody::Heartbeat:
       return PeerMessage(UnpackHeartbeat(*frame.body_as_Heartbeat()));
--- a/packages/wire/src/record_codec.cc
+++ b/packages/wire/src/record_codec.cc
@@ -160,6 +160,10 @@
 }
 
 Result<LogRecord> UnpackBody(const fb::Record& record) {
+  // The verifier takes a kind without a body.
+  if (record.body() == nullptr) {
+    return Error{ErrorKind::kBadRequest, "the log record has no body"};
+  }
   switch (record.body_type()) {
     case fb::RecordBody::TablesRecord:
       return UnpackRecord(*record.body_as_TablesRecord());
