Refuse frames and records whose values no process sends

Seen: a frame or a record of the work log with a step of 4,000,000,000 tasks asked the leader for a terabyte (by the size of a task), a frame with a time of 2^63 ns overflowed the sum with the present time, one with an amount of 2^63 that of all amounts; a stretch of infinity became an undefined time. A record of a worker without a name made a worker by the name that stands for "none", one of a submission under the key of another hid that one, and a submission of a peer could be stored under another id than it was known by.

Cause: FlatBuffers verifies the layout, and values were taken as they came. Ruled out: enumerators out of range, which were mapped, and steps that wait for themselves or later ones, which were refused.

--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "bounds.h"
 #include "common.h"
 #include "heartbeat_codec.h"
 #include "job_codec.h"
@@ -151,6 +152,9 @@
                      ", not " + std::to_string(kProtocolVersion)};
   }
   BOOST_OUTCOME_TRY(message, UnpackBody(*frame));
+  if (!IsWithinBounds(message)) {
+    return Error{ErrorKind::kBadRequest, "the frame is out of bounds"};
+  }
   return PeerFrame{wire::Unpack(*frame->sender()), std::move(message)};
 }
 
--- a/packages/wire/src/record_codec.cc
+++ b/packages/wire/src/record_codec.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "basilspread/wire/peer_codec.h"
+#include "bounds.h"
 #include "common.h"
 #include "job_codec.h"
 #include "payload_codec.h"
@@ -220,6 +221,9 @@
   if (packed->records() != nullptr) {
     for (const fb::Record* record : *packed->records()) {
       BOOST_OUTCOME_TRY(body, UnpackBody(*record));
+      if (!IsWithinBounds(body)) {
+        return Error{ErrorKind::kBadRequest, "the log record is out of bounds"};
+      }
       batch.records.push_back(std::move(body));
     }
   }
--- a/packages/wire/src/work_codec.cc
+++ b/packages/wire/src/work_codec.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "bounds.h"
 #include "common.h"
 #include "job_parts.h"
 #include "submission_codec.h"
@@ -146,6 +147,29 @@
   return record;
 }
 
+/// Reads the body that a record of the key holds.
+Result<WorkRecord> UnpackBody(std::string_view key,
+                              const fb::WorkRecord& record) {
+  const auto* accepted = record.body_as_AcceptedRecord();
+  if (accepted != nullptr &&
+      key == KeyOf(kSpecPrefix, SubmissionId{accepted->spec()->id()->str()})) {
+    return DecodeAccepted(*accepted);
+  }
+  const auto* progress = record.body_as_ProgressRecord();
+  if (progress != nullptr && key.starts_with(kProgressPrefix)) {
+    return DecodeProgress(
+        SubmissionId{std::string(key.substr(kProgressPrefix.size()))},
+        *progress);
+  }
+  const auto* worker = record.body_as_WorkerRecord();
+  if (worker != nullptr && key.starts_with(kWorkerPrefix)) {
+    return WorkRecord(
+        WorkerRecord{HostName{std::string(key.substr(kWorkerPrefix.size()))},
+                     worker->address()->str(), worker->incarnation()});
+  }
+  return Malformed(key);
+}
+
 }  // namespace
 
 KeyedRecord EncodeWork(const WorkRecord& record) {
@@ -163,23 +187,11 @@
                  "the record of " + std::string(key) + " has version " +
                      std::to_string(record->version())};
   }
-  const auto* accepted = record->body_as_AcceptedRecord();
-  if (accepted != nullptr && key.starts_with(kSpecPrefix)) {
-    return DecodeAccepted(*accepted);
-  }
-  const auto* progress = record->body_as_ProgressRecord();
-  if (progress != nullptr && key.starts_with(kProgressPrefix)) {
-    return DecodeProgress(
-        SubmissionId{std::string(key.substr(kProgressPrefix.size()))},
-        *progress);
-  }
-  const auto* worker = record->body_as_WorkerRecord();
-  if (worker != nullptr && key.starts_with(kWorkerPrefix)) {
-    return WorkRecord(
-        WorkerRecord{HostName{std::string(key.substr(kWorkerPrefix.size()))},
-                     worker->address()->str(), worker->incarnation()});
+  BOOST_OUTCOME_TRY(body, UnpackBody(key, *record));
+  if (!IsWithinBounds(body)) {
+    return Malformed(key);
   }
-  return Malformed(key);
+  return WorkRecord(std::move(body));
 }
 
 }  // namespace basilspread::wire
--- /dev/null
+++ b/packages/wire/tests/odd_values_test.cc
@@ -0,0 +1,252 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <limits>
+#include <string>
+#include <vector>
+
+#include "basilspread/core/limits.h"
+#include "basilspread/wire/peer_codec.h"
+#include "basilspread/wire/record_codec.h"
+#include "basilspread/wire/work_codec.h"
+
+namespace basilspread::wire {
+namespace {
+
+using std::chrono::seconds;
+
+const ProcessId kSender{NodeName{"entry-1"}, 7};
+constexpr Duration kLongest = Duration::max();
+
+/// A sound submission of two steps but for one change.
+SubmissionSpecPtr Spec(const std::function<void(SubmissionSpec&)>& change) {
+  boost::intrusive_ptr<SubmissionSpec> spec(new SubmissionSpec);
+  spec->id = SubmissionId{"5c0e7a21d94b36f8"};
+  spec->route = RouteName{"plans"};
+  spec->command = "draw";
+  spec->steps.resize(2);
+  spec->steps[0].demand = {500, 256, 0};
+  spec->steps[1].after = {0};
+  change(*spec);
+  return spec;
+}
+
+using Change = std::function<void(SubmissionSpec&)>;
+
+std::vector<Change> OddSpecs() {
+  return {
+      [](SubmissionSpec& spec) { spec.steps[0].count = 4'000'000'000; },
+      [](SubmissionSpec& spec) { spec.steps[0].count = 0; },
+      [](SubmissionSpec& spec) {
+        spec.steps[0].count = limits::kMaxTasks;
+        spec.steps[1].count = 1;
+      },
+      [](SubmissionSpec& spec) { spec.steps.resize(65); },
+      [](SubmissionSpec& spec) { spec.steps.clear(); },
+      [](SubmissionSpec& spec) { spec.steps[0].after = {0}; },
+      [](SubmissionSpec& spec) { spec.steps[0].after = {1}; },
+      [](SubmissionSpec& spec) { spec.steps[1].after = {7}; },
+      [](SubmissionSpec& spec) { spec.steps[1].after.assign(100'000, 0); },
+      [](SubmissionSpec& spec) {
+        spec.steps[0].demand = {-1, 0, 0};
+      },
+      [](SubmissionSpec& spec) {
+        spec.steps[0].demand = {0, std::numeric_limits<std::int64_t>::max(), 0};
+      },
+      [](SubmissionSpec& spec) {
+        spec.steps[0].expected_run_time = Duration::min();
+      },
+      [](SubmissionSpec& spec) { spec.steps[0].expected_run_time = kLongest; },
+      [](SubmissionSpec& spec) { spec.steps[0].target_latency = kLongest; },
+      [](SubmissionSpec& spec) {
+        spec.steps[0].required_label = std::string(1'000'000, 'x');
+      },
+      [](SubmissionSpec& spec) {
+        spec.steps[0].data_rack.value = std::string(1'000'000, 'x');
+      },
+      [](SubmissionSpec& spec) {
+        spec.steps[0].image = std::string(1'000'000, 'x');
+      },
+      [](SubmissionSpec& spec) { spec.command = std::string(1'000'000, 'x'); },
+      [](SubmissionSpec& spec) { spec.id.value = std::string(300, 'x'); },
+      [](SubmissionSpec& spec) { spec.id.value = ""; },
+      [](SubmissionSpec& spec) { spec.route.value = std::string(300, 'x'); },
+  };
+}
+
+bool IsTaken(const PeerMessage& message) {
+  const auto bytes = EncodeFrame(PeerFrame{kSender, message});
+  REQUIRE(bytes);
+  return static_cast<bool>(DecodeFrame(bytes.value().substr(kLengthBytes)));
+}
+
+bool IsTaken(const WorkRecord& record) {
+  const KeyedRecord keyed = EncodeWork(record);
+  return static_cast<bool>(DecodeWork(keyed.key, keyed.value.value()));
+}
+
+bool IsTaken(const LogRecord& record) {
+  LogBatch batch;
+  batch.writer = kSender;
+  batch.records = {record};
+  return static_cast<bool>(DecodeBatch(EncodeBatch(batch)));
+}
+
+SubmissionCall Submit(const SubmissionSpecPtr& spec) {
+  SubmissionCall call;
+  call.operation = SubmissionOperation::kSubmit;
+  call.id = spec->id;
+  call.route = spec->route;
+  call.spec = spec;
+  return call;
+}
+
+TEST_CASE("A submission that no door takes is refused by its decoders too",
+          "[wire][odd]") {
+  const SubmissionSpecPtr sound = Spec([](SubmissionSpec&) {});
+  CHECK(IsTaken(PeerMessage(Submit(sound))));
+  CHECK(IsTaken(WorkRecord(AcceptedRecord{sound, {}})));
+  int number = 0;
+  for (const Change& change : OddSpecs()) {
+    INFO(number++);
+    const SubmissionSpecPtr odd = Spec(change);
+    CHECK_FALSE(IsTaken(PeerMessage(Submit(odd))));
+    CHECK_FALSE(IsTaken(WorkRecord(AcceptedRecord{odd, {}})));
+  }
+}
+
+TEST_CASE("A policy that no tables hold is refused", "[wire][odd]") {
+  const auto is_taken = [](const std::function<void(QueuePolicy&)>& change) {
+    QueuePolicy policy;
+    policy.advice = AdvicePolicy{seconds(1), seconds(1), seconds(1)};
+    change(policy);
+    return IsTaken(
+        WorkRecord(AcceptedRecord{Spec([](SubmissionSpec&) {}), policy}));
+  };
+  CHECK(is_taken([](QueuePolicy&) {}));
+  for (const double stretch :
+       {-1.0, 1e308, std::numeric_limits<double>::infinity(),
+        std::numeric_limits<double>::quiet_NaN()}) {
+    CHECK_FALSE(
+        is_taken([stretch](QueuePolicy& policy) { policy.stretch = stretch; }));
+  }
+  for (const Duration time : {kLongest, Duration::min(), Duration(-1)}) {
+    CHECK_FALSE(is_taken(
+        [time](QueuePolicy& policy) { policy.target_latency = time; }));
+    CHECK_FALSE(is_taken(
+        [time](QueuePolicy& policy) { policy.advice->decision_time = time; }));
+    CHECK_FALSE(is_taken([time](QueuePolicy& policy) {
+      policy.advice->time_per_worker = time;
+    }));
+    CHECK_FALSE(is_taken([time](QueuePolicy& policy) {
+      policy.advice->ticket_validity = time;
+    }));
+  }
+}
+
+TEST_CASE("A work record names a submission or a worker", "[wire][odd]") {
+  CHECK(IsTaken(WorkRecord(WorkerRecord{HostName{"i-1"}, "1.1.1.1:1", 1})));
+  CHECK(IsTaken(WorkRecord(ProgressRecord{SubmissionId{"a"}, {}, {}})));
+  for (const std::string& name : {std::string(), std::string(300, 'x')}) {
+    CHECK_FALSE(IsTaken(WorkRecord(WorkerRecord{HostName{name}, "1:1", 1})));
+    CHECK_FALSE(
+        IsTaken(WorkRecord(ProgressRecord{SubmissionId{name}, {}, {}})));
+  }
+  // Under the key of another kind.
+  const KeyedRecord keyed =
+      EncodeWork(WorkerRecord{HostName{"i-1"}, "1.1.1.1:1", 1});
+  CHECK_FALSE(DecodeWork("s/i-1", *keyed.value));
+  CHECK_FALSE(DecodeWork("p/i-1", *keyed.value));
+  const KeyedRecord accepted =
+      EncodeWork(AcceptedRecord{Spec([](SubmissionSpec&) {}), {}});
+  CHECK(DecodeWork(accepted.key, *accepted.value));
+  CHECK_FALSE(DecodeWork("s/another", *accepted.value));
+}
+
+TEST_CASE("Progress has no more tasks than a submission", "[wire][odd]") {
+  ProgressRecord record;
+  record.id = SubmissionId{"a"};
+  record.tasks.resize(limits::kMaxTasks);
+  CHECK(IsTaken(WorkRecord(record)));
+  record.tasks.resize(limits::kMaxTasks + 1);
+  CHECK_FALSE(IsTaken(WorkRecord(record)));
+  record.tasks.resize(1);
+  record.tasks[0].failed_runs.resize(1'000'000);
+  CHECK_FALSE(IsTaken(WorkRecord(record)));
+}
+
+TEST_CASE("Times beyond all clocks are refused", "[wire][odd]") {
+  for (const Duration time : {kLongest, Duration::min()}) {
+    INFO(time.count());
+    Heartbeat heartbeat;
+    heartbeat.heard = {HeardReport{kSender, time}};
+    CHECK_FALSE(IsTaken(PeerMessage(heartbeat)));
+    ForwardRequest forward;
+    forward.time_left = time;
+    CHECK_FALSE(IsTaken(PeerMessage(forward)));
+    JobCall call;
+    call.time_left = time;
+    CHECK_FALSE(IsTaken(PeerMessage(call)));
+    call.time_left = seconds(1);
+    call.spec.expected_run_time = time;
+    CHECK_FALSE(IsTaken(PeerMessage(call)));
+    call.spec.expected_run_time = seconds(1);
+    call.spec.deadline = time;
+    CHECK_FALSE(IsTaken(PeerMessage(call)));
+    ReserveTasks reserve;
+    reserve.hold_for = time;
+    CHECK_FALSE(IsTaken(PeerMessage(reserve)));
+    SubmissionAnswer answer;
+    answer.retry_after = time;
+    CHECK_FALSE(IsTaken(PeerMessage(answer)));
+    AdviceAnswer advice;
+    advice.given.validity = time;
+    CHECK_FALSE(IsTaken(PeerMessage(advice)));
+    ReleaseRecord release;
+    release.unsettled = time;
+    CHECK_FALSE(IsTaken(LogRecord(release)));
+  }
+  ForwardRequest late;
+  late.time_left = Duration(-5);
+  CHECK(IsTaken(PeerMessage(late)));
+}
+
+TEST_CASE("A job that no door takes is refused by its decoders too",
+          "[wire][odd]") {
+  const Resources odd[] = {{-1, 0, 0},
+                           {0, std::numeric_limits<std::int64_t>::max(), 0},
+                           {0, 0, std::numeric_limits<std::int64_t>::min()}};
+  for (const Resources& amounts : odd) {
+    JobCall call;
+    call.spec.tasks = {TaskGroup{1, amounts}};
+    CHECK_FALSE(IsTaken(PeerMessage(call)));
+    JobRecord record;
+    record.spec = call.spec;
+    CHECK_FALSE(IsTaken(LogRecord(record)));
+    ReserveTasks reserve;
+    reserve.tasks = {TaskDemand{{}, amounts}};
+    CHECK_FALSE(IsTaken(PeerMessage(reserve)));
+    TaskStart start;
+    start.reserved = amounts;
+    ConfirmTasks confirm;
+    confirm.tasks = {start};
+    CHECK_FALSE(IsTaken(PeerMessage(confirm)));
+    IntentRecord intent;
+    intent.start = start;
+    CHECK_FALSE(IsTaken(LogRecord(intent)));
+  }
+  JobCall call;
+  call.spec.tasks = {TaskGroup{kMaxTasksPerJob, {}}};
+  CHECK(IsTaken(PeerMessage(call)));
+  call.spec.tasks = {TaskGroup{4'000'000'000, {}}};
+  CHECK_FALSE(IsTaken(PeerMessage(call)));
+  call.spec.tasks = {TaskGroup{kMaxTasksPerJob, {}}, TaskGroup{1, {}}};
+  CHECK_FALSE(IsTaken(PeerMessage(call)));
+  Heartbeat heartbeat;
+  heartbeat.usage = {TeamUsage{
+      TeamName{"a"}, {std::numeric_limits<std::int64_t>::max(), 0, 0}}};
+  CHECK_FALSE(IsTaken(PeerMessage(heartbeat)));
+}
+
+}  // namespace
+}  // namespace basilspread::wire
