Measure lists and texts of a frame before they are copied

Seen: parts of a FlatBuffer may be shared, so that a frame of 500 kB that names one text of 100 bytes 100,000 times, or a list of 400 kB in each of 64 steps, unpacks to many times its size; at the largest frame that is taken (16 MiB) that is more than any memory. Cause: the verifier counts tables and not texts, and the bounds of values were checked after all had been copied. Now the lists of a submission, of its progress, of members and of advice are measured first, and a message has at most 262,144 tables of at most 16 levels.

Partly done: messages of jobs and forwarded requests, which only processes on the product's own log exchange, still copy shared texts.

--- a/packages/wire/src/bounds.cc
+++ b/packages/wire/src/bounds.cc
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <string>
 #include <variant>
-#include <vector>
 
 #include "basilspread/core/limits.h"
 
@@ -16,9 +15,6 @@
 /// What a team or a process has reserved in all: sums of many such amounts
 /// stay in range.
 constexpr std::int64_t kMaxTotal = std::int64_t{1} << 48U;
-/// Failed runs of all tasks of a submission: their record takes four bytes for
-/// each, and the log takes 256 KiB a record.
-constexpr std::size_t kMaxFailedRuns = 65536;
 
 /// Times that are left may have run out.
 bool IsSound(Duration time) {
@@ -49,8 +45,9 @@
          IsSound(spec.deadline);
 }
 
+/// Its decoder has checked the rest.
 bool IsSound(const SubmissionSpec& spec) {
-  return IsName(spec.id.value) && IsName(spec.route.value) && IsWithin(spec);
+  return IsName(spec.id.value) && IsName(spec.route.value);
 }
 
 bool IsSound(const QueuePolicy& policy) {
@@ -132,13 +129,7 @@
     return IsSound(*record.spec) && IsSound(record.policy);
   }
   bool operator()(const ProgressRecord& record) const {
-    std::size_t failed_runs = 0;
-    for (const TaskProgress& task : record.tasks) {
-      failed_runs += task.failed_runs.size();
-    }
-    return IsName(record.id.value) &&
-           record.tasks.size() <= limits::kMaxTasks &&
-           failed_runs <= kMaxFailedRuns;
+    return IsName(record.id.value);
   }
   bool operator()(const WorkerRecord& record) const {
     return IsName(record.worker.value);
--- a/packages/wire/src/common.h
+++ b/packages/wire/src/common.h
@@ -1,10 +1,13 @@
 #ifndef BASILSPREAD_WIRE_SRC_COMMON_H_
 #define BASILSPREAD_WIRE_SRC_COMMON_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <string>
 #include <string_view>
 
 #include "basilspread/core/ids.h"
+#include "basilspread/core/limits.h"
 #include "basilspread_generated.h"
 
 namespace basilspread::wire {
@@ -24,8 +27,34 @@
   return {data, builder.GetSize()};
 }
 
+/// Tables within each other, and all tables, of one message: the deepest has
+/// six, and the largest one for each task that a shard's owner reports.
+inline constexpr flatbuffers::uoffset_t kMaxDepth = 16;
+inline constexpr flatbuffers::uoffset_t kMaxTables = 262144;
+/// Names in a list: processes, workers of a question.
+inline constexpr flatbuffers::uoffset_t kMaxNames = 4096;
+
 inline flatbuffers::Verifier MakeVerifier(std::string_view bytes) {
-  return {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size()};
+  return {reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size(),
+          kMaxDepth, kMaxTables};
+}
+
+// Parts of a FlatBuffer may be shared, so that few bytes unpack to many: lists
+// and texts are measured before they are copied.
+
+inline bool IsShort(const flatbuffers::String* text, std::size_t most_bytes) {
+  return text == nullptr || text->size() <= most_bytes;
+}
+
+inline bool AreNames(
+    const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>*
+        texts) {
+  return texts == nullptr ||
+         (texts->size() <= kMaxNames &&
+          std::all_of(texts->begin(), texts->end(),
+                      [](const flatbuffers::String* text) {
+                        return IsShort(text, limits::kMaxTextBytes);
+                      }));
 }
 
 }  // namespace basilspread::wire
--- a/packages/wire/src/submission_codec.cc
+++ b/packages/wire/src/submission_codec.cc
@@ -40,6 +40,14 @@
       image, step.target_latency.count(), step.max_unavailable);
 }
 
+bool IsSmall(const fb::StepSpec& packed) {
+  return IsShort(packed.required_label(), limits::kMaxNameBytes) &&
+         IsShort(packed.data_rack(), limits::kMaxNameBytes) &&
+         IsShort(packed.image(), limits::kMaxNameBytes) &&
+         (packed.after() == nullptr ||
+          packed.after()->size() <= limits::kMaxSteps);
+}
+
 StepSpec UnpackStep(const fb::StepSpec& packed) {
   StepSpec step;
   step.count = packed.count();
@@ -90,7 +98,14 @@
   return message;
 }
 
-PeerMessage Unpack(const fb::LeaderReport& packed) {
+Error TooLarge() {
+  return Error{ErrorKind::kBadRequest, "the message is too large"};
+}
+
+Result<PeerMessage> Unpack(const fb::LeaderReport& packed) {
+  if (!AreNames(packed.members())) {
+    return TooLarge();
+  }
   LeaderReport message;
   message.leader = packed.leader()->str();
   message.generation = packed.generation();
@@ -100,10 +115,13 @@
       message.members.push_back(member->str());
     }
   }
-  return message;
+  return PeerMessage(std::move(message));
 }
 
-PeerMessage Unpack(const fb::AdviceCall& packed) {
+Result<PeerMessage> Unpack(const fb::AdviceCall& packed) {
+  if (!AreNames(packed.workers())) {
+    return TooLarge();
+  }
   AdviceCall message;
   message.ask.number = packed.number();
   message.ask.submission = SubmissionId{packed.submission()->str()};
@@ -111,10 +129,25 @@
   for (const auto* worker : *packed.workers()) {
     message.ask.workers.push_back(HostName{worker->str()});
   }
-  return message;
+  return PeerMessage(std::move(message));
+}
+
+bool IsSmall(const fb::AdviceTicket& packed) {
+  return IsShort(packed.worker(), limits::kMaxNameBytes) &&
+         IsShort(packed.ticket(), limits::kMaxTextBytes);
 }
 
-PeerMessage Unpack(const fb::AdviceAnswer& packed) {
+Result<PeerMessage> Unpack(const fb::AdviceAnswer& packed) {
+  const auto* tickets = packed.tickets();
+  const bool is_small =
+      tickets == nullptr || (tickets->size() <= kMaxNames &&
+                             std::all_of(tickets->begin(), tickets->end(),
+                                         [](const fb::AdviceTicket* ticket) {
+                                           return IsSmall(*ticket);
+                                         }));
+  if (!is_small) {
+    return TooLarge();
+  }
   AdviceAnswer message;
   message.given.number = packed.number();
   message.given.ok = packed.ok();
@@ -125,7 +158,7 @@
           {HostName{ticket->worker()->str()}, ticket->ticket()->str()});
     }
   }
-  return message;
+  return PeerMessage(std::move(message));
 }
 
 }  // namespace
@@ -231,20 +264,24 @@
 }
 
 Result<SubmissionSpecPtr> UnpackSpec(const fb::SubmissionSpec& packed) {
+  const auto& steps = *packed.steps();
+  const bool is_small =
+      steps.size() <= limits::kMaxSteps &&
+      std::all_of(steps.begin(), steps.end(),
+                  [](const fb::StepSpec* step) { return IsSmall(*step); });
+  if (!is_small) {
+    return TooLarge();
+  }
   boost::intrusive_ptr<SubmissionSpec> spec(new SubmissionSpec);
   spec->id = SubmissionId{packed.id()->str()};
   spec->route = RouteName{packed.route()->str()};
   spec->command = packed.command()->str();
   spec->repetitions = packed.repetitions();
-  for (const auto* step : *packed.steps()) {
+  for (const auto* step : steps) {
     spec->steps.push_back(UnpackStep(*step));
-    const auto& after = spec->steps.back().after;
-    const std::size_t index = spec->steps.size() - 1;
-    if (std::any_of(after.begin(), after.end(), [index](std::uint32_t earlier) {
-          return earlier >= index;
-        })) {
-      return Error{ErrorKind::kBadRequest, "a step waits for a later one"};
-    }
+  }
+  if (!limits::IsWithin(*spec)) {
+    return Error{ErrorKind::kBadRequest, "the submission is out of bounds"};
   }
   return SubmissionSpecPtr(std::move(spec));
 }
--- a/packages/wire/src/work_codec.cc
+++ b/packages/wire/src/work_codec.cc
@@ -15,6 +15,9 @@
 
 /// Raised by every change that an older process could misread.
 constexpr std::uint32_t kWorkVersion = 1;
+/// Failed runs of all tasks of a submission: their record takes four bytes for
+/// each, and the log takes 256 KiB a record.
+constexpr std::size_t kMaxFailedRuns = 65536;
 constexpr std::string_view kSpecPrefix = "s/";
 constexpr std::string_view kProgressPrefix = "p/";
 constexpr std::string_view kWorkerPrefix = "w/";
@@ -125,6 +128,20 @@
   return WorkRecord(AcceptedRecord{std::move(spec), Unpack(*packed.policy())});
 }
 
+/// Whether the progress is that of a submission, before it is copied.
+bool IsSmall(const fb::ProgressRecord& packed) {
+  if (packed.tasks() == nullptr) {
+    return true;
+  }
+  std::size_t failed_runs = 0;
+  for (const auto* task : *packed.tasks()) {
+    failed_runs +=
+        task->failed_runs() == nullptr ? 0 : task->failed_runs()->size();
+  }
+  return packed.tasks()->size() <= limits::kMaxTasks &&
+         failed_runs <= kMaxFailedRuns;
+}
+
 WorkRecord DecodeProgress(SubmissionId id, const fb::ProgressRecord& packed) {
   ProgressRecord record;
   record.id = std::move(id);
@@ -156,7 +173,8 @@
     return DecodeAccepted(*accepted);
   }
   const auto* progress = record.body_as_ProgressRecord();
-  if (progress != nullptr && key.starts_with(kProgressPrefix)) {
+  if (progress != nullptr && key.starts_with(kProgressPrefix) &&
+      IsSmall(*progress)) {
     return DecodeProgress(
         SubmissionId{std::string(key.substr(kProgressPrefix.size()))},
         *progress);
