Bound an append of the work log by its bytes

Seen: a hundred of the largest submissions that come together made an append of 4.9 MB (reckoned), sixteen submissions of 4096 tasks whose ends are stored together one of 3.1 MB; a store takes 2 MiB a call. It answers such an append with an error that says nothing of its fate, so that it is sent again for ever and nothing more is stored.

Cause: an append took up to 256 new records and all changes, whatever their size. Now it takes records until a MiB is reached, by an upper bound of what each takes that a test compares with the encoded bytes; what is left goes with the next one. Ends of workers are acknowledged only with an append that takes all changes.

--- a/packages/core/include/basilspread/core/submission_record.h
+++ b/packages/core/include/basilspread/core/submission_record.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPREAD_CORE_SUBMISSION_RECORD_H_
 #define BASILSPREAD_CORE_SUBMISSION_RECORD_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -69,6 +70,9 @@
     std::variant<AcceptedRecord, ProgressRecord, ForgottenRecord,
                  SpecDroppedRecord, WorkerRecord, WorkerGoneRecord>;
 
+/// What the record takes in the log at most, with its key and its framing.
+std::size_t MostBytesOf(const WorkRecord& record);
+
 }  // namespace basilspread
 
 #endif  // BASILSPREAD_CORE_SUBMISSION_RECORD_H_
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -29,9 +29,9 @@
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(40);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(640);
 constexpr Duration kLoadRetryDelay = std::chrono::milliseconds(100);
-/// Records of one append; some hundred bytes to 6 KB each, so that a call
-/// stays below the 2 MB that a store takes.
-constexpr std::size_t kMaxRecords = 256;
+/// Bytes of one append, half of what a store takes; one record more may come
+/// on top, of 256 KiB at most.
+constexpr std::size_t kMaxAppendBytes = std::size_t{1} << 20U;
 
 SubmissionsState& StateOf(Context& context) {
   return context.state.submissions;
@@ -131,47 +131,58 @@
   }
 }
 
-void TakeAccepted(Context& context, AppendWork& append) {
+/// An append that is being made.
+struct Batch {
+  AppendWork append;
+  std::size_t bytes = 0;
+
+  bool IsFull() const { return this->bytes >= kMaxAppendBytes; }
+  void Add(WorkRecord record) {
+    this->bytes += MostBytesOf(record);
+    this->append.records.push_back(std::move(record));
+  }
+};
+
+void TakeAccepted(Context& context, Batch& batch) {
   WorkLogState& log = StateOf(context).log;
-  const std::size_t count = std::min(log.accepted.size(), kMaxRecords);
-  for (std::size_t i = 0; i < count; ++i) {
-    const auto* record = std::get_if<AcceptedRecord>(&log.accepted[i]);
+  auto next = log.accepted.begin();
+  for (; next != log.accepted.end() && !batch.IsFull(); ++next) {
+    const auto* record = std::get_if<AcceptedRecord>(&*next);
     if (record != nullptr) {
       log.settling_accepted.push_back(record->spec->id);
     }
-    append.records.push_back(std::move(log.accepted[i]));
+    batch.Add(std::move(*next));
   }
-  log.accepted.erase(log.accepted.begin(),
-                     log.accepted.begin() + static_cast<std::ptrdiff_t>(count));
+  log.accepted.erase(log.accepted.begin(), next);
 }
 
-void TakeChanged(Context& context, AppendWork& append) {
+void TakeChanged(Context& context, Batch& batch) {
   SubmissionsState& state = StateOf(context);
-  for (const SubmissionId& id : state.log.changed) {
-    const auto found = state.all.find(id);
+  auto next = state.log.changed.begin();
+  for (; next != state.log.changed.end() && !batch.IsFull(); ++next) {
+    const auto found = state.all.find(*next);
     if (found == state.all.end()) {
       continue;
     }
-    append.records.emplace_back(Describe(*found->second));
-    state.log.settling_changed[id] = found->second->state;
+    batch.Add(Describe(*found->second));
+    state.log.settling_changed[*next] = found->second->state;
     if (HasEnded(found->second->state)) {
-      append.records.emplace_back(SpecDroppedRecord{id});
+      batch.Add(SpecDroppedRecord{*next});
     }
   }
-  state.log.changed.clear();
+  state.log.changed.erase(state.log.changed.begin(), next);
 }
 
-void TakeWorkers(Context& context, AppendWork& append) {
+void TakeWorkers(Context& context, Batch& batch) {
   SubmissionsState& state = StateOf(context);
   for (const HostName& name : state.log.workers) {
     const auto found = state.fleet.workers.find(name);
     if (found == state.fleet.workers.end()) {
-      append.records.emplace_back(WorkerGoneRecord{name});
+      batch.Add(WorkerGoneRecord{name});
       continue;
     }
     const WorkerEntry& entry = found->second.entry;
-    append.records.emplace_back(
-        WorkerRecord{name, entry.address, entry.incarnation});
+    batch.Add(WorkerRecord{name, entry.address, entry.incarnation});
   }
   state.log.settling_workers = std::exchange(state.log.workers, {});
 }
@@ -306,16 +317,19 @@
     context.Emit(SetTimer{TimerKind::kWorkLog, due});
     return;
   }
-  AppendWork append{log.epoch, log.sequence, {}};
-  TakeAccepted(context, append);
-  TakeChanged(context, append);
-  TakeWorkers(context, append);
-  if (append.records.empty()) {
+  Batch batch{{log.epoch, log.sequence, {}}};
+  TakeAccepted(context, batch);
+  TakeChanged(context, batch);
+  TakeWorkers(context, batch);
+  if (batch.append.records.empty()) {
     // What changed was forgotten since. An append of nothing raises the epoch.
     return;
   }
-  SettleEnds(context);
-  Begin(context, std::move(append));
+  // An end may be forgotten only once what it changed is stored.
+  if (log.changed.empty()) {
+    SettleEnds(context);
+  }
+  Begin(context, std::move(batch.append));
 }
 
 void OnAppended(Context& context, const WorkAppended& event) {
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -426,6 +426,7 @@
   appended.channel = effect.channel;
   appended.epoch = effect.epoch;
   appended.sequence = effect.sequence;
+  this->largest_append = std::max(this->largest_append, BytesOf(effect));
   if (!this->ReachesStore(node)) {
     this->PostIn(node, kTimeout, appended);
     return;
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -64,6 +64,8 @@
   /// The worker leaves for good with all that runs there.
   void RemoveWorker(const std::string& name);
 
+  /// Puts a record into the work log, as an earlier leader would.
+  void Keep(const WorkRecord& record);
   CallId Submit(int node, const std::string& id, std::vector<StepSpec> steps);
   CallId Ask(int node, SubmissionOperation operation, const std::string& id);
   /// Unset while the call waits.
@@ -106,6 +108,8 @@
   int lost_appends = 0;
   /// So many of the leader's next joins are neither carried out nor answered.
   int lost_joins = 0;
+  /// Bytes of the largest append so far.
+  std::size_t largest_append = 0;
   /// The store refuses appends and does nothing.
   bool appends_are_refused = false;
   /// Starts are carried out this much later and not answered; zero: at once.
--- a/packages/core/tests/support/store_world_log.cc
+++ b/packages/core/tests/support/store_world_log.cc
@@ -2,6 +2,8 @@
 
 #include <variant>
 
+#include "support/store_world.h"
+
 namespace basilspread::test {
 
 std::string KeyOf(const WorkRecord& record) {
@@ -29,4 +31,16 @@
          std::holds_alternative<SpecDroppedRecord>(record);
 }
 
+std::size_t BytesOf(const AppendWork& append) {
+  std::size_t bytes = 0;
+  for (const WorkRecord& record : append.records) {
+    bytes += MostBytesOf(record);
+  }
+  return bytes;
+}
+
+void StoreWorld::Keep(const WorkRecord& record) {
+  this->log.insert_or_assign(KeyOf(record), record);
+}
+
 }  // namespace basilspread::test
--- a/packages/wire/tests/odd_values_test.cc
+++ b/packages/wire/tests/odd_values_test.cc
@@ -175,6 +175,52 @@
   CHECK_FALSE(IsTaken(WorkRecord(record)));
 }
 
+TEST_CASE("A record takes no more bytes than are reckoned", "[wire][odd]") {
+  const auto check = [](const WorkRecord& record) {
+    const KeyedRecord keyed = EncodeWork(record);
+    // The length of the record and that of its key.
+    constexpr std::size_t kFramingBytes = 5;
+    const std::size_t value_bytes = keyed.value ? keyed.value->size() : 0;
+    CHECK(kFramingBytes + keyed.key.size() + value_bytes <=
+          MostBytesOf(record));
+  };
+  const std::string name(limits::kMaxNameBytes, 'x');
+  const SubmissionId id{name};
+  for (const std::size_t count : {0U, 1U, 2U, 64U}) {
+    const SubmissionSpecPtr spec = Spec([&](SubmissionSpec& change) {
+      change.steps.resize(count);
+      change.command = std::string(count * 60, 'x');
+      for (std::size_t i = 0; i < count; ++i) {
+        change.steps[i].required_label = name;
+        change.steps[i].data_rack.value = name;
+        change.steps[i].image = name;
+        change.steps[i].expected_run_time = seconds(1);
+        change.steps[i].target_latency = seconds(1);
+        change.steps[i].demand = limits::kMaxResources;
+        change.steps[i].max_per_worker = 1;
+        change.steps[i].max_unavailable = 1;
+        change.steps[i].checkpoints = true;
+        change.steps[i].after.assign(i, 0);
+      }
+    });
+    QueuePolicy policy;
+    policy.pool.value = name;
+    policy.advice = AdvicePolicy{seconds(1), seconds(1), seconds(1)};
+    check(AcceptedRecord{spec, policy});
+    ProgressRecord progress{id, SubmissionState::kRunning, {}};
+    progress.tasks.resize(count * 64, TaskProgress{1, 1, true, {}, Attempt{1}});
+    check(progress);
+    for (TaskProgress& task : progress.tasks) {
+      task.failed_runs.resize(count, Attempt{1});
+    }
+    check(progress);
+  }
+  check(ForgottenRecord{id});
+  check(SpecDroppedRecord{id});
+  check(WorkerRecord{HostName{name}, name, 7});
+  check(WorkerGoneRecord{HostName{name}});
+}
+
 TEST_CASE("Times beyond all clocks are refused", "[wire][odd]") {
   for (const Duration time : {kLongest, Duration::min()}) {
     INFO(time.count());
