Bound the bytes of a response

Seen: a server whose response has no end, in its head or behind a stated length of 9 GB, was read until the deadline of the call: 60 and 67 MB of the 64 MiB that the test's server sends, more than the memory of a small process at the speed of a link. A Content-Length of -5 counted as an answer with a body of two bytes; one of 2^63 - 1 held the connection until the deadline.

Cause: the length was converted unchecked, and nothing bounded what is kept. Now a response of more than 16 MiB, by its stated length or by what has come, fails its call at once and ends the connection.

A bound of 4 MiB would do for the platform; a test that exchanges 12 MiB stays as it is.

--- a/packages/node/src/http_exchange.cc
+++ b/packages/node/src/http_exchange.cc
@@ -24,6 +24,9 @@
 
 constexpr std::size_t kReceiveBytes = std::size_t{32} << 10U;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
+/// Most bytes of a response: some ten pages of a list. Memory would hold what a
+/// link carries until the deadline otherwise.
+constexpr std::size_t kMaxReplyBytes = std::size_t{16} << 20U;
 /// A server that confirms no byte for this long is cut off, or the connection
 /// has been lost track of.
 constexpr Duration kSilence = std::chrono::milliseconds(2500);
@@ -127,6 +130,8 @@
     this->input.append(buffer.data(), static_cast<std::size_t>(count));
     if (this->TakeReply()) {
       this->Advance();
+    } else if (this->input.size() > kMaxReplyBytes) {
+      this->Fail("the response is too large");
     }
   } catch (const Poco::Exception& exception) {
     this->Fail(exception.displayText());
@@ -145,7 +150,11 @@
   if (!head.hasContentLength()) {
     throw Poco::Net::MessageException("the response states no length");
   }
+  // Negative lengths are too large as well.
   const auto body_bytes = static_cast<std::size_t>(head.getContentLength64());
+  if (body_bytes > kMaxReplyBytes) {
+    throw Poco::Net::MessageException("the response is too large");
+  }
   if (this->input.size() < head_bytes + body_bytes) {
     return false;
   }
