Feed the decoders of frames and records with mutated bytes

Without the check for a missing body and that of bounds (trial) the first property ends with a segmentation violation.

--- /dev/null
+++ b/packages/wire/tests/fuzz_test.cc
@@ -0,0 +1,233 @@
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "basilspread/wire/peer_codec.h"
+#include "basilspread/wire/record_codec.h"
+#include "basilspread/wire/work_codec.h"
+#include "support/mutations.h"
+
+/// Every kind of frame and record, mutated: none ends the process, and what is
+/// taken can be packed and is taken again.
+namespace basilspread::wire {
+namespace {
+
+using std::chrono::seconds;
+using test::GenMutations;
+using test::Mutate;
+
+const ProcessId kSender{NodeName{"entry-1"}, 7};
+const TaskAttempt kName{TaskId{"plan/3"}, Attempt{2}};
+const Resources kAmounts{1500, 2048, 1};
+
+SubmissionSpecPtr MakeSubmission() {
+  boost::intrusive_ptr<SubmissionSpec> spec(new SubmissionSpec);
+  spec->id = SubmissionId{"5c0e7a21d94b36f8"};
+  spec->route = RouteName{"plans"};
+  spec->command = "draw";
+  spec->steps.resize(2);
+  spec->steps[0].count = 4;
+  spec->steps[0].demand = kAmounts;
+  spec->steps[0].expected_run_time = seconds(2);
+  spec->steps[0].image = "image";
+  spec->steps[1].after = {0};
+  spec->steps[1].required_label = "a";
+  spec->steps[1].data_rack = RackName{"r1-3"};
+  return spec;
+}
+
+JobSpec MakeJob() {
+  JobSpec spec;
+  spec.id = JobId{"plan"};
+  spec.route = RouteName{"layout"};
+  spec.team = TeamName{"braan"};
+  spec.tasks = {TaskGroup{4, kAmounts}, TaskGroup{}};
+  spec.run = "draw";
+  spec.expected_run_time = seconds(40);
+  return spec;
+}
+
+TaskStart MakeStart() {
+  return TaskStart{kName, HostName{"worker-1"}, Epoch{6}, kAmounts, 9, true,
+                   "draw"};
+}
+
+PayloadPtr MakePayload() {
+  boost::intrusive_ptr<Payload> payload(new Payload);
+  payload->method = "POST";
+  payload->target = "/preview";
+  payload->headers = {Header{"Content-Type", "text/plain"}};
+  payload->body = "body";
+  return payload;
+}
+
+Heartbeat MakeHeartbeat() {
+  Heartbeat heartbeat;
+  heartbeat.tables = TablesVersion{3};
+  heartbeat.shards.resize(2);
+  heartbeat.shards[0].shard = ShardId{"layout#1"};
+  heartbeat.shards[1].successor = NodeName{"entry-2"};
+  heartbeat.usage = {TeamUsage{TeamName{"braan"}, kAmounts}};
+  heartbeat.unheard = {NodeName{"entry-3"}};
+  heartbeat.heard = {HeardReport{kSender, seconds(1)}};
+  heartbeat.address = "127.0.0.1:7000";
+  return heartbeat;
+}
+
+AdviceAnswer MakeAdvice() {
+  return AdviceAnswer{{7,
+                       true,
+                       {{HostName{"i-1"}, "c81e"}, {HostName{"i-2"}, "c81f"}},
+                       seconds(3)}};
+}
+
+/// One of each kind.
+std::vector<PeerMessage> Messages() {
+  const HoldId hold{kSender, 5};
+  const ShardId home{"layout#1"};
+  const ShardId place{"layout#2"};
+  const SubmissionSpecPtr spec = MakeSubmission();
+  return {
+      MakeHeartbeat(),
+      ForwardRequest{CallId{7}, home, RouteName{"preview"}, TeamName{"braan"},
+                     "key", seconds(1), MakePayload(), 1},
+      ForwardAnswer{CallId{7}, ErrorKind::kNone, "", MakePayload(), 1},
+      JobCall{CallId{7}, JobOperation::kSubmit, home, MakeJob(), seconds(1)},
+      JobAnswer{CallId{7}, ErrorKind::kNone, "", {JobStatus{}, JobStatus{}}},
+      ReserveTasks{hold,
+                   home,
+                   Epoch{1},
+                   place,
+                   {TaskDemand{kName, kAmounts}},
+                   seconds(4)},
+      ReserveAnswer{
+          hold, place, {TaskGrant{kName, HostName{"worker-1"}, Epoch{2}}}},
+      ConfirmTasks{hold, home, Epoch{1}, place, {MakeStart(), MakeStart()}},
+      ReleaseHold{hold, place},
+      StopTasks{home, Epoch{1}, place, {kName, kName}},
+      TaskReports{place,
+                  home,
+                  {TaskReport{kName, HostName{"worker-1"}, true,
+                              TaskResult::kNone, ""}}},
+      TaskReportsAck{place, home, {kName}},
+      SubmissionCall{CallId{7}, SubmissionOperation::kSubmit, spec->route,
+                     spec->id, spec},
+      SubmissionAnswer{CallId{7}, SubmissionOperation::kStatus,
+                       ErrorKind::kNone, SubmissionState::kRunning, 12,
+                       seconds(1)},
+      HelperReport{"127.0.0.1:7000"},
+      AdviceCall{{7, spec->id, 1, {HostName{"i-1"}, HostName{"i-2"}}}},
+      MakeAdvice(),
+      LeaderReport{"entry-1/7/127.0.0.1:7000",
+                   {"entry-2/8/127.0.0.1:7001", "entry-3/9/127.0.0.1:7002"},
+                   4,
+                   false},
+  };
+}
+
+std::vector<LogRecord> Records() {
+  const ShardId shard{"layout#1"};
+  const TablesRecord tables{TablesVersion{1}, "author", "[route a]",
+                            "[pool b]"};
+  return {
+      tables,
+      ClaimRecord{shard, Epoch{3}, kSender},
+      ReleaseRecord{shard, Epoch{3}, kSender, NodeName{"entry-2"}, seconds(1)},
+      TablesCheckpointRecord{TablesVersion{2}, tables, Offset{9}},
+      CheckpointRecord{shard, Epoch{3}, kSender},
+      MemberRecord{kSender, "127.0.0.1:7000", true},
+      JobRecord{shard,
+                Epoch{3},
+                MakeJob(),
+                false,
+                {TaskRecord{Attempt{1}, TaskResult::kNone, 0,
+                            HostName{"worker-1"}, shard, Epoch{3}}}},
+      IntentRecord{shard, Epoch{3}, shard, shard, MakeStart()},
+      OutcomeRecord{shard, Epoch{3}, shard, kName, TaskResult::kLost, "gone"},
+      CancelRecord{shard, Epoch{3}, {JobId{"plan"}, JobId{"draft"}}},
+      KeyIntentRecord{shard, Epoch{3}, kSender, RouteName{"layout"},
+                      TeamName{"braan"}, "key", 77},
+      KeyOutcomeRecord{shard, kSender, RouteName{"layout"}, TeamName{"braan"},
+                       "key", ErrorKind::kNone, MakePayload()},
+  };
+}
+
+std::vector<WorkRecord> WorkRecords() {
+  QueuePolicy policy;
+  policy.pool = PoolName{"pool"};
+  policy.stretch = 1.5;
+  policy.target_latency = seconds(1);
+  policy.advice = AdvicePolicy{seconds(1), seconds(1), seconds(1)};
+  ProgressRecord progress{
+      SubmissionId{"5c0e7a21d94b36f8"}, SubmissionState::kRunning, {}};
+  progress.tasks = {TaskProgress{0, 1, true, {}, Attempt{1}},
+                    TaskProgress{0, 2, false, {Attempt{1}}, Attempt{2}}};
+  return {AcceptedRecord{MakeSubmission(), policy}, progress,
+          WorkerRecord{HostName{"i-1"}, "127.0.0.1:7001", 17}};
+}
+
+bool Holds(const std::function<void()>& property) {
+  test::FixSeed();
+  return rc::check(property);
+}
+
+TEST_CASE("A mutated frame is refused or taken as a whole", "[wire][fuzz]") {
+  CHECK(Holds([] {
+    const auto mutations = *GenMutations();
+    for (const PeerMessage& message : Messages()) {
+      const std::string whole =
+          EncodeFrame(PeerFrame{kSender, message}).value();
+      RC_ASSERT(static_cast<bool>(DecodeFrame(whole.substr(kLengthBytes))));
+      const std::string bytes = Mutate(whole.substr(kLengthBytes), mutations);
+      FindOtherVersion(bytes);
+      const auto frame = DecodeFrame(bytes);
+      if (frame) {
+        const auto again = EncodeFrame(frame.value());
+        RC_ASSERT(static_cast<bool>(again));
+        RC_ASSERT(
+            static_cast<bool>(DecodeFrame(again.value().substr(kLengthBytes))));
+      }
+    }
+  }));
+}
+
+TEST_CASE("A mutated batch is refused or taken as a whole", "[wire][fuzz]") {
+  CHECK(Holds([] {
+    const auto mutations = *GenMutations();
+    for (const LogRecord& record : Records()) {
+      const std::string whole =
+          EncodeBatch(LogBatch{kSender, AppendId{1}, {record, record}});
+      RC_ASSERT(static_cast<bool>(DecodeBatch(whole)));
+      const auto batch = DecodeBatch(Mutate(whole, mutations));
+      if (batch) {
+        RC_ASSERT(static_cast<bool>(DecodeBatch(EncodeBatch(batch.value()))));
+      }
+    }
+  }));
+}
+
+TEST_CASE("A mutated work record is refused or taken as a whole",
+          "[wire][fuzz]") {
+  CHECK(Holds([] {
+    const auto mutations = *GenMutations();
+    for (const WorkRecord& record : WorkRecords()) {
+      const KeyedRecord whole = EncodeWork(record);
+      RC_ASSERT(static_cast<bool>(DecodeWork(whole.key, *whole.value)));
+      for (const std::string& key : {whole.key, Mutate(whole.key, mutations)}) {
+        const auto read = DecodeWork(key, Mutate(*whole.value, mutations));
+        if (read) {
+          const KeyedRecord again = EncodeWork(read.value());
+          RC_ASSERT(again.key == key);
+          RC_ASSERT(static_cast<bool>(DecodeWork(again.key, *again.value)));
+        }
+      }
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace basilspread::wire
