--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -433,6 +433,7 @@
   appended.epoch = effect.epoch;
   appended.sequence = effect.sequence;
   ++this->appends;
+  this->largest_append = std::max(this->largest_append, BytesOf(effect));
   if (!this->ReachesStore(node)) {
     this->PostIn(node, kTimeout, appended);
     return;
--- a/packages/node/src/http_exchange.cc
+++ b/packages/node/src/http_exchange.cc
@@ -20,6 +20,9 @@
 /// As servers allow their callers.
 constexpr std::size_t kMaxHeadBytes = std::size_t{16} << 10U;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
+/// Most bytes of a response: some ten pages of a list. Memory would hold what a
+/// link carries until the deadline otherwise.
+constexpr std::size_t kMaxReplyBytes = std::size_t{16} << 20U;
 /// A server that confirms no byte for this long is cut off, or the connection
 /// has been lost track of.
 constexpr Duration kSilence = std::chrono::milliseconds(2500);
@@ -107,6 +110,8 @@
     this->input.append(buffer.data(), static_cast<std::size_t>(count));
     if (this->TakeReply()) {
       this->Advance();
+    } else if (this->input.size() > kMaxReplyBytes) {
+      this->Fail("the response is too large");
     }
   } catch (const Poco::Exception& exception) {
     this->Fail(exception.displayText());
@@ -127,6 +132,9 @@
   if (!parsed) {
     throw Poco::Net::MessageException(parsed.error().detail);
   }
+  if (parsed.value().body_bytes > kMaxReplyBytes) {
+    throw Poco::Net::MessageException("the response is too large");
+  }
   this->head = parsed.value();
   return true;
 }
--- a/packages/wire/src/submission_codec.cc
+++ b/packages/wire/src/submission_codec.cc
@@ -40,6 +40,14 @@
       image, step.target_latency.count(), step.max_unavailable);
 }
 
+bool IsSmall(const fb::StepSpec& packed) {
+  return IsShort(packed.required_label(), limits::kMaxNameBytes) &&
+         IsShort(packed.data_rack(), limits::kMaxNameBytes) &&
+         IsShort(packed.image(), limits::kMaxNameBytes) &&
+         (packed.after() == nullptr ||
+          packed.after()->size() <= limits::kMaxSteps);
+}
+
 StepSpec UnpackStep(const fb::StepSpec& packed) {
   StepSpec step;
   step.count = packed.count();
@@ -90,7 +98,35 @@
   return message;
 }
 
-PeerMessage Unpack(const fb::LeaderReport& packed) {
+Error TooLarge() {
+  return Error{ErrorKind::kBadRequest, "the message is too large"};
+}
+
+/// More than any host has, in cores or in Mbit/s; not a number is out of
+/// bounds too.
+constexpr double kMaxCapacity = 1e9;
+
+bool IsCapacity(double processor_share, double link_mbps) {
+  return processor_share >= 0 && processor_share <= kMaxCapacity &&
+         link_mbps >= 0 && link_mbps <= kMaxCapacity;
+}
+
+bool IsWithin(const fb::Candidate& packed) {
+  return IsShort(packed.node(), limits::kMaxNameBytes) &&
+         IsCapacity(packed.processor_share(), packed.link_mbps());
+}
+
+Result<PeerMessage> Unpack(const fb::LeaderReport& packed) {
+  const auto* candidates = packed.candidates();
+  const bool is_small = candidates == nullptr ||
+                        (candidates->size() <= kMaxNames &&
+                         std::all_of(candidates->begin(), candidates->end(),
+                                     [](const fb::Candidate* candidate) {
+                                       return IsWithin(*candidate);
+                                     }));
+  if (!AreNames(packed.members()) || !is_small) {
+    return TooLarge();
+  }
   LeaderReport message;
   message.leader = packed.leader()->str();
   message.generation = packed.generation();
@@ -107,19 +143,28 @@
            {candidate->processor_share(), candidate->link_mbps()}});
     }
   }
-  return message;
+  return PeerMessage(std::move(message));
 }
 
-PeerMessage Unpack(const fb::HelperReport& packed) {
+Result<PeerMessage> Unpack(const fb::HelperReport& packed) {
+  const bool is_within =
+      IsCapacity(packed.processor_share(), packed.link_mbps()) &&
+      packed.busy_share() >= 0 && packed.busy_share() <= kMaxCapacity;
+  if (!is_within) {
+    return TooLarge();
+  }
   HelperReport message;
   message.address = packed.address()->str();
   message.capacity = {packed.processor_share(), packed.link_mbps()};
   message.stands = packed.stands();
   message.busy_share = packed.busy_share();
-  return message;
+  return PeerMessage(std::move(message));
 }
 
-PeerMessage Unpack(const fb::AdviceCall& packed) {
+Result<PeerMessage> Unpack(const fb::AdviceCall& packed) {
+  if (!AreNames(packed.workers())) {
+    return TooLarge();
+  }
   AdviceCall message;
   message.ask.number = packed.number();
   message.ask.submission = SubmissionId{packed.submission()->str()};
@@ -127,10 +172,25 @@
   for (const auto* worker : *packed.workers()) {
     message.ask.workers.push_back(HostName{worker->str()});
   }
-  return message;
+  return PeerMessage(std::move(message));
+}
+
+bool IsSmall(const fb::AdviceTicket& packed) {
+  return IsShort(packed.worker(), limits::kMaxNameBytes) &&
+         IsShort(packed.ticket(), limits::kMaxTextBytes);
 }
 
-PeerMessage Unpack(const fb::AdviceAnswer& packed) {
+Result<PeerMessage> Unpack(const fb::AdviceAnswer& packed) {
+  const auto* tickets = packed.tickets();
+  const bool is_small =
+      tickets == nullptr || (tickets->size() <= kMaxNames &&
+                             std::all_of(tickets->begin(), tickets->end(),
+                                         [](const fb::AdviceTicket* ticket) {
+                                           return IsSmall(*ticket);
+                                         }));
+  if (!is_small) {
+    return TooLarge();
+  }
   AdviceAnswer message;
   message.given.number = packed.number();
   message.given.ok = packed.ok();
@@ -141,7 +201,7 @@
           {HostName{ticket->worker()->str()}, ticket->ticket()->str()});
     }
   }
-  return message;
+  return PeerMessage(std::move(message));
 }
 
 }  // namespace
@@ -257,20 +317,24 @@
 }
 
 Result<SubmissionSpecPtr> UnpackSpec(const fb::SubmissionSpec& packed) {
+  const auto& steps = *packed.steps();
+  const bool is_small =
+      steps.size() <= limits::kMaxSteps &&
+      std::all_of(steps.begin(), steps.end(),
+                  [](const fb::StepSpec* step) { return IsSmall(*step); });
+  if (!is_small) {
+    return TooLarge();
+  }
   boost::intrusive_ptr<SubmissionSpec> spec(new SubmissionSpec);
   spec->id = SubmissionId{packed.id()->str()};
   spec->route = RouteName{packed.route()->str()};
   spec->command = packed.command()->str();
   spec->repetitions = packed.repetitions();
-  for (const auto* step : *packed.steps()) {
+  for (const auto* step : steps) {
     spec->steps.push_back(UnpackStep(*step));
-    const auto& after = spec->steps.back().after;
-    const std::size_t index = spec->steps.size() - 1;
-    if (std::any_of(after.begin(), after.end(), [index](std::uint32_t earlier) {
-          return earlier >= index;
-        })) {
-      return Error{ErrorKind::kBadRequest, "a step waits for a later one"};
-    }
+  }
+  if (!limits::IsWithin(*spec)) {
+    return Error{ErrorKind::kBadRequest, "the submission is out of bounds"};
   }
   return SubmissionSpecPtr(std::move(spec));
 }
--- a/packages/wire/src/work_codec.cc
+++ b/packages/wire/src/work_codec.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "bounds.h"
 #include "common.h"
 #include "job_parts.h"
 #include "submission_codec.h"
@@ -14,6 +15,9 @@
 
 /// Raised by every change that an older process could misread.
 constexpr std::uint32_t kWorkVersion = 1;
+/// Failed runs of all tasks of a submission: their record takes four bytes for
+/// each, and the log takes 256 KiB a record.
+constexpr std::size_t kMaxFailedRuns = 65536;
 constexpr std::string_view kSpecPrefix = "s/";
 constexpr std::string_view kProgressPrefix = "p/";
 constexpr std::string_view kWorkerPrefix = "w/";
@@ -124,6 +128,20 @@
   return WorkRecord(AcceptedRecord{std::move(spec), Unpack(*packed.policy())});
 }
 
+/// Whether the progress is that of a submission, before it is copied.
+bool IsSmall(const fb::ProgressRecord& packed) {
+  if (packed.tasks() == nullptr) {
+    return true;
+  }
+  std::size_t failed_runs = 0;
+  for (const auto* task : *packed.tasks()) {
+    failed_runs +=
+        task->failed_runs() == nullptr ? 0 : task->failed_runs()->size();
+  }
+  return packed.tasks()->size() <= limits::kMaxTasks &&
+         failed_runs <= kMaxFailedRuns;
+}
+
 WorkRecord DecodeProgress(SubmissionId id, const fb::ProgressRecord& packed) {
   ProgressRecord record;
   record.id = std::move(id);
@@ -146,6 +164,30 @@
   return record;
 }
 
+/// Reads the body that a record of the key holds.
+Result<WorkRecord> UnpackBody(std::string_view key,
+                              const fb::WorkRecord& record) {
+  const auto* accepted = record.body_as_AcceptedRecord();
+  if (accepted != nullptr &&
+      key == KeyOf(kSpecPrefix, SubmissionId{accepted->spec()->id()->str()})) {
+    return DecodeAccepted(*accepted);
+  }
+  const auto* progress = record.body_as_ProgressRecord();
+  if (progress != nullptr && key.starts_with(kProgressPrefix) &&
+      IsSmall(*progress)) {
+    return DecodeProgress(
+        SubmissionId{std::string(key.substr(kProgressPrefix.size()))},
+        *progress);
+  }
+  const auto* worker = record.body_as_WorkerRecord();
+  if (worker != nullptr && key.starts_with(kWorkerPrefix)) {
+    return WorkRecord(
+        WorkerRecord{HostName{std::string(key.substr(kWorkerPrefix.size()))},
+                     worker->address()->str(), worker->incarnation()});
+  }
+  return Malformed(key);
+}
+
 }  // namespace
 
 KeyedRecord EncodeWork(const WorkRecord& record) {
@@ -163,23 +205,11 @@
                  "the record of " + std::string(key) + " has version " +
                      std::to_string(record->version())};
   }
-  const auto* accepted = record->body_as_AcceptedRecord();
-  if (accepted != nullptr && key.starts_with(kSpecPrefix)) {
-    return DecodeAccepted(*accepted);
-  }
-  const auto* progress = record->body_as_ProgressRecord();
-  if (progress != nullptr && key.starts_with(kProgressPrefix)) {
-    return DecodeProgress(
-        SubmissionId{std::string(key.substr(kProgressPrefix.size()))},
-        *progress);
-  }
-  const auto* worker = record->body_as_WorkerRecord();
-  if (worker != nullptr && key.starts_with(kWorkerPrefix)) {
-    return WorkRecord(
-        WorkerRecord{HostName{std::string(key.substr(kWorkerPrefix.size()))},
-                     worker->address()->str(), worker->incarnation()});
+  BOOST_OUTCOME_TRY(body, UnpackBody(key, *record));
+  if (!IsWithinBounds(body)) {
+    return Malformed(key);
   }
-  return Malformed(key);
+  return WorkRecord(std::move(body));
 }
 
 }  // namespace basilspread::wire
