Soak real processes against stand-ins of the platform, with random faults

Nothing ran the real program with a [store] section as separate processes. tests/platform/ holds stand-ins of the store, the workers and the advisor; tests/soak/ starts processes against them through a loopback proxy, drives callers, injects faults and checks what callers and workers see.

A call of HttpClientLoop may name another host than its address, as the callers need.

--- a/packages/node/src/http_exchange.cc
+++ b/packages/node/src/http_exchange.cc
@@ -33,7 +33,8 @@
   head.setHost(call.address);
   head.setKeepAlive(true);
   for (const Header& header : call.headers) {
-    head.add(header.name, header.value);
+    // A call may name another host than its address.
+    head.set(header.name, header.value);
   }
   if (!call.body.empty() || call.method == HTTPRequest::HTTP_POST) {
     head.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
--- /dev/null
+++ b/tests/soak/fault_kinds.cc
@@ -0,0 +1,207 @@
+// How each kind of fault is carried out. Changes of the tables, cancels,
+// reloads and entries of other writers excuse nothing (RULES: "no disturbance
+// near but"), so they do not mark the scene as disturbed.
+#include <algorithm>
+
+#include "platform/bounds.h"
+#include "platform/wire/store_wire.h"
+#include "soak/fault.h"
+#include "soak/trouble.h"
+
+namespace soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kRollGap(1500);
+constexpr milliseconds kStormGap(300);
+/// After a burst callers press beyond the usual for this long.
+constexpr milliseconds kBurstTime(5000);
+constexpr double kBurstPerWorker = 1.5;
+constexpr double kCancelShare = 0.4;
+constexpr milliseconds kLinkDelay(150);
+constexpr milliseconds kNone(0);
+constexpr milliseconds kShort(300);
+constexpr milliseconds kLong(8000);
+/// Longer than a lease and than the gang timeout.
+constexpr milliseconds kLongest(9000);
+
+constexpr test::LinkChange kHoldsBoth{true, true};
+constexpr test::LinkChange kHoldsRequests{true, false};
+constexpr test::LinkChange kHoldsAnswers{false, true};
+constexpr test::LinkChange kDelays{false, false, kLinkDelay};
+constexpr test::LinkChange kResets{false, false, kNone, true};
+constexpr test::LinkChange kSilences{false, false, kNone, false, true};
+
+void Kill(Scene& scene, std::size_t host) {
+  scene.Disturb(scene.end);
+  scene.hosts.Kill(scene.context, host, scene.lasts);
+}
+
+void Stop(Scene& scene, std::size_t host) {
+  scene.Disturb(scene.end + standin::bounds::kStopGrace);
+  scene.hosts.Stop(scene.context, host, scene.lasts);
+}
+
+void Pause(Scene& scene, std::size_t host, bool suspends) {
+  scene.Disturb(scene.end);
+  scene.hosts.Pause(scene.context, host, scene.lasts, suspends);
+}
+
+void StopAllInTurn(Scene& scene) {
+  TimePoint at = scene.context.now;
+  for (std::size_t host = 0; host < scene.hosts.Count(); ++host) {
+    scene.trouble.stops.emplace(at, host);
+    scene.Disturb(at + standin::bounds::kStopGrace);
+    at += kRollGap;
+  }
+}
+
+void ForgetHistory(Scene& scene) {
+  TimePoint unused;
+  scene.DisturbStore(unused);
+  scene.store.ForgetHistory();
+}
+
+void DealLeadership(Scene& scene) {
+  TimePoint unused;
+  scene.DisturbStore(unused);
+  scene.store.Deal();
+}
+
+void TakeStoreDown(Scene& scene) {
+  scene.DisturbStore(scene.trouble.down_until);
+  if (standin::Chance(scene.random, 0.5)) {
+    scene.store.PostponeLapses(scene.lasts);
+  }
+}
+
+void RefuseSomeHosts(Scene& scene) {
+  scene.EachHost([&](std::size_t host) {
+    TimePoint& last = scene.trouble.refuses_host[host];
+    last = std::max(last, scene.end);
+  });
+}
+
+void LapseEntries(Scene& scene) {
+  scene.EachWorker([&](std::size_t i) {
+    standin::Worker& worker = scene.workers.At(i);
+    worker.unlisted_until = scene.end;
+    scene.store.Write(standin::wire::kWorkersTopic, worker.id, std::nullopt,
+                      scene.context.now);
+  });
+}
+
+void Crash(Scene& scene) {
+  scene.EachWorker([&](std::size_t i) {
+    scene.workers.Crash(i, scene.lasts, scene.context.now);
+  });
+}
+
+void Drain(Scene& scene) {
+  scene.Disturb(scene.end + standin::bounds::kDrainTime);
+  scene.EachWorker([&](std::size_t i) {
+    scene.workers.Drain(i, scene.lasts, scene.context.now);
+  });
+}
+
+void ChangeTables(Scene& scene) {
+  for (TimePoint at = scene.context.now; at <= scene.end; at += kStormGap) {
+    scene.trouble.table_changes.push_back(at);
+  }
+}
+
+void Reload(Scene& scene) {
+  for (const std::size_t host : scene.Some(scene.hosts.Count(), 1)) {
+    scene.hosts.Reload(scene.context, host,
+                       standin::Chance(scene.random, 0.5) ? "info" : "warning");
+  }
+}
+
+void Burst(Scene& scene) {
+  scene.Disturb(scene.context.now + kBurstTime);
+  scene.callers.Burst(
+      scene.context,
+      static_cast<std::size_t>(kBurstPerWorker *
+                               static_cast<double>(scene.workers.Count())));
+}
+
+std::vector<FaultKind> MakeKinds() {
+  using S = Scene;
+  return {
+      {"kill-host", kNone, kLong, [](S& s) { Kill(s, s.AnyHost()); }},
+      {"kill-leader", kNone, kLong, [](S& s) { Kill(s, s.Leader()); }},
+      {"kill-many", kNone, kLong,
+       [](S& s) { s.EachHost([&s](std::size_t host) { Kill(s, host); }); }},
+      {"stop-host", kNone, kLong, [](S& s) { Stop(s, s.AnyHost()); }},
+      {"stop-leader", kNone, kLong, [](S& s) { Stop(s, s.Leader()); }},
+      {"stop-in-turn", kNone, kNone, StopAllInTurn},
+      {"pause-host", kShort, kLong, [](S& s) { Pause(s, s.AnyHost(), false); }},
+      {"pause-leader", kShort, kLong,
+       [](S& s) { Pause(s, s.Leader(), false); }},
+      {"suspend-hosts", kShort, kLongest,
+       [](S& s) {
+         s.EachHost([&s](std::size_t host) { Pause(s, host, true); });
+       }},
+      {"reload", kNone, kNone, Reload},
+      {"cut-store-link", kShort, kLong, [](S& s) { s.StoreLinks(kHoldsBoth); }},
+      {"hold-store-answers", kShort, kLong,
+       [](S& s) { s.StoreLinks(kHoldsAnswers); }},
+      {"delay-store-link", kShort, kLong, [](S& s) { s.StoreLinks(kDelays); }},
+      {"reset-store-link", kNone, kNone, [](S& s) { s.StoreLinks(kResets); }},
+      {"silence-store-link", kNone, kNone,
+       [](S& s) { s.StoreLinks(kSilences); }},
+      {"hold-callers", kShort, kLong,
+       [](S& s) { s.CallerLinks(kHoldsRequests); }},
+      {"hold-caller-answers", kShort, kLong,
+       [](S& s) { s.CallerLinks(kHoldsAnswers); }},
+      {"reset-callers", kNone, kNone, [](S& s) { s.CallerLinks(kResets); }},
+      {"cut-workers", kShort, kLongest,
+       [](S& s) { s.WorkerLinks(kHoldsBoth); }},
+      {"hold-worker-answers", kShort, kLongest,
+       [](S& s) { s.WorkerLinks(kHoldsAnswers); }},
+      {"delay-workers", kShort, kLong, [](S& s) { s.WorkerLinks(kDelays); }},
+      {"reset-workers", kNone, kNone, [](S& s) { s.WorkerLinks(kResets); }},
+      {"silence-workers", kNone, kNone, [](S& s) { s.WorkerLinks(kSilences); }},
+      {"store-down", kShort, kLong, TakeStoreDown},
+      {"store-refuses", kShort, kLong,
+       [](S& s) { s.DisturbStore(s.trouble.refuses_until); }},
+      {"store-refuses-some", kShort, kLong, RefuseSomeHosts},
+      {"store-slow", kShort, kLong,
+       [](S& s) { s.DisturbStore(s.trouble.slow_until); }},
+      {"store-loses-answers", kShort, kLong,
+       [](S& s) { s.DisturbStore(s.trouble.loses_until); }},
+      {"store-is-late", kShort, kLong,
+       [](S& s) { s.DisturbStore(s.trouble.late_until); }},
+      {"store-forgets", kNone, kNone, ForgetHistory},
+      {"leadership-dealt", kNone, kNone, DealLeadership},
+      {"garbage-entries", kNone, kNone, [](S& s) { s.WriteGarbage(); }},
+      {"entries-lapse", kShort, kLong, LapseEntries},
+      {"tables-change", kNone, kNone, ChangeTables},
+      {"tables-storm", kShort, kLong, ChangeTables},
+      {"workers-crash", kNone, kLong, Crash},
+      {"workers-drain", kNone, kLong, Drain},
+      {"workers-late", kShort, kLong,
+       [](S& s) { s.MarkWorkers(&standin::Worker::late_until); }},
+      {"workers-fail", kShort, kLong,
+       [](S& s) { s.MarkWorkers(&standin::Worker::fails_until); }},
+      {"workers-hang", kShort, kLongest,
+       [](S& s) { s.MarkWorkers(&standin::Worker::hangs_until); }},
+      {"workers-slow", kShort, kLong,
+       [](S& s) { s.MarkWorkers(&standin::Worker::slow_until); }},
+      {"workers-unhealthy", kShort, kLong,
+       [](S& s) { s.MarkWorkers(&standin::Worker::unhealthy_until); }},
+      {"burst", kNone, kNone, Burst},
+      {"cancels", kNone, kNone,
+       [](S& s) { s.callers.CancelSome(s.context, kCancelShare); }},
+  };
+}
+
+}  // namespace
+
+const std::vector<FaultKind>& FaultKinds() {
+  static const std::vector<FaultKind> kKinds = MakeKinds();
+  return kKinds;
+}
+
+}  // namespace soak
--- /dev/null
+++ b/tests/soak/main.cc
@@ -0,0 +1,165 @@
+// Runs the real processes against stand-ins of the platform, injects faults,
+// and checks what callers and workers see. See docs/SOAK.md.
+#include <fmt/format.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cxxopts.hpp>
+#include <filesystem>
+#include <iostream>
+#include <string>
+
+#include "soak/picture.h"
+#include "soak/run.h"
+
+namespace {
+
+using soak::Broken;
+
+struct BrokenRow {
+  const char* name;
+  Broken broken;
+  /// The check that must find it.
+  const char* check;
+};
+
+constexpr std::array<BrokenRow, 6> kBroken = {{
+    {"nothing", Broken::kNothing, ""},
+    {"old-fence", Broken::kOldFence, "runs-twice"},
+    {"early-answer", Broken::kEarlyAnswer, "stored"},
+    {"false-refusal", Broken::kFalseRefusal, "false-refusal"},
+    {"old-tables", Broken::kOldTables, "tables-back"},
+    {"forgotten-end", Broken::kForgottenEnd, "runs-again"},
+}};
+
+constexpr int kFailed = 1;
+constexpr int kUsage = 2;
+
+std::atomic<bool> is_interrupted = false;
+
+cxxopts::Options MakeOptions() {
+  cxxopts::Options options("soak", "Random faults against real processes.");
+  options.add_options()("seed", "seed of all draws",
+                        cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "minutes", "length of the run",
+      cxxopts::value<double>()->default_value("1.5"))(
+      "processes", "entry processes",
+      cxxopts::value<std::size_t>()->default_value("6"))(
+      "workers", "stand-ins of workers",
+      cxxopts::value<std::size_t>()->default_value("40"))("calm", "no faults")(
+      "broken", "plays a part wrong; its check must find it",
+      cxxopts::value<std::string>()->default_value("nothing"))(
+      "out", "folder of logs, settings and the picture; kept on failure",
+      cxxopts::value<std::string>()->default_value(""))(
+      "keep", "keeps the folder")("help", "prints this");
+  return options;
+}
+
+/// Null for an unknown name.
+const BrokenRow* FindBroken(const std::string& name) {
+  for (const BrokenRow& row : kBroken) {
+    if (name == row.name) {
+      return &row;
+    }
+  }
+  return nullptr;
+}
+
+void Print(const soak::RunOptions& options, const soak::Run& run) {
+  const soak::Ledger& ledger = run.GetWorld().GetLedger();
+  for (const soak::Finding& finding : ledger.Findings()) {
+    const std::chrono::duration<double> at = finding.at - run.Began();
+    std::string history;
+    for (const std::string& line : finding.history) {
+      history += "; " + line;
+    }
+    fmt::print("finding: seed={} at={:.3f} check={} id={}: {}{}\n",
+               options.world.seed, at.count(), finding.check, finding.id,
+               finding.text, history);
+  }
+  const soak::Totals& totals = ledger.GetTotals();
+  fmt::print(
+      "seed={} processes={} workers={} faults={} submitted={} accepted={} "
+      "refused={} unknown={} cancelled={} completed={} failed={} starts={} "
+      "ends={} findings={}\n",
+      options.world.seed, options.processes, options.workers,
+      run.GetWorld().Faults().size(), totals.submitted, totals.accepted,
+      totals.refused, totals.unknown, totals.cancelled, totals.completed,
+      totals.failed, totals.starts, totals.ends, ledger.Findings().size());
+}
+
+/// Whether the run went as it should.
+bool IsRight(const BrokenRow& broken, const soak::Ledger& ledger) {
+  if (broken.broken == Broken::kNothing) {
+    return ledger.Findings().empty() && ledger.GetTotals().completed > 0;
+  }
+  for (const soak::Finding& finding : ledger.Findings()) {
+    if (finding.check == broken.check) {
+      return true;
+    }
+  }
+  fmt::print("The check {} did not find the broken part.\n", broken.check);
+  return false;
+}
+
+int Play(const cxxopts::ParseResult& flags, const BrokenRow& broken) {
+  soak::RunOptions options;
+  options.world.seed = flags["seed"].as<std::uint64_t>();
+  options.world.length = std::chrono::duration_cast<soak::Duration>(
+      std::chrono::duration<double, std::ratio<60>>(
+          flags["minutes"].as<double>()));
+  options.world.has_faults = flags.count("calm") == 0;
+  options.world.broken = broken.broken;
+  options.processes = flags["processes"].as<std::size_t>();
+  options.workers = flags["workers"].as<std::size_t>();
+  options.folder = flags["out"].as<std::string>();
+  if (options.folder.empty()) {
+    options.folder = (std::filesystem::temp_directory_path() /
+                      fmt::format("soak-{}-{}", options.world.seed, getpid()))
+                         .string();
+  }
+  std::filesystem::create_directories(options.folder);
+  bool is_right = false;
+  {
+    soak::Run run(options);
+    run.Play([] { return is_interrupted.load(); });
+    Print(options, run);
+    soak::DrawPicture(run.GetWorld(), run.Began(),
+                      options.folder + "/picture.svg");
+    is_right = IsRight(broken, run.GetWorld().GetLedger());
+  }
+  if (is_right && flags.count("keep") == 0) {
+    std::filesystem::remove_all(options.folder);
+  } else {
+    fmt::print("logs: {}\n", options.folder);
+  }
+  return is_right && !is_interrupted ? 0 : kFailed;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  // A write to a closed connection is an error like others.
+  signal(SIGPIPE, SIG_IGN);
+  const auto interrupt = [](int) { is_interrupted = true; };
+  signal(SIGINT, interrupt);
+  signal(SIGTERM, interrupt);
+  cxxopts::Options options = MakeOptions();
+  try {
+    const auto flags = options.parse(argc, argv);
+    if (flags.count("help") > 0) {
+      fmt::print("{}\n", options.help());
+      return 0;
+    }
+    const BrokenRow* broken = FindBroken(flags["broken"].as<std::string>());
+    if (broken != nullptr) {
+      return Play(flags, *broken);
+    }
+    fmt::print(stderr, "unknown broken part\n");
+  } catch (const std::exception& error) {
+    fmt::print(stderr, "{}\n", error.what());
+  }
+  return kUsage;
+}
--- /dev/null
+++ b/tests/soak/trouble.cc
@@ -0,0 +1,125 @@
+#include "soak/trouble.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "platform/wire/store_wire.h"
+
+namespace soak {
+namespace {
+
+/// The largest share of the workers that one fault concerns.
+constexpr double kFewWorkers = 0.3;
+/// Group of the processes, for the choice of the leader as a target.
+constexpr const char* kGroup = "basilspread";
+
+}  // namespace
+
+std::vector<std::size_t> Scene::Some(std::size_t count, double most_share) {
+  std::vector<std::size_t> all(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    all[i] = i;
+  }
+  std::shuffle(all.begin(), all.end(), this->random);
+  const double most = most_share * static_cast<double>(count);
+  all.resize(1 + standin::Below(this->random, static_cast<std::uint64_t>(
+                                                  std::max(1.0, most))));
+  return all;
+}
+
+std::size_t Scene::AnyHost() {
+  return standin::Below(this->random, this->hosts.Count());
+}
+
+std::size_t Scene::Leader() {
+  const std::size_t other = this->AnyHost();
+  return this->hosts.NamedIn(this->store.OwnerOf(kGroup)).value_or(other);
+}
+
+void Scene::Disturb(TimePoint until) {
+  this->trouble.disturbed = std::max(this->trouble.disturbed, until);
+}
+
+void Scene::DisturbStore(TimePoint& last) {
+  last = std::max(last, this->end);
+  this->Disturb(this->end);
+  this->trouble.store_disturbed =
+      std::max(this->trouble.store_disturbed, this->end);
+}
+
+void Scene::ChangeLink(const std::string& address,
+                       const test::LinkChange& change) {
+  this->context.effects.push_back(soak::ChangeLink{address, change});
+  if (this->lasts > Duration::zero()) {
+    this->trouble.links.emplace(address, this->end);
+  }
+}
+
+void Scene::EachHost(const std::function<void(std::size_t)>& action) {
+  this->Disturb(this->end);
+  for (const std::size_t host : this->Some(this->hosts.Count(), 1)) {
+    this->hosts.Disturb(host, this->end);
+    action(host);
+  }
+}
+
+void Scene::StoreLinks(const test::LinkChange& change) {
+  this->EachHost([&](std::size_t host) {
+    this->ChangeLink(this->hosts.SettingsOf(host).store, change);
+  });
+}
+
+void Scene::CallerLinks(const test::LinkChange& change) {
+  this->EachHost([&](std::size_t host) {
+    this->ChangeLink(this->hosts.SettingsOf(host).proxied, change);
+  });
+}
+
+void Scene::WorkerLinks(const test::LinkChange& change) {
+  this->EachWorker([&](std::size_t worker) {
+    this->ChangeLink(this->worker_addresses[worker], change);
+  });
+}
+
+void Scene::EachWorker(const std::function<void(std::size_t)>& action) {
+  this->Disturb(this->end);
+  for (const std::size_t i : this->Some(this->workers.Count(), kFewWorkers)) {
+    action(i);
+  }
+}
+
+void Scene::MarkWorkers(TimePoint standin::Worker::*until) {
+  this->EachWorker(
+      [&](std::size_t i) { this->workers.At(i).*until = this->end; });
+}
+
+void Scene::WriteGarbage() {
+  const std::vector<std::string> values = {
+      std::string("\0\xff\xfe{", 4),
+      "{",
+      "null",
+      "[]",
+      "{\"a\":" + std::string(5000, '['),
+      R"({"state":"ready"})",
+      R"({"service":7,"address":[],"state":"ready","labels":"a"})",
+      R"({"service":"planners","address":"127.0.0.1:99999","state":"off"})",
+      R"({"service":"elsewhere","address":"127.0.0.1:1","state":"ready"})",
+      R"({"service":"planners","address":"none","labels":[],"sequence":1e999})",
+      std::string(200000, 'x'),
+  };
+  const TimePoint now = this->context.now;
+  for (const std::string& value : values) {
+    const std::string key =
+        standin::Chance(this->random, 0.5)
+            ? fmt::format("x-{:x}", this->random())
+            : std::string(1 + standin::Below(this->random, 200), '\x01');
+    this->store.Write(standin::wire::kWorkersTopic, key, value, now);
+    if (standin::Chance(this->random, 0.5)) {
+      this->store.Write(standin::wire::kWorkersTopic, key, std::nullopt, now);
+    }
+  }
+  this->store.Write(standin::wire::kWorkersTopic, "", std::nullopt, now);
+}
+
+}  // namespace soak
--- /dev/null
+++ b/tests/soak/trouble.h
@@ -0,0 +1,73 @@
+#ifndef BASILSPREAD_TESTS_SOAK_TROUBLE_H_
+#define BASILSPREAD_TESTS_SOAK_TROUBLE_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "platform/random.h"
+#include "platform/store.h"
+#include "platform/workers.h"
+#include "soak/callers.h"
+#include "soak/hosts.h"
+#include "soak/tables.h"
+
+namespace soak {
+
+/// What is wrong now, and until when.
+struct Trouble {
+  TimePoint down_until;
+  TimePoint refuses_until;
+  TimePoint slow_until;
+  TimePoint loses_until;
+  TimePoint late_until;
+  std::map<std::size_t, TimePoint> refuses_host;
+  /// Links that are held or delayed, by address.
+  std::multimap<std::string, TimePoint> links;
+  /// Hosts that are to be stopped in turn.
+  std::multimap<TimePoint, std::size_t> stops;
+  std::vector<TimePoint> table_changes;
+  /// Until when a fault concerns the store, and anything at all.
+  TimePoint store_disturbed;
+  TimePoint disturbed;
+};
+
+/// The parts of the world that a fault changes, and its draws.
+struct Scene {
+  const Context& context;
+  standin::Random random;
+  /// When the fault ends, and how long it lasts.
+  TimePoint end;
+  Duration lasts;
+  Trouble& trouble;
+  standin::Store& store;
+  standin::Workers& workers;
+  Hosts& hosts;
+  Callers& callers;
+  const std::vector<std::string>& worker_addresses;
+
+  /// Some of so many, in a random order; one at least.
+  std::vector<std::size_t> Some(std::size_t count, double most_share);
+  std::size_t AnyHost();
+  /// Any host while none leads.
+  std::size_t Leader();
+
+  /// Marks the fault: checks with a time bound rest until some time after it.
+  void Disturb(TimePoint until);
+  void DisturbStore(TimePoint& last);
+  void ChangeLink(const std::string& address, const test::LinkChange& change);
+  /// Some hosts, with a fault of their links.
+  void EachHost(const std::function<void(std::size_t)>& action);
+  void StoreLinks(const test::LinkChange& change);
+  void CallerLinks(const test::LinkChange& change);
+  void WorkerLinks(const test::LinkChange& change);
+  void EachWorker(const std::function<void(std::size_t)>& action);
+  void MarkWorkers(TimePoint standin::Worker::*until);
+  void WriteGarbage();
+};
+
+}  // namespace soak
+
+#endif  // BASILSPREAD_TESTS_SOAK_TROUBLE_H_
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -4,6 +4,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <fcntl.h>
 #include <signal.h>
+#include <stdlib.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -49,7 +50,8 @@
 }  // namespace
 
 Process::Process(const std::vector<std::string>& arguments,
-                 const std::string& log_path) {
+                 const std::string& log_path,
+                 std::vector<std::string> environment) {
   std::vector<char*> argv;
   argv.reserve(arguments.size() + 1);
   for (const std::string& argument : arguments) {
@@ -61,6 +63,9 @@
     if (!log_path.empty()) {
       RedirectOutput(log_path);
     }
+    for (std::string& entry : environment) {
+      putenv(entry.data());
+    }
     execv(argv[0], argv.data());
     _exit(127);
   }
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -15,13 +15,17 @@
 /// A child process that is killed when this goes out of scope.
 class Process {
  public:
-  /// Starts the program; its output goes to `log_path` when set.
+  /// Starts the program; its output goes to `log_path` when set. Entries of
+  /// `environment` have the form NAME=VALUE.
   explicit Process(const std::vector<std::string>& arguments,
-                   const std::string& log_path = "");
+                   const std::string& log_path = "",
+                   std::vector<std::string> environment = {});
   ~Process();
   Process(Process&& other) noexcept;
   Process& operator=(Process&& other) noexcept;
 
+  /// -1 once it has ended.
+  pid_t Id() const { return this->pid; }
   void Signal(int number) const;
   /// The exit status, or minus the signal that ended it; unset on timeout.
   std::optional<int> WaitForExit(std::chrono::milliseconds timeout);
