End open connections with the callers' loop, so that no call goes unread

The callers' loop had ended, and the process took 0.25 s more to stop its other servers: the sockets stayed open and nobody read them. The loop now closes what is open as it ends, so a caller knows at once.

The test fails without the change: the connection stays open until the receiving side times out after 10 s.

--- a/packages/node/src/http_loop.cc
+++ b/packages/node/src/http_loop.cc
@@ -90,6 +90,10 @@
     this->CloseOverdue(ConnectionPhase::kWriting, this->limits.write_timeout);
     this->CloseOverdue(ConnectionPhase::kClosing, this->limits.close_timeout);
   }
+  // The process may live on for a while: nobody would read what callers send.
+  while (!this->connections.empty()) {
+    this->Close(ConnectionPtr(this->connections.begin()->second));
+  }
 }
 
 bool HttpLoop::HasWork() const {
--- a/packages/node/tests/http_loop_test.cc
+++ b/packages/node/tests/http_loop_test.cc
@@ -165,6 +165,17 @@
   REQUIRE(text.ends_with("last"));
 }
 
+TEST_CASE("A server that has stopped ends the connections that were idle",
+          "[node][http]") {
+  EchoServer server(HttpLimits{});
+  StreamSocket caller = server.Connect();
+  Send(caller, Post("first"));
+  CHECK_THAT(ReceiveUntil(caller, "first"), Catch::EndsWith("first"));
+
+  server.loop.Stop(std::chrono::seconds(1));
+  CHECK(ReceiveUntil(caller, "more").empty());
+}
+
 TEST_CASE("A request larger than the socket's buffers is sent whole",
           "[http-client]") {
   constexpr std::size_t kBytes = std::size_t{12} << 20U;
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPREAD_TESTS_SOAK_WORLD_H_
 #define BASILSPREAD_TESTS_SOAK_WORLD_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -72,7 +73,7 @@
   /// Whether the run is over and all processes have ended.
   bool IsOver() const { return this->phase == Phase::kOver; }
   /// Goes to the end at once: a signal asked for it.
-  void Interrupt() { this->phase = Phase::kEnding; }
+  void Interrupt() { this->phase = std::max(this->phase, Phase::kEnding); }
 
   const Ledger& GetLedger() const { return this->ledger; }
   const std::vector<FaultRecord>& Faults() const { return this->records; }
