--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -67,6 +67,23 @@
   return nullptr;
 }
 
+/// The faults that were active a short time before the finding, each with the
+/// time from its begin to the finding.
+std::string FaultsBefore(const soak::World& world, soak::TimePoint at) {
+  constexpr std::chrono::seconds kNear(12);
+  std::string text;
+  for (const soak::FaultRecord& fault : world.Faults()) {
+    if (fault.begin <= at && fault.end + kNear >= at) {
+      const std::chrono::duration<double> before = at - fault.begin;
+      const std::chrono::duration<double> length = fault.end - fault.begin;
+      text += fmt::format(" {}(-{:.1f}s for {:.1f}s)",
+                          soak::FaultKinds()[fault.kind].name, before.count(),
+                          length.count());
+    }
+  }
+  return text;
+}
+
 void Print(const soak::RunOptions& options, const soak::Run& run) {
   const soak::Ledger& ledger = run.GetWorld().GetLedger();
   for (const soak::Finding& finding : ledger.Findings()) {
@@ -75,9 +92,9 @@
     for (const std::string& line : finding.history) {
       history += "; " + line;
     }
-    fmt::print("finding: seed={} at={:.3f} check={} id={}: {}{}\n",
+    fmt::print("finding: seed={} at={:.3f} check={} id={}: {}; faults:{}{}\n",
                options.world.seed, at.count(), finding.check, finding.id,
-               finding.text, history);
+               finding.text, FaultsBefore(run.GetWorld(), finding.at), history);
   }
   const soak::Totals& totals = ledger.GetTotals();
   fmt::print(
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <condition_variable>
+#include <limits>
 #include <mutex>
 #include <utility>
 
@@ -63,6 +64,9 @@
     if (!log_path.empty()) {
       RedirectOutput(log_path);
     }
+    // Connections of this program would not end while the child holds them.
+    constexpr unsigned kFirstOther = STDERR_FILENO + 1;
+    close_range(kFirstOther, std::numeric_limits<unsigned>::max(), 0);
     for (std::string& entry : environment) {
       putenv(entry.data());
     }
