--- a/tests/platform/worker_life.h
+++ b/tests/platform/worker_life.h
@@ -21,6 +21,8 @@
   auto operator<=>(const WorkerLife&) const = default;
 };
 
+std::string ToText(const WorkerLife& life);
+
 /// How a run ended, as its worker tells it.
 enum class End { kDone, kFailed, kStopped, kLapsed, kBroken, kAlone };
 
--- a/tests/platform/workers.cc
+++ b/tests/platform/workers.cc
@@ -61,6 +61,10 @@
                      name.task.index, name.run);
 }
 
+std::string ToText(const WorkerLife& life) {
+  return fmt::format("{}/{}", life.worker, life.born);
+}
+
 RunName Workers::GangOf(const RunName& name) {
   return {{name.task.id, name.task.step, 0}, name.run};
 }
--- a/tests/soak/fault_kinds.cc
+++ b/tests/soak/fault_kinds.cc
@@ -151,6 +151,8 @@
       {"reset-store-link", kNone, kNone, [](S& s) { s.StoreLinks(kResets); }},
       {"silence-store-link", kNone, kNone,
        [](S& s) { s.StoreLinks(kSilences); }},
+      {"hold-advice", kShort, kLong,
+       [](S& s) { s.AdvisorLinks(kHoldsAnswers); }},
       {"hold-callers", kShort, kLong,
        [](S& s) { s.CallerLinks(kHoldsRequests); }},
       {"hold-caller-answers", kShort, kLong,
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -1,8 +1,10 @@
 #include "soak/run.h"
 
+#include <Poco/Exception.h>
 #include <fmt/format.h>
 #include <unistd.h>
 
+#include <stdexcept>
 #include <utility>
 
 #include "platform/bounds.h"
@@ -19,22 +21,19 @@
 constexpr milliseconds kReapInterval(20);
 constexpr std::size_t kWorkersOfNet = 200;
 constexpr std::size_t kZones = 3;
+constexpr std::uint16_t kStandInPort = 7000;
 constexpr std::size_t kMostConnections = 8000;
 
-/// The second number of this program's loopback addresses, so that programs
-/// side by side do not share any.
-std::string PickNet() {
-  constexpr int kFirst = 16;
-  constexpr int kCount = 224;
-  return fmt::format("127.{}", kFirst + getpid() % kCount);
-}
+/// The second number of the loopback addresses. Programs side by side begin at
+/// different ones.
+constexpr int kFirstNet = 16;
+constexpr int kNets = 224;
 
 }  // namespace
 
 Run::Run(const RunOptions& run_options)
-    : options(run_options),
-      net(PickNet()),
-      began(std::chrono::steady_clock::now()) {
+    : options(run_options), began(std::chrono::steady_clock::now()) {
+  this->TakeNet();
   this->Listen();
   this->processes =
       std::make_unique<Processes>(this->options.folder, this->addresses.hosts);
@@ -42,10 +41,36 @@
                                         this->began);
 }
 
+void Run::TakeNet() {
+  basilspread::node::HttpLimits limits;
+  limits.max_connections = kMostConnections;
+  limits.max_body_bytes = std::size_t{4} << 20U;
+  HttpLoop::Hooks hooks;
+  hooks.on_request = [this](standin::CallId call, standin::PayloadPtr request) {
+    this->Post(RequestArrived{call, std::move(request)});
+  };
+  hooks.on_gone = [](standin::CallId) {};
+  for (int i = 0; i < kNets; ++i) {
+    this->net = fmt::format("127.{}", kFirstNet + (getpid() + i) % kNets);
+    this->stand_ins = std::make_unique<HttpLoop>(
+        basilspread::config::Endpoint{this->net + ".0.1", kStandInPort}, limits,
+        hooks);
+    try {
+      this->stand_ins->Start();
+      return;
+    } catch (const Poco::Exception&) {
+      // Another program has these addresses.
+      continue;
+    }
+  }
+  throw std::runtime_error("no loopback addresses are free");
+}
+
 void Run::Listen() {
   // Process H has 127.N.1.H; what it calls the store and the advisor, and
   // where the callers reach it, are the proxy's 127.N.2.H to 127.N.4.H.
-  const std::string stand_in = this->net + ".0.1:7000";
+  const std::string stand_in =
+      fmt::format("{}.0.1:{}", this->net, kStandInPort);
   for (std::size_t i = 0; i < this->options.processes; ++i) {
     const auto at = [this, i](int part, int port) {
       return fmt::format("{}.{}.{}:{}", this->net, part, 1 + i, port);
@@ -58,25 +83,13 @@
     this->proxy.Listen(at(3, 7002), stand_in);
     this->proxy.Listen(at(4, 8080), at(1, 8080));
   }
-  constexpr std::size_t kFirstNet = 16;
+  constexpr std::size_t kFirstPart = 16;
   for (std::size_t i = 0; i < this->options.workers; ++i) {
-    this->addresses.workers.push_back(fmt::format("{}.{}.{}:9000", this->net,
-                                                  kFirstNet + i / kWorkersOfNet,
-                                                  1 + i % kWorkersOfNet));
+    this->addresses.workers.push_back(
+        fmt::format("{}.{}.{}:9000", this->net, kFirstPart + i / kWorkersOfNet,
+                    1 + i % kWorkersOfNet));
     this->proxy.Listen(this->addresses.workers.back(), stand_in);
   }
-  basilspread::node::HttpLimits limits;
-  limits.max_connections = kMostConnections;
-  limits.max_body_bytes = std::size_t{4} << 20U;
-  HttpLoop::Hooks hooks;
-  hooks.on_request = [this](standin::CallId call, standin::PayloadPtr request) {
-    this->Post(RequestArrived{call, std::move(request)});
-  };
-  hooks.on_gone = [](standin::CallId) {};
-  this->stand_ins = std::make_unique<HttpLoop>(
-      basilspread::config::ParseEndpoint(stand_in).value(), limits,
-      std::move(hooks));
-  this->stand_ins->Start();
   this->clients.Start();
   this->proxy.Start();
 }
--- a/tests/soak/run.h
+++ b/tests/soak/run.h
@@ -46,6 +46,8 @@
     standin::PayloadPtr answer;
   };
 
+  /// Takes loopback addresses that no other program has.
+  void TakeNet();
   void Listen();
   void Post(Event event);
   void Reduce(const Event& event);
@@ -59,7 +61,8 @@
   void GiveDueAnswers();
 
   const RunOptions options;
-  const std::string net;
+  /// The first two numbers of the loopback addresses.
+  std::string net;
   const TimePoint began;
   Addresses addresses;
   std::unique_ptr<Processes> processes;
--- a/tests/soak/trouble.cc
+++ b/tests/soak/trouble.cc
@@ -70,6 +70,12 @@
   });
 }
 
+void Scene::AdvisorLinks(const test::LinkChange& change) {
+  this->EachHost([&](std::size_t host) {
+    this->ChangeLink(this->hosts.SettingsOf(host).advisor, change);
+  });
+}
+
 void Scene::CallerLinks(const test::LinkChange& change) {
   this->EachHost([&](std::size_t host) {
     this->ChangeLink(this->hosts.SettingsOf(host).proxied, change);
--- a/tests/soak/trouble.h
+++ b/tests/soak/trouble.h
@@ -61,6 +61,7 @@
   /// Some hosts, with a fault of their links.
   void EachHost(const std::function<void(std::size_t)>& action);
   void StoreLinks(const test::LinkChange& change);
+  void AdvisorLinks(const test::LinkChange& change);
   void CallerLinks(const test::LinkChange& change);
   void WorkerLinks(const test::LinkChange& change);
   void EachWorker(const std::function<void(std::size_t)>& action);
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -130,23 +130,13 @@
 }
 
 standin::WorkerWatch World::MakeWatch() {
-  Ledger& book = this->ledger;
-  return {
-      [&book](const standin::Started& started, TimePoint at) {
-        book.OnStarted(started, at);
-      },
-      [&book](const standin::RunName& run, const standin::WorkerLife& worker,
-              standin::End end,
-              TimePoint at) { book.OnEnded(run, worker, end, at); },
-      [&book](const standin::RunName& run, const std::string& checkpoint) {
-        book.OnCheckpoint(run, checkpoint);
-      },
-      [&book](const standin::RunName& run, const standin::WorkerLife& worker,
-              TimePoint at) { book.OnNoted(run, worker, at); },
-      [&book](const standin::WorkerLife& worker) { book.OnLapsed(worker); },
-      [&book](const standin::WorkerLife& worker, TimePoint at) {
-        book.OnGone(worker, at);
-      }};
+  Ledger* book = &this->ledger;
+  return {std::bind_front(&Ledger::OnStarted, book),
+          std::bind_front(&Ledger::OnEnded, book),
+          std::bind_front(&Ledger::OnCheckpoint, book),
+          std::bind_front(&Ledger::OnNoted, book),
+          std::bind_front(&Ledger::OnLapsed, book),
+          std::bind_front(&Ledger::OnGone, book)};
 }
 
 standin::Advisor World::MakeAdvisor() {
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -67,6 +68,8 @@
     // Connections of this program would not end while the child holds them.
     constexpr unsigned kFirstOther = STDERR_FILENO + 1;
     close_range(kFirstOther, std::numeric_limits<unsigned>::max(), 0);
+    // Nothing outlives a test program that is killed.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     for (std::string& entry : environment) {
       putenv(entry.data());
     }
