--- a/packages/node/src/http_head.cc
+++ b/packages/node/src/http_head.cc
@@ -165,7 +165,13 @@
   out.reserve(bytes);
   out.append(call.method).append(" ").append(call.target);
   out.append(" HTTP/1.1\r\n");
-  AddField(out, "Host", call.address);
+  // A call may name another host than its address.
+  const bool names_host = std::any_of(
+      call.headers.begin(), call.headers.end(),
+      [](const Header& header) { return HasName(header.name, "host"); });
+  if (!names_host) {
+    AddField(out, "Host", call.address);
+  }
   AddField(out, "Connection", "Keep-Alive");
   for (const Header& header : call.headers) {
     AddField(out, header.name, header.value);
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -4,10 +4,13 @@
 #include <Poco/Net/ServerSocket.h>
 #include <fcntl.h>
 #include <signal.h>
+#include <stdlib.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <condition_variable>
+#include <limits>
 #include <mutex>
 #include <utility>
 
@@ -49,7 +52,8 @@
 }  // namespace
 
 Process::Process(const std::vector<std::string>& arguments,
-                 const std::string& log_path) {
+                 const std::string& log_path,
+                 std::vector<std::string> environment) {
   std::vector<char*> argv;
   argv.reserve(arguments.size() + 1);
   for (const std::string& argument : arguments) {
@@ -61,6 +65,14 @@
     if (!log_path.empty()) {
       RedirectOutput(log_path);
     }
+    // Connections of this program would not end while the child holds them.
+    constexpr unsigned kFirstOther = STDERR_FILENO + 1;
+    close_range(kFirstOther, std::numeric_limits<unsigned>::max(), 0);
+    // Nothing outlives a test program that is killed.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    for (std::string& entry : environment) {
+      putenv(entry.data());
+    }
     execv(argv[0], argv.data());
     _exit(127);
   }
