--- a/packages/core/src/internal/candidacy.cc
+++ b/packages/core/src/internal/candidacy.cc
@@ -14,8 +14,9 @@
 /// with less of a core accordingly later: five times what a read of the owner
 /// takes, so that the next one reads that somebody leads.
 constexpr Duration kVacancyDelay = std::chrono::milliseconds(25);
-/// A leader that tells nothing of the candidates for so long tells nothing.
-constexpr Duration kReportPatience = std::chrono::seconds(1);
+/// A leader that answers no report for so long cannot be reached: three times
+/// the interval of the reports.
+constexpr Duration kReportPatience = std::chrono::seconds(3);
 /// Every helper reports within this; see kReportInterval of the calls.
 constexpr Duration kReportTime = std::chrono::seconds(1);
 constexpr Duration kHelperTimeout = std::chrono::seconds(3);
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -397,6 +397,7 @@
   LeaderReport report;
   report.leader = ToString(Self(context));
   report.generation = StateOf(context).generation;
+  candidacy::Describe(context, report);
   context.Emit(SendToPeer{peer, std::move(report)});
 }
 
--- a/packages/core/src/internal/leadership.h
+++ b/packages/core/src/internal/leadership.h
@@ -37,7 +37,7 @@
 /// The leader did not answer or does not lead: another one may. A process
 /// that does not join the group reads who.
 void Doubt(Context& context);
-/// While leading: tells the peer so.
+/// While leading: tells the peer so, and who stands.
 void TellLeadership(Context& context, const NodeName& peer);
 /// While leading: tells the peers so, since not all of them join the group.
 void Announce(Context& context);
--- a/packages/core/tests/candidacy_test.cc
+++ b/packages/core/tests/candidacy_test.cc
@@ -50,7 +50,7 @@
   StoreWorld world(capacities, kWorkers);
   CHECK(world.Leader() == strong);
   CHECK(world.Moves() == 1);
-  CHECK(world.Members() == std::set<int>{strong});
+  CHECK(world.Joined() == std::set<int>{strong});
   const int weak = strong == 0 ? 1 : 0;
   const CallId call = world.Submit(weak, kFirst, {Tasks(1)});
   world.Run(seconds(1));
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -95,6 +95,7 @@
       this->world.PostIn(this->node.index, kTimeout, joined);
       return;
     }
+    this->world.joined.insert(this->node.index);
     const bool is_new = !this->world.members.contains(effect.member);
     this->world.members[effect.member] = this->world.now + effect.time_to_live;
     this->world.generation += is_new ? 1 : 0;
@@ -241,11 +242,16 @@
     if (refuses) {
       this->world.PostIn(this->node.index, kCallTime, PeerRefused{effect.peer});
     }
-    if (!is_up || !this->node.links.insert(effect.peer).second) {
+    if (!is_up || this->node.links.contains(effect.peer)) {
       return;
     }
-    this->world.PostIn(this->node.index, kCallTime,
-                       PeerLinkChanged{effect.peer, true});
+    StoreWorld* target = &this->world;
+    Node* owner = &this->node;
+    target->In(kCallTime, [target, owner, peer = effect.peer] {
+      if (owner->is_up && owner->links.insert(peer).second) {
+        target->Post(owner->index, PeerLinkChanged{peer, true});
+      }
+    });
   }
 
   template <typename Other>
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -96,6 +96,8 @@
   std::size_t Waiting(int node) const;
   /// Members of the group, by their nodes' numbers.
   std::set<int> Members() const;
+  /// Nodes that have ever joined the group.
+  const std::set<int>& Joined() const { return this->joined; }
   /// How often the group has named another holder of the leadership.
   int Moves() const { return this->moves; }
   TimePoint Now() const { return this->now; }
@@ -196,6 +198,7 @@
   std::uint64_t log_sequence = 0;
   std::map<std::string, WorkRecord> log;
   int moves = 0;
+  std::set<int> joined;
   int questions = 0;
   int appends = 0;
   std::map<std::pair<int, SubmissionId>, int> calls_sent;
