Take a refusal for one copy of a call, not for all

A caller could be told that its submission never runs, and it ran: the process that took the call sent it to the leader again after 0.8 s without an answer, the leader refused the first copy for load and took the second, and the answer to the first counted for both. A refusal now settles one copy; the call waits for the answers to the others. The fuzzed frames carry the new fields of reports.

--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -313,10 +313,16 @@
     load_shedding::OnLeaderRefused(context, found->second.message.route,
                                    answer.retry_after);
   }
-  SubmissionAnswer told = answer;
-  told.operation = found->second.message.operation;
   const bool is_refusal = answer.kind == ErrorKind::kLogUnavailable ||
                           answer.kind == ErrorKind::kOverloaded;
+  const auto taker = found->second.takers.find(from);
+  if (is_refusal && taker != found->second.takers.end() && taker->second > 1) {
+    // The call was sent again meanwhile, and that copy may be taken.
+    --taker->second;
+    return;
+  }
+  SubmissionAnswer told = answer;
+  told.operation = found->second.message.operation;
   if (is_refusal && !IsCertain(found->second, from)) {
     told.kind = ErrorKind::kOutcomeUnknown;
   }
--- a/packages/wire/tests/fuzz_test.cc
+++ b/packages/wire/tests/fuzz_test.cc
@@ -119,11 +119,12 @@
       SubmissionAnswer{CallId{7}, SubmissionOperation::kStatus,
                        ErrorKind::kNone, SubmissionState::kRunning, 12,
                        seconds(1)},
-      HelperReport{"127.0.0.1:7000"},
+      HelperReport{"127.0.0.1:7000", {0.5, 200}, true, 0.25},
       AdviceCall{{7, spec->id, 1, {HostName{"i-1"}, HostName{"i-2"}}}},
       MakeAdvice(),
       LeaderReport{"entry-1/7/127.0.0.1:7000",
                    {"entry-2/8/127.0.0.1:7001", "entry-3/9/127.0.0.1:7002"},
+                   {{NodeName{"entry-2"}, {0.5, 200}}},
                    4,
                    false},
   };
