Leave hosts out of the host list that cannot be used

Seen: with the product's own host list, one row that is no host (another type, a name missing, slots of 2^32) failed the list as a whole, so that the processes stopped following it; slots of -1 and of another type became 0 without a word, a capacity of 2^62 overflowed sums. Cause: one exception ended the reading, and POCO's optional values hide what cannot be converted. Now a row that describes no host within the bounds is left out, and the others hold.

--- a/packages/clients/src/host_list_client.cc
+++ b/packages/clients/src/host_list_client.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "basilspread/core/limits.h"
 #include "http.h"
 
 namespace basilspread::clients {
@@ -13,24 +14,71 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
+/// Requests that a minion serves at once, and connections that it takes.
+constexpr Poco::UInt32 kMaxSlots = 1'000'000;
+
+/// Throws Poco::Exception when the member is no text or too long.
+std::string ReadText(const Object& object, const std::string& key) {
+  if (!object.get(key).isString()) {
+    throw Poco::DataFormatException("a member is no text");
+  }
+  std::string text = object.getValue<std::string>(key);
+  if (text.size() > limits::kMaxNameBytes) {
+    throw Poco::DataFormatException("a text is too long");
+  }
+  return text;
+}
+
+/// Throws Poco::Exception when the text is missing, empty or too long.
+std::string ReadName(const Object& object, const std::string& key) {
+  std::string text = ReadText(object, key);
+  if (text.empty()) {
+    throw Poco::DataFormatException("a name is empty");
+  }
+  return text;
+}
+
+/// Zero when absent. Throws Poco::Exception when it is of another type: POCO's
+/// own default would hide that.
+template <typename T>
+T ReadOptional(const Object& object, const std::string& key) {
+  return object.has(key) ? object.getValue<T>(key) : T{};
+}
+
+/// False when absent. Throws Poco::Exception when it is no flag: POCO takes
+/// objects for one.
+bool ReadFlag(const Object& object, const std::string& key) {
+  if (object.has(key) && !object.get(key).isBoolean()) {
+    throw Poco::DataFormatException("a member is no flag");
+  }
+  return ReadOptional<bool>(object, key);
+}
+
+/// Throws Poco::Exception when the object describes no host.
 Host ReadHost(const Object& object) {
   Host host;
-  host.name = HostName{object.getValue<std::string>("name")};
-  host.address = object.getValue<std::string>("address");
-  host.group = object.getValue<std::string>("group");
-  host.zone = ZoneName{object.optValue<std::string>("zone", "")};
-  host.rack = object.optValue<std::string>("rack", "");
-  host.leaving = object.optValue<bool>("leaving", false);
+  host.name = HostName{ReadName(object, "name")};
+  host.address = ReadName(object, "address");
+  host.group = ReadName(object, "group");
+  host.zone = ZoneName{object.has("zone") ? ReadText(object, "zone") : ""};
+  host.rack = object.has("rack") ? ReadText(object, "rack") : "";
+  host.leaving = ReadFlag(object, "leaving");
   host.capacity.cpu_millicores =
-      object.optValue<Poco::Int64>("cpu_millicores", 0);
+      ReadOptional<Poco::Int64>(object, "cpu_millicores");
   host.capacity.memory_mebibytes =
-      object.optValue<Poco::Int64>("memory_mebibytes", 0);
-  host.capacity.accelerators = object.optValue<Poco::Int64>("accelerators", 0);
-  host.slots = object.optValue<Poco::UInt32>("slots", 0);
-  host.connections = object.optValue<Poco::UInt32>("connections", 0);
+      ReadOptional<Poco::Int64>(object, "memory_mebibytes");
+  host.capacity.accelerators =
+      ReadOptional<Poco::Int64>(object, "accelerators");
+  host.slots = ReadOptional<Poco::UInt32>(object, "slots");
+  host.connections = ReadOptional<Poco::UInt32>(object, "connections");
+  if (!limits::IsWithin(host.capacity) || host.slots > kMaxSlots ||
+      host.connections > kMaxSlots) {
+    throw Poco::DataFormatException("a host is out of bounds");
+  }
   return host;
 }
 
+/// Rows that describe no host are left out.
 /// Throws Poco::Exception when the text is not a host list.
 std::vector<Host> ReadHosts(const std::string& body) {
   Poco::JSON::Parser parser;
@@ -42,7 +90,11 @@
   std::vector<Host> hosts;
   hosts.reserve(list->size());
   for (std::size_t i = 0; i < list->size(); ++i) {
-    hosts.push_back(ReadHost(*list->getObject(static_cast<unsigned>(i))));
+    try {
+      hosts.push_back(ReadHost(*list->getObject(static_cast<unsigned>(i))));
+    } catch (const Poco::Exception&) {
+      // Another writer's row must not hide the others.
+    }
   }
   return hosts;
 }
