Tell an order that was not sent in time from a refusal

Cause: a call whose deadline passed before any byte of it was sent was reported like a refused connection, and counted against the worker. And a call that the loop came to after its deadline was still sent and given up in the same turn: it counted as lost, its connection was closed, and the worker may have started what nobody waited for.

Change: a reply says where a call that was not sent spent its time: behind others of its lane, with the loop, or while connecting. A call whose deadline has passed is not begun, and its connection stays. Only refusals count against a worker, so a start that was not sent is made again at once.

Not changed: a look that was not sent still makes its worker count as silent.

--- a/packages/core/include/basilspread/core/fleet_call.h
+++ b/packages/core/include/basilspread/core/fleet_call.h
@@ -57,6 +57,8 @@
   kOtherIncarnation,
   /// The worker did nothing for another reason.
   kRefused,
+  /// The order did not leave this process in time.
+  kNotSent,
   /// The request may have been carried out, or may be later.
   kUnknown,
 };
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -116,7 +116,9 @@
 /// The start did not happen and never will.
 void OnNotStarted(Context& context, FleetWorker& worker,
                   const RunOrdered& event) {
-  context.Log(LogLevel::kDebug, kPart, "A start was refused.",
+  const bool was_sent = event.result != OrderResult::kNotSent;
+  context.Log(LogLevel::kDebug, kPart,
+              was_sent ? "A start was refused." : "A start was not sent.",
               {{"run", ToString(event.name)},
                {"worker", event.worker.value},
                {"reason", NameOf(event.result)}});
--- a/packages/core/src/submission.cc
+++ b/packages/core/src/submission.cc
@@ -45,6 +45,8 @@
       return "other-incarnation";
     case OrderResult::kRefused:
       return "refused";
+    case OrderResult::kNotSent:
+      return "not-sent";
     case OrderResult::kUnknown:
       return "unknown";
   }
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -173,6 +173,12 @@
     StoreWorld* target = &this->world;
     RunOrdered ordered{effect.worker, effect.fence, effect.name, false,
                        OrderResult::kUnknown};
+    if (target->unsent_starts > 0) {
+      --target->unsent_starts;
+      ordered.result = OrderResult::kNotSent;
+      target->PostIn(this->node.index, kTimeout, ordered);
+      return;
+    }
     if (target->start_delay > Duration::zero()) {
       target->In(target->start_delay,
                  [target, effect] { target->Start(effect); });
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -134,6 +134,8 @@
   bool appends_are_refused = false;
   /// Starts are carried out this much later and not answered; zero: at once.
   Duration start_delay{};
+  /// So many of the next starts do not leave their process in time.
+  int unsent_starts = 0;
   /// How a run ends, and after what time.
   std::function<RunEnd(const RunName&)> end_of;
   Duration run_time = std::chrono::milliseconds(200);
--- a/packages/core/tests/worker_trust_test.cc
+++ b/packages/core/tests/worker_trust_test.cc
@@ -62,6 +62,22 @@
   }
 }
 
+TEST_CASE("A start that was not sent is not charged to the worker",
+          "[fleet][trust]") {
+  World world;
+  world.run_time = seconds(2);
+  // Four starts on each worker.
+  world.unsent_starts = 16;
+  world.Submit(0, IdOf(0), {Tasks(16)});
+  // They are given up, and all made again at once.
+  world.Run(seconds(1));
+  CHECK(world.unsent_starts == 0);
+  for (std::uint32_t i = 0; i < 16; ++i) {
+    CHECK(world.Starts(IdOf(0), 0, i) == 1);
+  }
+  CHECK(world.faults.empty());
+}
+
 TEST_CASE("Runs that stand still go on elsewhere", "[fleet][trust]") {
   World world;
   world.run_time = seconds(1);
--- a/packages/node/src/call_queue.cc
+++ b/packages/node/src/call_queue.cc
@@ -34,12 +34,15 @@
   return waiting;
 }
 
-std::vector<HttpCall> CallQueue::TakeOverdueWaiting(TimePoint now) {
+std::vector<HttpCall> CallQueue::TakeOverdue(TimePoint now,
+                                             bool first_has_begun) {
+  const Node* const kept =
+      first_has_begun && !this->IsEmpty() ? &this->calls.front() : nullptr;
   std::vector<HttpCall> overdue;
   auto next = this->deadlines.begin();
   while (next != this->deadlines.end() && next->call.deadline <= now) {
     Node& node = *next++;
-    if (&node != &this->calls.front()) {
+    if (&node != kept) {
       overdue.push_back(this->Take(node));
     }
   }
--- a/packages/node/src/call_queue.h
+++ b/packages/node/src/call_queue.h
@@ -26,8 +26,9 @@
   HttpCall TakeFront();
   /// All calls but the first.
   std::vector<HttpCall> TakeWaiting();
-  /// The calls but the first whose deadline has passed, earliest first.
-  std::vector<HttpCall> TakeOverdueWaiting(TimePoint now);
+  /// The calls whose deadline has passed, earliest first; the first of the
+  /// queue is kept if it has begun.
+  std::vector<HttpCall> TakeOverdue(TimePoint now, bool first_has_begun);
 
   bool IsEmpty() const { return this->calls.empty(); }
   /// Whether calls wait behind the first.
--- a/packages/node/src/http_call.h
+++ b/packages/node/src/http_call.h
@@ -18,8 +18,21 @@
   kLost,
 };
 
+/// Where a call that was not sent spent its time until the deadline.
+enum class HttpDelay {
+  /// It was not given up for time.
+  kNone,
+  /// In this process, behind other calls of its lane.
+  kQueued,
+  /// In this process: the loop came to it too late.
+  kLoop,
+  /// On the way: the server did not take the connection.
+  kConnecting,
+};
+
 struct HttpReply {
   HttpOutcome outcome = HttpOutcome::kLost;
+  HttpDelay delay = HttpDelay::kNone;
   int status = 0;
   std::string body;
   /// Why there is no answer.
--- a/packages/node/src/http_exchange.cc
+++ b/packages/node/src/http_exchange.cc
@@ -32,16 +32,16 @@
 HttpExchange::HttpExchange(Lane its_lane) : lane(std::move(its_lane)) {}
 
 void HttpExchange::Advance() {
-  if (this->busy || this->calls.IsEmpty()) {
+  const bool may_begin =
+      !this->busy && !this->connecting && !this->calls.IsEmpty();
+  if (!may_begin ||
+      this->calls.Front().deadline <= std::chrono::steady_clock::now()) {
     return;
   }
   if (!this->socket) {
     this->Connect();
     return;
   }
-  if (this->connecting) {
-    return;
-  }
   this->busy = true;
   this->output = FormatRequest(this->calls.Front());
   this->written = 0;
@@ -175,7 +175,7 @@
   call.done(std::move(reply));
 }
 
-void HttpExchange::Fail(const std::string& reason) {
+void HttpExchange::Fail(const std::string& reason, HttpDelay delay) {
   const bool is_idle = !this->busy && !this->connecting && this->socket;
   const bool has_written = this->busy && this->written > 0;
   this->socket.reset();
@@ -188,6 +188,7 @@
   }
   HttpReply reply;
   reply.outcome = has_written ? HttpOutcome::kLost : HttpOutcome::kNotSent;
+  reply.delay = has_written ? HttpDelay::kNone : delay;
   reply.reason = reason;
   reply.sent_at = this->sent_at;
   this->Finish(std::move(reply));
@@ -195,15 +196,23 @@
 }
 
 void HttpExchange::Expire(TimePoint now) {
-  const bool is_first_overdue =
-      !this->calls.IsEmpty() && this->calls.Front().deadline <= now;
-  for (const HttpCall& call : this->calls.TakeOverdueWaiting(now)) {
+  const bool has_begun = this->busy || this->connecting;
+  const bool is_first_overdue = has_begun && !this->calls.IsEmpty() &&
+                                this->calls.Front().deadline <= now;
+  // Without one that has begun, the loop was late: it begins each in time.
+  HttpDelay delay = has_begun ? HttpDelay::kQueued : HttpDelay::kLoop;
+  delay = this->connecting ? HttpDelay::kConnecting : delay;
+  for (const HttpCall& call : this->calls.TakeOverdue(now, has_begun)) {
     HttpReply reply;
     reply.outcome = HttpOutcome::kNotSent;
+    reply.delay = delay;
+    reply.reason = "it was not sent in time";
     call.done(std::move(reply));
   }
   if (is_first_overdue) {
-    this->Fail("no answer came in time");
+    this->Fail("no answer came in time", HttpDelay::kConnecting);
+  } else {
+    this->Advance();
   }
 }
 
--- a/packages/node/src/http_exchange.h
+++ b/packages/node/src/http_exchange.h
@@ -32,12 +32,14 @@
 
   void Add(HttpCall call) { this->calls.Add(std::move(call)); }
   /// Connects or writes the next request, if one waits and none is under way.
+  /// One whose deadline has passed is left to Expire.
   void Advance();
   /// The socket can be written to, or connecting to it has ended.
   void OnWritable();
   void OnReadable();
-  /// Gives up the connection and the call under way.
-  void Fail(const std::string& reason);
+  /// Gives up the connection and the call under way. `delay` counts where
+  /// nothing of the call was sent.
+  void Fail(const std::string& reason, HttpDelay delay = HttpDelay::kNone);
   /// Gives up calls whose deadline has passed.
   void Expire(TimePoint now);
 
--- a/packages/node/tests/call_queue_test.cc
+++ b/packages/node/tests/call_queue_test.cc
@@ -54,12 +54,15 @@
     CHECK_FALSE(queue.HasWaiting());
   }
 
-  SECTION("Overdue ones are taken, but the first") {
-    CHECK(TargetsOf(queue.TakeOverdueWaiting(At(9))).empty());
-    CHECK(TargetsOf(queue.TakeOverdueWaiting(At(10))) == "b");
+  SECTION("Overdue ones are taken, but the first that has begun") {
+    CHECK(TargetsOf(queue.TakeOverdue(At(9), true)).empty());
+    CHECK(TargetsOf(queue.TakeOverdue(At(10), true)) == "b");
     CHECK(queue.EarliestDeadline() == At(20));
-    CHECK(TargetsOf(queue.TakeOverdueWaiting(At(30))) == "c");
+    CHECK(TargetsOf(queue.TakeOverdue(At(30), true)) == "c");
     CHECK(queue.Front().target == "a");
+    CHECK(TargetsOf(queue.TakeOverdue(At(29), false)).empty());
+    CHECK(TargetsOf(queue.TakeOverdue(At(30), false)) == "a");
+    CHECK(queue.IsEmpty());
   }
 }
 
--- a/packages/node/tests/http_client_times_test.cc
+++ b/packages/node/tests/http_client_times_test.cc
@@ -63,12 +63,71 @@
   server.WaitForHeld(1);
   auto late = Call(client, server.Address(), "/a", milliseconds(40), {});
   auto soon = Call(client, server.Address(), "/b", milliseconds(20), {});
-  CHECK(soon.get().outcome == HttpOutcome::kNotSent);
-  CHECK(late.get().outcome == HttpOutcome::kNotSent);
+  const HttpReply first = soon.get();
+  CHECK(first.outcome == HttpOutcome::kNotSent);
+  CHECK(first.delay == HttpDelay::kQueued);
+  CHECK(late.get().delay == HttpDelay::kQueued);
   CHECK(held.wait_for(seconds(0)) == std::future_status::timeout);
   client.Stop();
 }
 
+TEST_CASE("A call whose deadline has passed is not sent", "[node][http]") {
+  Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+  const std::string address = listener.address().toString();
+  HttpClientLoop client;
+  client.Start();
+  auto first = Call(client, address, "/a", seconds(60), {});
+  Poco::Net::StreamSocket socket = listener.acceptConnection();
+  Answer(socket);
+  CHECK(first.get().outcome == HttpOutcome::kAnswered);
+
+  const HttpReply reply = Call(client, address, "/b", seconds(-1), {}).get();
+  CHECK(reply.outcome == HttpOutcome::kNotSent);
+  CHECK(reply.delay == HttpDelay::kLoop);
+
+  // The connection stays, and the next request is the first thing on it.
+  auto next = Call(client, address, "/c", seconds(60), {});
+  std::array<char, 4096> buffer;
+  const int count =
+      socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+  REQUIRE(count > 0);
+  CHECK(std::string(buffer.data(), static_cast<std::size_t>(count))
+            .starts_with("POST /c "));
+  client.Stop();
+}
+
+TEST_CASE("A call without a connection in time says so", "[node][http]") {
+  // With its backlog full, the listener takes no connection.
+  Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0), 0);
+  const std::string address = listener.address().toString();
+  std::array<Poco::Net::StreamSocket, 4> fill;
+  for (Poco::Net::StreamSocket& socket : fill) {
+    socket.connectNB(listener.address());
+  }
+  HttpClientLoop client;
+  client.Start();
+  auto first = Call(client, address, "/a", milliseconds(50), {});
+  auto behind = Call(client, address, "/b", milliseconds(40), {});
+  for (auto* call : {&behind, &first}) {
+    const HttpReply reply = call->get();
+    CHECK(reply.outcome == HttpOutcome::kNotSent);
+    CHECK(reply.delay == HttpDelay::kConnecting);
+  }
+  client.Stop();
+}
+
+TEST_CASE("A refused connection is no delay", "[node][http]") {
+  Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+  const std::string address = listener.address().toString();
+  listener.close();
+  HttpClientLoop client;
+  client.Start();
+  const HttpReply reply = Call(client, address, "/a", seconds(60), {}).get();
+  CHECK(reply.outcome == HttpOutcome::kNotSent);
+  CHECK(reply.delay == HttpDelay::kNone);
+  client.Stop();
+}
+
 TEST_CASE("The next call begins when the first is given up", "[node][http]") {
   HeldServer server;
   HttpClientLoop client;
