Measure the open calls and the turns of the client loop

Whether answers and deadlines are dealt with late by this process could not be seen from outside. The loop tells of each turn: the calls without a reply at its end, and the time that it took. They stand in basilspread_exchanges_length and basilspread_exchange_turn_seconds.

--- a/packages/node/src/call_queue.h
+++ b/packages/node/src/call_queue.h
@@ -3,6 +3,7 @@
 
 #include <boost/intrusive/list.hpp>
 #include <boost/intrusive/set.hpp>
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -31,6 +32,7 @@
   std::vector<HttpCall> TakeOverdue(TimePoint now, bool first_has_begun);
 
   bool IsEmpty() const { return this->calls.empty(); }
+  std::size_t Count() const { return this->calls.size(); }
   /// Whether calls wait behind the first.
   bool HasWaiting() const {
     return !this->calls.empty() && &this->calls.front() != &this->calls.back();
--- a/packages/node/src/http_client_loop.cc
+++ b/packages/node/src/http_client_loop.cc
@@ -18,6 +18,9 @@
 
 }  // namespace
 
+HttpClientLoop::HttpClientLoop(OnTurn turn_hook)
+    : on_turn(std::move(turn_hook)) {}
+
 HttpClientLoop::~HttpClientLoop() { this->Stop(); }
 
 void HttpClientLoop::Start() {
@@ -53,11 +56,16 @@
 void HttpClientLoop::Run() {
   const NamedThread named("calls");
   while (const auto wait = this->BeginWait()) {
-    for (const auto& [socket, mode] : this->poll_set.poll(*wait)) {
+    const auto ready = this->poll_set.poll(*wait);
+    const TimePoint began = Now();
+    for (const auto& [socket, mode] : ready) {
       this->OnReady(socket, mode);
     }
     this->TakeCalls();
     this->HandleDue();
+    if (this->on_turn) {
+      this->on_turn({this->open_calls, Now() - began});
+    }
   }
 }
 
@@ -138,6 +146,8 @@
 
 void HttpClientLoop::Settle(const HttpExchangePtr& exchange) {
   ++this->looked_at;
+  this->open_calls += exchange->CountCalls() - exchange->settled_calls;
+  exchange->settled_calls = exchange->CountCalls();
   this->Watch(exchange);
   this->schedule.Update(*exchange);
   if (exchange->is_straggler && exchange->IsIdle()) {
--- a/packages/node/src/http_client_loop.h
+++ b/packages/node/src/http_client_loop.h
@@ -4,7 +4,9 @@
 #include <Poco/Net/PollSet.h>
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -19,12 +21,23 @@
 
 namespace basilspread::node {
 
+/// What one turn of a client loop was like.
+struct ClientTurn {
+  /// Calls without a reply at its end.
+  std::size_t open_calls = 0;
+  /// From the end of the wait for sockets on.
+  Duration took{};
+};
+
 /// An HTTP client for many servers on one thread. Calls of one lane share a
 /// kept-open connection, one after another; those behind a slow call may take
 /// another one.
 class HttpClientLoop {
  public:
-  HttpClientLoop() = default;
+  /// Told of each turn, on the loop's thread. Must not block.
+  using OnTurn = std::function<void(const ClientTurn&)>;
+
+  explicit HttpClientLoop(OnTurn turn_hook = {});
   ~HttpClientLoop();
   HttpClientLoop(const HttpClientLoop&) = delete;
   HttpClientLoop& operator=(const HttpClientLoop&) = delete;
@@ -59,12 +72,14 @@
   void Unwatch(const HttpExchangePtr& exchange);
   Poco::Timespan UntilNextTime() const;
 
+  const OnTurn on_turn;
   Poco::Net::PollSet poll_set;
   WakeSocket wake_socket;
   std::map<Lane, HttpExchangePtr> lanes;
   /// Connections with one slow call each, which their lanes have left.
   std::set<HttpExchangePtr> stragglers;
   ExchangeSchedule schedule;
+  std::size_t open_calls = 0;
   std::atomic<std::uint64_t> looked_at = 0;
   std::map<Poco::Net::Socket, HttpExchangePtr> by_socket;
   std::mutex mutex;
--- a/packages/node/src/http_exchange.h
+++ b/packages/node/src/http_exchange.h
@@ -51,12 +51,16 @@
   /// All calls but the first.
   std::vector<HttpCall> TakeWaiting() { return this->calls.TakeWaiting(); }
   bool IsIdle() const { return this->calls.IsEmpty(); }
+  /// Calls without a reply.
+  std::size_t CountCalls() const { return this->calls.Count(); }
   bool IsConnected() const { return this->socket.has_value(); }
   bool WantsToWrite() const {
     return this->connecting || this->written < this->output.size();
   }
 
   const Lane lane;
+  /// As of the last time that the loop settled it.
+  std::size_t settled_calls = 0;
   /// Its lane has left it to one slow call.
   bool is_straggler = false;
   std::optional<Poco::Net::StreamSocket> socket;
--- a/packages/node/src/metrics.cc
+++ b/packages/node/src/metrics.cc
@@ -81,6 +81,12 @@
   found->second.failures += is_ok ? 0 : 1;
 }
 
+void Metrics::AddExchangeTurn(std::size_t open_calls, Duration took) {
+  const std::lock_guard lock(this->mutex);
+  this->open_exchanges = open_calls;
+  this->exchange_turns.Add(took);
+}
+
 void Metrics::Count(Metric metric, const std::string& label, double amount) {
   const std::lock_guard lock(this->mutex);
   this->values[{metric, label}] += amount;
@@ -142,6 +148,12 @@
   for (const auto& [service, stats] : this->exchanges) {
     text.Add("service", service, static_cast<double>(stats.failures));
   }
+  text.Begin("basilspread_exchanges_length", "gauge",
+             "Calls to other services without an answer.");
+  text.Add("", "", static_cast<double>(this->open_exchanges));
+  text.Begin("basilspread_exchange_turn_seconds", "summary",
+             "Time of one turn of the thread that makes calls.");
+  text.Add("", "", this->exchange_turns.Summarize());
 }
 
 void Metrics::ExposeProcess(Exposition& text) const {
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPREAD_NODE_METRICS_H_
 #define BASILSPREAD_NODE_METRICS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -30,6 +31,9 @@
   /// A call to the platform or a minion took this long.
   void AddExchange(std::string_view service, bool is_ok, Duration time);
 
+  /// A turn of the thread that makes these calls left so many of them open.
+  void AddExchangeTurn(std::size_t open_calls, Duration took);
+
   void Count(Metric metric, const std::string& label, double amount);
   void Observe(Metric metric, const std::string& label, Duration time);
   void Set(Metric metric, double value);
@@ -63,6 +67,8 @@
   std::map<std::string, DurationStats, std::less<>> events;
   DurationStats event_waits;
   std::map<std::string, ExchangeStats, std::less<>> exchanges;
+  std::size_t open_exchanges = 0;
+  DurationStats exchange_turns;
   /// Counters and gauges, and histograms, by metric and label.
   std::map<std::pair<Metric, std::string>, double> values;
   std::map<std::pair<Metric, std::string>, LatencyHistogram> histograms;
--- a/packages/node/src/store_node.cc
+++ b/packages/node/src/store_node.cc
@@ -68,10 +68,14 @@
             }),
       outside(factory(
           this->settings,
-          InsideHooks{this->MakePost(), [this](std::string_view service,
-                                               bool is_ok, Duration time) {
-                        this->metrics.AddExchange(service, is_ok, time);
-                      }})) {}
+          InsideHooks{
+              this->MakePost(),
+              [this](std::string_view service, bool is_ok, Duration time) {
+                this->metrics.AddExchange(service, is_ok, time);
+              },
+              [this](const ClientTurn& turn) {
+                this->metrics.AddExchangeTurn(turn.open_calls, turn.took);
+              }})) {}
 
 void StoreNode::Run() {
   this->peers.Start();
--- a/packages/node/src/store_node.h
+++ b/packages/node/src/store_node.h
@@ -9,6 +9,7 @@
 #include "basilspread/core/effect.h"
 #include "basilspread/core/state.h"
 #include "control_loop.h"
+#include "http_client_loop.h"
 #include "metrics.h"
 #include "peer_links.h"
 
@@ -24,6 +25,8 @@
   /// with success, and the time that it took.
   std::function<void(std::string_view service, bool is_ok, Duration time)>
       measure;
+  /// Told of each turn of the thread that makes these calls.
+  HttpClientLoop::OnTurn on_turn;
 };
 
 /// What speaks to the store, the workers and the callers.
