--- a/packages/node/src/call_queue.h
+++ b/packages/node/src/call_queue.h
@@ -3,6 +3,7 @@
 
 #include <boost/intrusive/list.hpp>
 #include <boost/intrusive/set.hpp>
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -26,10 +27,12 @@
   HttpCall TakeFront();
   /// All calls but the first.
   std::vector<HttpCall> TakeWaiting();
-  /// The calls but the first whose deadline has passed, earliest first.
-  std::vector<HttpCall> TakeOverdueWaiting(TimePoint now);
+  /// The calls whose deadline has passed, earliest first; the first of the
+  /// queue is kept if it has begun.
+  std::vector<HttpCall> TakeOverdue(TimePoint now, bool first_has_begun);
 
   bool IsEmpty() const { return this->calls.empty(); }
+  std::size_t Count() const { return this->calls.size(); }
   /// Whether calls wait behind the first.
   bool HasWaiting() const {
     return !this->calls.empty() && &this->calls.front() != &this->calls.back();
--- a/packages/node/src/http_exchange.h
+++ b/packages/node/src/http_exchange.h
@@ -32,12 +32,14 @@
 
   void Add(HttpCall call) { this->calls.Add(std::move(call)); }
   /// Connects or writes the next request, if one waits and none is under way.
+  /// One whose deadline has passed is left to Expire.
   void Advance();
   /// The socket can be written to, or connecting to it has ended.
   void OnWritable();
   void OnReadable();
-  /// Gives up the connection and the call under way.
-  void Fail(const std::string& reason);
+  /// Gives up the connection and the call under way. `delay` counts where
+  /// nothing of the call was sent.
+  void Fail(const std::string& reason, HttpDelay delay = HttpDelay::kNone);
   /// Gives up calls whose deadline has passed.
   void Expire(TimePoint now);
 
@@ -49,12 +51,16 @@
   /// All calls but the first.
   std::vector<HttpCall> TakeWaiting() { return this->calls.TakeWaiting(); }
   bool IsIdle() const { return this->calls.IsEmpty(); }
+  /// Calls without a reply.
+  std::size_t CountCalls() const { return this->calls.Count(); }
   bool IsConnected() const { return this->socket.has_value(); }
   bool WantsToWrite() const {
     return this->connecting || this->written < this->output.size();
   }
 
   const Lane lane;
+  /// As of the last time that the loop settled it.
+  std::size_t settled_calls = 0;
   /// Its lane has left it to one slow call.
   bool is_straggler = false;
   std::optional<Poco::Net::StreamSocket> socket;
