Follow the group's owner while a process starts

Cause: since processes join only once they know who stands, one that started took a former run as the leader, connected to the process that runs there now, which does not lead, and waited 3 s for its report.

Why it works: a process that starts reads the owner every 50 ms until it knows, and one whose earlier run the group names joins at once: only those that may lead were members.

--- a/packages/core/src/internal/candidacy.cc
+++ b/packages/core/src/internal/candidacy.cc
@@ -17,6 +17,9 @@
 /// A leader that answers no report for so long cannot be reached: three times
 /// the interval of the reports.
 constexpr Duration kReportPatience = std::chrono::seconds(3);
+/// A process that starts may find a leader that has ended, and reads the owner
+/// this often until it knows: as often as members join after a change.
+constexpr Duration kUndecidedInterval = std::chrono::milliseconds(50);
 /// Every helper reports within this; see kReportInterval of the calls.
 constexpr Duration kReportTime = std::chrono::seconds(1);
 constexpr Duration kHelperTimeout = std::chrono::seconds(3);
@@ -161,11 +164,26 @@
   }
 }
 
+bool IsUndecided(const Context& context) {
+  const auto& state = context.state.submissions.leadership.candidacy;
+  return !state.stands && !state.is_told && !context.state.stopping;
+}
+
+void OnEarlierRun(Context& context) {
+  if (!Stands(context) && !context.state.stopping) {
+    // Only those that may lead were members.
+    Stand(context, "an earlier run of this process was a member");
+  }
+}
+
 Duration NextCheck(const Context& context, Duration interval) {
   const CandidacyState& state = context.state.submissions.leadership.candidacy;
   if (state.stands) {
     return interval;
   }
+  if (IsUndecided(context)) {
+    interval = std::min(interval, kUndecidedInterval);
+  }
   const auto& since =
       state.vacant_since ? state.vacant_since : state.refused_since;
   if (!since) {
--- a/packages/core/src/internal/candidacy.h
+++ b/packages/core/src/internal/candidacy.h
@@ -13,6 +13,10 @@
 /// Whether this process joins the group.
 bool Stands(const Context& context);
 void OnTimer(Context& context);
+/// Whether this process has yet to learn who leads and who stands.
+bool IsUndecided(const Context& context);
+/// The group still names an earlier run of this process.
+void OnEarlierRun(Context& context);
 /// When OnTimer is to be called at the latest.
 Duration NextCheck(const Context& context, Duration interval);
 /// The group's owner was read.
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -178,9 +178,9 @@
   Join(context);
   const LeadershipState& state = StateOf(context);
   // Only members learn of the group's changes by their joins.
-  const bool is_outdated =
-      !state.leader || (candidacy::Stands(context) &&
-                        state.leader_generation != state.generation);
+  const bool is_outdated = !state.leader || candidacy::IsUndecided(context) ||
+                           (candidacy::Stands(context) &&
+                            state.leader_generation != state.generation);
   // A join that is carried out late makes a process that stops a member again.
   if (is_outdated || context.state.stopping) {
     AskForLeader(context);
@@ -270,6 +270,7 @@
   const std::optional<GroupMember> member = ParseGroupMember(event.member);
   const ProcessId& self = context.state.settings.self;
   if (member && member->process.node == self.node && member->process != self) {
+    candidacy::OnEarlierRun(context);
     EndMembership(context, *member, "it is an earlier run of this process");
     return;
   }
--- a/packages/core/tests/candidacy_test.cc
+++ b/packages/core/tests/candidacy_test.cc
@@ -169,6 +169,22 @@
   CHECK(world.faults.empty());
 }
 
+TEST_CASE("Equal processes that are started again all at once lead soon",
+          "[candidacy]") {
+  const std::size_t count = GENERATE(3, 8);
+  StoreWorld world(std::vector<Capacity>(count, Capacity{0.25, 1000}),
+                   kWorkers);
+  for (int node = 0; node < static_cast<int>(count); ++node) {
+    world.Kill(node);
+  }
+  world.Run(milliseconds(50));
+  for (int node = 0; node < static_cast<int>(count); ++node) {
+    world.Restart(node);
+  }
+  // As soon as where nothing is stated of the hosts.
+  CHECK(UntilLed(world, -1) <= milliseconds(350));
+}
+
 /// Runs while the events of a process wait for half a second.
 void RunStarved(StoreWorld& world, int node, Duration time) {
   constexpr std::size_t kEvents = 50;
