--- a/packages/core/tests/load_shedding_test.cc
+++ b/packages/core/tests/load_shedding_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "basilspread/core/hooks.h"
 #include "support/store_world.h"
 
 namespace basilspread::test {
@@ -148,6 +149,91 @@
   CHECK(world.AnswerTo(cancel)->kind == ErrorKind::kNone);
 }
 
+/// A process that passes calls on to a leader whose answers the test gives.
+struct Follower {
+  Follower() : state(MakeSettings(), DefaultHooks()) {
+    TablesRead read;
+    read.ok = true;
+    QueueRoute route;
+    route.name = RouteName{"plans"};
+    route.authority = "cluster";
+    route.path_prefix = kPlans;
+    read.tables = QueueTables{TablesVersion{1}, {route}};
+    this->Post(std::move(read));
+    this->Post(LeaderRead{true, ToString(GroupMember{kLeader, "10.0.0.2:1"})});
+    this->Post(PeerLinkChanged{kLeader.node, true});
+  }
+
+  static Settings MakeSettings() {
+    Settings settings;
+    settings.self = {NodeName{"node-0"}, 1};
+    settings.store.enabled = true;
+    return settings;
+  }
+
+  void Post(EventBody body) {
+    for (const Effect& effect :
+         Reduce(this->state, Event{this->now, std::move(body)})) {
+      if (const auto* sent = std::get_if<SendToPeer>(&effect)) {
+        this->copies +=
+            std::holds_alternative<SubmissionCall>(sent->message) ? 1 : 0;
+      } else if (const auto* told =
+                     std::get_if<AnswerSubmissionCaller>(&effect)) {
+        this->answers.push_back(told->answer.kind);
+      }
+    }
+  }
+
+  void Submit() {
+    SubmissionCallArrived call;
+    call.call = CallId{1};
+    call.operation = SubmissionOperation::kSubmit;
+    call.authority = "cluster";
+    call.path = kPlans + "00000000000000a1";
+    call.time_left = seconds(3);
+    call.spec.reset(new SubmissionSpec);
+    call.spec->steps = {Tasks(1)};
+    this->Post(std::move(call));
+  }
+
+  void Answer(ErrorKind kind) {
+    SubmissionAnswer answer;
+    answer.call = CallId{1};
+    answer.kind = kind;
+    this->Post(PeerReceived{kLeader, answer});
+  }
+
+  static const ProcessId kLeader;
+
+  State state;
+  TimePoint now{std::chrono::hours(1)};
+  int copies = 0;
+  std::vector<ErrorKind> answers;
+};
+
+const ProcessId Follower::kLeader{NodeName{"node-1"}, 2};
+
+TEST_CASE("A refusal counts once no other copy of the call is under way",
+          "[load-shedding]") {
+  Follower follower;
+  follower.Submit();
+  follower.now += milliseconds(900);
+  follower.Post(TimerFired{TimerKind::kCalls});
+  REQUIRE(follower.copies == 2);
+  const ErrorKind refusal =
+      GENERATE(ErrorKind::kOverloaded, ErrorKind::kLogUnavailable);
+  follower.Answer(refusal);
+  CHECK(follower.answers.empty());
+  SECTION("the other copy is taken") {
+    follower.Answer(ErrorKind::kNone);
+    CHECK(follower.answers == std::vector<ErrorKind>{ErrorKind::kNone});
+  }
+  SECTION("the other copy is refused too") {
+    follower.Answer(refusal);
+    CHECK(follower.answers == std::vector<ErrorKind>{refusal});
+  }
+}
+
 TEST_CASE("A burst that is worked off at once is not refused",
           "[load-shedding]") {
   World world;
