Ask again who leads when the supposed leader says that it does not

The group moved the leadership in two steps under one generation, 35: it named the former holder until that one had joined with the new generation. Two processes asked in between and followed the former holder; no later generation came, so nothing corrected them, and each call was declined and sent again to the same process. Doubt asked the group again only in processes that do not stand: joins were thought to tell the others, and they do not.

The new test moves the leadership at 15 points of the join interval: 14 failed before (no answer within 500 ms), all pass now.

--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -386,7 +386,9 @@
 
 void Doubt(Context& context) {
   LeadershipState& state = StateOf(context);
-  if (candidacy::Stands(context) || context.now < state.candidacy.next_doubt) {
+  // Joins do not tell: while the leadership moves, the group names its former
+  // holder under the generation that the next one gets it under.
+  if (context.now < state.candidacy.next_doubt) {
     return;
   }
   state.candidacy.next_doubt =
--- a/packages/core/tests/leadership_test.cc
+++ b/packages/core/tests/leadership_test.cc
@@ -148,6 +148,30 @@
   CHECK(IsReplaced(world, before, milliseconds(420)));
 }
 
+TEST_CASE(
+    "Who reads of the former leader while the leadership moves finds the "
+    "next one",
+    "[leadership][hand-over]") {
+  World world;
+  const int before = world.Leader();
+  const int next = Other(before);
+  const int third = 3 - before - next;
+  // The third process asks who leads before the former leader has given up.
+  world.Kill(third);
+  world.Run(milliseconds(GENERATE(range(2000, 2300, 20))));
+  world.Restart(third);
+  world.Run(seconds(2));
+  REQUIRE(world.Leader() == before);
+  world.MoveLeadership(next);
+  world.Run(seconds(1));
+  REQUIRE(world.Leader() == next);
+
+  const CallId call = world.Submit(third, kFirst, {Tasks(1)});
+  world.Run(milliseconds(500));
+  REQUIRE(world.AnswerTo(call));
+  CHECK(world.AnswerTo(call)->kind == ErrorKind::kNone);
+}
+
 TEST_CASE("Two lost answers of joins do not end a leadership", "[leadership]") {
   World world;
   const int leader = world.Leader();
