--- a/tests/platform/wire/store_wire.cc
+++ b/tests/platform/wire/store_wire.cc
@@ -225,6 +225,7 @@
 
 std::string MakeNotice(const WorkerNotice& notice) {
   std::vector<std::string> labels;
+  labels.reserve(notice.labels.size());
   for (const std::string& label : notice.labels) {
     labels.push_back(Quote(label));
   }
--- a/tests/soak/fault_kinds.cc
+++ b/tests/soak/fault_kinds.cc
@@ -126,8 +126,9 @@
                                static_cast<double>(scene.workers.Count())));
 }
 
-std::vector<FaultKind> MakeKinds() {
-  using S = Scene;
+using S = Scene;
+
+std::vector<FaultKind> HostKinds() {
   return {
       {"kill-host", kNone, kLong, [](S& s) { Kill(s, s.AnyHost()); }},
       {"kill-leader", kNone, kLong, [](S& s) { Kill(s, s.Leader()); }},
@@ -144,6 +145,11 @@
          s.EachHost([&s](std::size_t host) { Pause(s, host, true); });
        }},
       {"reload", kNone, kNone, Reload},
+  };
+}
+
+std::vector<FaultKind> LinkKinds() {
+  return {
       {"cut-store-link", kShort, kLong, [](S& s) { s.StoreLinks(kHoldsBoth); }},
       {"hold-store-answers", kShort, kLong,
        [](S& s) { s.StoreLinks(kHoldsAnswers); }},
@@ -165,6 +171,11 @@
       {"delay-workers", kShort, kLong, [](S& s) { s.WorkerLinks(kDelays); }},
       {"reset-workers", kNone, kNone, [](S& s) { s.WorkerLinks(kResets); }},
       {"silence-workers", kNone, kNone, [](S& s) { s.WorkerLinks(kSilences); }},
+  };
+}
+
+std::vector<FaultKind> StoreKinds() {
+  return {
       {"store-down", kShort, kLong, TakeStoreDown},
       {"store-refuses", kShort, kLong,
        [](S& s) { s.DisturbStore(s.trouble.refuses_until); }},
@@ -181,6 +192,11 @@
       {"entries-lapse", kShort, kLong, LapseEntries},
       {"tables-change", kNone, kNone, ChangeTables},
       {"tables-storm", kShort, kLong, ChangeTables},
+  };
+}
+
+std::vector<FaultKind> WorkerKinds() {
+  return {
       {"workers-crash", kNone, kLong, Crash},
       {"workers-drain", kNone, kLong, Drain},
       {"workers-late", kShort, kLong,
@@ -202,7 +218,13 @@
 }  // namespace
 
 const std::vector<FaultKind>& FaultKinds() {
-  static const std::vector<FaultKind> kKinds = MakeKinds();
+  static const std::vector<FaultKind> kKinds = [] {
+    std::vector<FaultKind> all = HostKinds();
+    for (const auto& more : {LinkKinds(), StoreKinds(), WorkerKinds()}) {
+      all.insert(all.end(), more.begin(), more.end());
+    }
+    return all;
+  }();
   return kKinds;
 }
 
