--- a/tests/platform/wire/store_wire.cc
+++ b/tests/platform/wire/store_wire.cc
@@ -98,13 +98,15 @@
     return LeaveCall{*group, *member};
   }
   const json::Value* topics = json::Find(*object, "topics");
-  const auto time_to_live = json::Milliseconds(*object, "ttlMs");
+  const auto time_to_live = json::Count(*object, "ttlMs");
   if (path != "/v1/log-join" || topics == nullptr || !topics->IsArray() ||
       topics->Size() != 1 || !(*topics)[0].IsString() || !time_to_live) {
     return std::nullopt;
   }
-  return JoinCall{*group, *member, (*topics)[0].GetString(), *time_to_live,
-                  json::Count(*object, "generation").value_or(0)};
+  return JoinCall{
+      *group, *member, (*topics)[0].GetString(),
+      std::chrono::milliseconds(static_cast<std::int64_t>(*time_to_live)),
+      json::Count(*object, "generation").value_or(0)};
 }
 
 std::string FormatOffset(std::uint64_t offset) {
--- a/tests/platform/wire/worker_wire.cc
+++ b/tests/platform/wire/worker_wire.cc
@@ -51,7 +51,8 @@
   order.fence = json::Count(object, "fencingToken").value_or(0);
   order.noted = json::Count(object, "ackedThrough").value_or(0);
   order.lease_until = LeaseOf(object);
-  order.wait = json::Milliseconds(object, "waitMs").value_or(Duration::zero());
+  order.wait = std::chrono::milliseconds(
+      static_cast<std::int64_t>(json::Count(object, "waitMs").value_or(0)));
   return order;
 }
 
