--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -76,6 +76,12 @@
   }
 }
 
+void Callers::AskAll(const Context& context) {
+  for (const std::string& id : this->ledger.Unsettled()) {
+    this->Plan(Kind::kStatus, id, context.now);
+  }
+}
+
 void Callers::CancelSome(const Context& context, double share) {
   for (const std::string& id : this->ledger.Unsettled()) {
     if (standin::Chance(this->random, share)) {
@@ -297,7 +303,7 @@
     asks_again = state == "queued" || state == "running";
   } else if (reply.outcome == HttpOutcome::kAnswered && reply.status == kGone) {
     this->ledger.OnState(call.id, std::nullopt, detail, now);
-    asks_again = this->ledger.IsAccepted(call.id);
+    asks_again = this->ledger.IsOwed(call.id);
   }
   if (asks_again) {
     this->Plan(
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -42,6 +42,8 @@
   void SetRate(double submissions_per_second);
   /// Hands in so many at once.
   void Burst(const Context& context, std::size_t count);
+  /// Asks for everything that is not known to have ended.
+  void AskAll(const Context& context);
   void CancelSome(const Context& context, double share);
   void Advance(const Context& context);
   void OnReply(const Context& context, std::uint64_t number,
--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -246,11 +246,17 @@
   }
 }
 
+bool Ledger::IsOwed(const std::string& id) const {
+  const auto found = this->entries.find(id);
+  return found != this->entries.end() &&
+         (found->second.accepted_at || found->second.has_started);
+}
+
 std::vector<std::string> Ledger::Unsettled() const {
   std::vector<std::string> ids;
   for (const auto& [id, entry] : this->entries) {
-    const bool is_owed = entry.accepted_at || entry.has_started;
-    if (is_owed && !entry.cancel_sent_at && entry.final_state.empty()) {
+    if (this->IsOwed(id) && !entry.cancel_sent_at &&
+        entry.final_state.empty()) {
       ids.push_back(id);
     }
   }
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -97,6 +97,9 @@
   /// Null for an id that nobody has handed in.
   const standin::Submission* Find(const std::string& id) const;
   bool IsAccepted(const std::string& id) const;
+  /// Whether the submission was accepted or has started, so that its end must
+  /// come.
+  bool IsOwed(const std::string& id) const;
   void Report(std::string check, const std::string& id, std::string text,
               TimePoint now);
 
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -281,6 +281,7 @@
     case Phase::kRunning:
       if (age >= this->options.length - standin::bounds::kFinish) {
         this->callers.SetRate(0);
+        this->callers.AskAll(context);
         this->phase = Phase::kSettling;
       }
       break;
