--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -137,7 +137,11 @@
                       fmt::format("soak-{}-{}", options.world.seed, getpid()))
                          .string();
   }
-  std::filesystem::create_directories(options.folder);
+  if (!std::filesystem::create_directories(options.folder)) {
+    // Its settings and logs may be those of a run that goes on.
+    fmt::print(stderr, "{} exists already\n", options.folder);
+    return kUsage;
+  }
   bool is_right = false;
   {
     soak::Run run(options);
