--- a/tests/platform/wire/store_wire.cc
+++ b/tests/platform/wire/store_wire.cc
@@ -246,6 +246,7 @@
 std::string MakeTables(std::uint64_t version, const std::vector<Route>& routes,
                        const std::string& pool) {
   std::vector<std::string> rows;
+  rows.reserve(routes.size());
   for (const Route& route : routes) {
     rows.push_back(fmt::format(
         R"({{"name":"{}","hostname":"soak.example","pathPrefix":"{}",)"
