Keep the cost of looks apart from the number of workers

Callers saw nothing stored or placed for seconds while 350 workers were there.

Cause, one of several: at each event about a look, an end or a takeover the leader went through all workers, to find the next timer, the due looks, those that had not answered and those with ends to store.

The workers are now filed by when there is something to do for them; those that are not known are counted; those with ends that are not stored are listed.

Test: a submission of three tasks has the leader go through as many workers among 400 as among 20.

--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -1,9 +1,12 @@
 #ifndef BASILSPREAD_CORE_FLEET_H_
 #define BASILSPREAD_CORE_FLEET_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 #include "basilspread/core/fleet_call.h"
 #include "basilspread/core/ids.h"
@@ -47,7 +50,8 @@
   /// The work log names it, so that the next leader looks at it even if it is
   /// not listed; nothing is started there before.
   bool is_noted = false;
-  /// Looked at under the present fence, so that all its runs are known.
+  /// Looked at under the present fence, so that all its runs are known. Those
+  /// that are not are counted in FleetState.
   bool is_known = false;
   /// Number of the fence within the leader's epoch.
   std::uint32_t fence_step = 0;
@@ -57,6 +61,8 @@
   std::uint32_t looks = 0;
   /// Unset: nothing there needs a look.
   std::optional<TimePoint> next_look;
+  /// When there is something to do for it; its place in FleetState::due.
+  std::optional<TimePoint> due_at;
   /// Its clock, as last told, and when that was.
   WorkerTime clock{};
   std::optional<TimePoint> clock_read_at;
@@ -87,6 +93,14 @@
   std::map<HostName, FleetWorker> workers;
   std::map<PoolName, PoolRoom> rooms;
   std::uint32_t last_number = 0;
+  /// Workers whose look is due, or that will be gone, in the order of time.
+  std::set<std::pair<TimePoint, HostName>> due;
+  /// When the timer fires that is armed for the first of them.
+  std::optional<TimePoint> timer_at;
+  /// How many of the workers are not known.
+  std::size_t unknown = 0;
+  /// Workers with ends that are not stored.
+  std::set<HostName> unstored;
   bool is_listed = false;
   Offset next;
   /// Names seen in the listing that is being read.
@@ -95,6 +109,8 @@
   std::optional<TimePoint> look_lost_at;
   /// When what the previous leader started, and no look can tell, has ended.
   std::optional<TimePoint> unknown_until;
+  /// Workers that events about looks, leases and stored ends went through.
+  std::uint64_t workers_visited = 0;
 };
 
 }  // namespace basilspread
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -2,7 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -38,11 +37,9 @@
   context.Log(
       LogLevel::kWarning, kPart, "A worker started anew.",
       {{"worker", worker.entry.name.value}, {"runs_lost", worker.runs.size()}});
-  worker.is_known = false;
+  looks::SetKnown(context, worker, false);
   worker.clock_read_at.reset();
-  worker.seen_end = 0;
-  worker.stored_end = 0;
-  worker.told_end = 0;
+  looks::ForgetEnds(context, worker);
   Note(context, worker);
   looks::LookNow(context, worker);
 }
@@ -55,9 +52,11 @@
       !is_new && worker.entry.incarnation != entry.incarnation;
   const bool has_moved = !is_new && worker.entry.address != entry.address;
   const bool was_draining = worker.entry.draining;
+  fleet.unknown += is_new ? 1 : 0;
   worker.entry = entry;
   worker.unlisted = false;
   worker_room::Update(context, worker);
+  looks::File(context, worker);
   if (is_new || has_moved) {
     Note(context, worker);
   }
@@ -82,7 +81,7 @@
               {{"worker", name.value}, {"runs", found->second.runs.size()}});
   found->second.unlisted = true;
   looks::LookNow(context, found->second);
-  looks::ArmTimer(context);
+  looks::File(context, found->second);
 }
 
 void Follow(Context& context) {
@@ -131,14 +130,18 @@
                            event.result == OrderResult::kLate ||
                            event.result == OrderResult::kOtherIncarnation;
   if (is_mistaken) {
-    worker.is_known = false;
+    looks::SetKnown(context, worker, false);
     looks::LookNow(context, worker);
   }
+  looks::File(context, worker);
 }
 
 /// A worker of an earlier leader, until the list says more.
 void Inherit(Context& context, const WorkerRecord& record) {
-  FleetWorker& worker = StateOf(context).workers[record.worker];
+  const auto [found, is_new] =
+      StateOf(context).workers.try_emplace(record.worker);
+  FleetWorker& worker = found->second;
+  StateOf(context).unknown += is_new ? 1 : 0;
   worker.entry.name = record.worker;
   worker.entry.address = record.address;
   worker.entry.incarnation = record.incarnation;
@@ -148,6 +151,21 @@
   looks::LookNow(context, worker);
 }
 
+/// Nothing runs there any longer, and nothing more is said of it.
+void Drop(Context& context, FleetWorker& worker) {
+  FleetState& fleet = StateOf(context);
+  const HostName name = worker.entry.name;
+  looks::LoseRuns(context, worker, "the worker is gone");
+  looks::ForgetEnds(context, worker);
+  looks::SetKnown(context, worker, true);
+  if (worker.due_at) {
+    fleet.due.erase({*worker.due_at, name});
+  }
+  worker_room::Remove(context, worker);
+  fleet.workers.erase(name);
+  work_log::Note(context, name);
+}
+
 }  // namespace
 
 void Start(Context& context) {
@@ -220,25 +238,20 @@
 }
 
 void OnTimer(Context& context) {
+  StateOf(context).timer_at.reset();
   if (!IsLeader(context)) {
     return;
   }
-  FleetState& fleet = StateOf(context);
-  std::vector<HostName> gone;
-  for (auto& [name, worker] : fleet.workers) {
+  for (const HostName& name : looks::TakeDue(context)) {
+    FleetWorker& worker = *Find(context, name);
     looks::LookIfDue(context, worker);
     const auto gone_at = looks::GoneAt(context, worker);
     if (gone_at && context.now >= *gone_at) {
-      gone.push_back(name);
+      Drop(context, worker);
+    } else {
+      looks::File(context, worker);
     }
   }
-  for (const HostName& name : gone) {
-    FleetWorker& worker = fleet.workers.at(name);
-    looks::LoseRuns(context, worker, "the worker is gone");
-    worker_room::Remove(context, worker);
-    fleet.workers.erase(name);
-    work_log::Note(context, name);
-  }
   leadership::CheckLooks(context);
   looks::ArmTimer(context);
 }
@@ -306,10 +319,7 @@
 }
 
 std::size_t CountUnknown(const Context& context) {
-  const auto& workers = context.state.submissions.fleet.workers;
-  return static_cast<std::size_t>(
-      std::count_if(workers.begin(), workers.end(),
-                    [](const auto& entry) { return !entry.second.is_known; }));
+  return context.state.submissions.fleet.unknown;
 }
 
 void HoldInherited(Context& context) {
--- a/packages/core/src/internal/fleet_looks.cc
+++ b/packages/core/src/internal/fleet_looks.cc
@@ -44,7 +44,7 @@
 void Schedule(Context& context, FleetWorker& worker, TimePoint at) {
   if (!worker.next_look || at < *worker.next_look) {
     worker.next_look = at;
-    ArmTimer(context);
+    File(context, worker);
   }
 }
 
@@ -68,6 +68,7 @@
   worker.told_end = std::max(worker.told_end, worker.stored_end);
   ++worker.looks;
   worker.next_look.reset();
+  File(context, worker);
   context.Emit(std::move(look));
   if (IsAwaited(context, worker)) {
     Schedule(context, worker, context.now + kFirstLookRepeat);
@@ -88,6 +89,7 @@
     }
     worker.seen_end = end.number;
     Release(context, worker, end.name);
+    context.state.submissions.fleet.unstored.insert(worker.entry.name);
     submission_progress::OnEnded(context, worker, end);
   }
 }
@@ -184,22 +186,65 @@
   }
 }
 
+void File(Context& context, FleetWorker& worker) {
+  FleetState& fleet = context.state.submissions.fleet;
+  std::optional<TimePoint> due_at = worker.next_look;
+  const auto gone_at = GoneAt(context, worker);
+  if (gone_at && (!due_at || *gone_at < *due_at)) {
+    due_at = gone_at;
+  }
+  if (due_at == worker.due_at) {
+    return;
+  }
+  if (worker.due_at) {
+    fleet.due.erase({*worker.due_at, worker.entry.name});
+  }
+  worker.due_at = due_at;
+  if (due_at) {
+    fleet.due.emplace(*due_at, worker.entry.name);
+    ArmTimer(context);
+  }
+}
+
+std::vector<HostName> TakeDue(Context& context) {
+  FleetState& fleet = context.state.submissions.fleet;
+  std::vector<HostName> names;
+  while (!fleet.due.empty() && fleet.due.begin()->first <= context.now) {
+    names.push_back(fleet.due.begin()->second);
+    fleet.workers.at(names.back()).due_at.reset();
+    fleet.due.erase(fleet.due.begin());
+    ++fleet.workers_visited;
+  }
+  return names;
+}
+
 void ArmTimer(Context& context) {
-  std::optional<TimePoint> next;
-  for (const auto& [name, worker] : context.state.submissions.fleet.workers) {
-    if (worker.next_look && (!next || *worker.next_look < *next)) {
-      next = worker.next_look;
-    }
-    const auto gone_at = GoneAt(context, worker);
-    if (gone_at && (!next || *gone_at < *next)) {
-      next = gone_at;
-    }
+  FleetState& fleet = context.state.submissions.fleet;
+  if (fleet.due.empty()) {
+    return;
   }
-  if (next) {
-    context.Emit(SetTimer{TimerKind::kFleet, *next});
+  const TimePoint next = fleet.due.begin()->first;
+  if (!fleet.timer_at || next < *fleet.timer_at) {
+    fleet.timer_at = next;
+    context.Emit(SetTimer{TimerKind::kFleet, next});
   }
 }
 
+void SetKnown(Context& context, FleetWorker& worker, bool is_known) {
+  if (worker.is_known != is_known) {
+    worker.is_known = is_known;
+    std::size_t& unknown = context.state.submissions.fleet.unknown;
+    unknown = is_known ? unknown - 1 : unknown + 1;
+  }
+}
+
+void ForgetEnds(Context& context, FleetWorker& worker) {
+  worker.seen_end = 0;
+  worker.stored_end = 0;
+  worker.told_end = 0;
+  context.state.submissions.fleet.unstored.erase(worker.entry.name);
+}
+
 std::optional<TimePoint> GoneAt(const Context& context,
                                 const FleetWorker& worker) {
   if (!worker.unlisted) {
@@ -221,7 +266,7 @@
   }
   const bool was_usable = worker.is_known && !worker.is_silent;
   worker.is_silent = false;
-  worker.is_known = worker.is_known || is_present;
+  SetKnown(context, worker, worker.is_known || is_present);
   TakeEnds(context, worker, event);
   TakeRunning(context, worker, event);
   TakeMissing(context, worker, event);
@@ -232,12 +277,10 @@
              worker.seen_end > worker.stored_end) {
     Schedule(context, worker, context.now + kAcknowledgeDelay);
   }
-  if (worker.unlisted) {
-    ArmTimer(context);
-  }
   if (!was_usable) {
     step_placement::OnRoom(context, worker);
   }
+  File(context, worker);
 }
 
 void OnFailed(Context& context, FleetWorker& worker,
@@ -257,7 +300,7 @@
   if (event.result == OrderResult::kOtherIncarnation) {
     LoseRuns(context, worker, "another worker has its address");
     worker.leased_until.reset();
-    worker.is_known = false;
+    SetKnown(context, worker, false);
   }
   const bool has_lapsed =
       worker.leased_until && context.now >= *worker.leased_until;
@@ -265,8 +308,9 @@
     LoseRuns(context, worker, "its leases have lapsed");
     worker.leased_until.reset();
   }
-  worker.is_known = worker.is_known && worker.leased_until.has_value();
+  SetKnown(context, worker, worker.is_known && worker.leased_until.has_value());
   Schedule(context, worker, context.now + delay);
+  File(context, worker);
 }
 
 void LoseRuns(Context& context, FleetWorker& worker, std::string_view reason) {
--- a/packages/core/src/internal/fleet_looks.h
+++ b/packages/core/src/internal/fleet_looks.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string_view>
+#include <vector>
 
 #include "basilspread/core/fleet.h"
 #include "basilspread/core/fleet_call.h"
@@ -28,7 +29,16 @@
 /// Looks beside a look that may wait for an end.
 void LookNow(Context& context, FleetWorker& worker);
 void LookIfDue(Context& context, FleetWorker& worker);
+/// Files the worker by when there is something to do for it. To be called
+/// after each change of what that follows from: its next look, whether it is
+/// listed and known, its runs and its leases.
+void File(Context& context, FleetWorker& worker);
+/// Takes the workers out for which there is something to do now.
+std::vector<HostName> TakeDue(Context& context);
 void ArmTimer(Context& context);
+void SetKnown(Context& context, FleetWorker& worker, bool is_known);
+/// The worker has no ends any more that have to be stored.
+void ForgetEnds(Context& context, FleetWorker& worker);
 
 /// When nothing runs any longer on a worker that the store does not list;
 /// unset for one that it lists.
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -125,10 +125,9 @@
 /// Which ends of workers are stored with the append that is being made.
 void SettleEnds(Context& context) {
   SubmissionsState& state = StateOf(context);
-  for (const auto& [name, worker] : state.fleet.workers) {
-    if (worker.seen_end > worker.stored_end) {
-      state.log.settling_ends[name] = worker.seen_end;
-    }
+  for (const HostName& name : state.fleet.unstored) {
+    ++state.fleet.workers_visited;
+    state.log.settling_ends[name] = state.fleet.workers.at(name).seen_end;
   }
 }
 
@@ -204,9 +203,14 @@
   SubmissionsState& state = StateOf(context);
   for (const auto& [name, number] : state.log.settling_ends) {
     const auto worker = state.fleet.workers.find(name);
-    if (worker != state.fleet.workers.end()) {
-      worker->second.stored_end = std::max(
-          worker->second.stored_end, std::min(number, worker->second.seen_end));
+    if (worker == state.fleet.workers.end()) {
+      continue;
+    }
+    FleetWorker& known = worker->second;
+    known.stored_end =
+        std::max(known.stored_end, std::min(number, known.seen_end));
+    if (known.stored_end == known.seen_end) {
+      state.fleet.unstored.erase(name);
     }
   }
   state.log.settling_ends.clear();
--- a/packages/core/tests/fleet_test.cc
+++ b/packages/core/tests/fleet_test.cc
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstdint>
 #include <string>
+#include <vector>
 
 #include "support/store_world.h"
 
@@ -16,6 +18,27 @@
   World() : StoreWorld(2, {"w1", "w2"}) { REQUIRE(this->Leader() >= 0); }
 };
 
+/// Workers that a submission of three tasks has the leader go through.
+std::uint64_t VisitsAmong(int workers) {
+  std::vector<std::string> names;
+  for (int i = 0; i < workers; ++i) {
+    names.push_back("w" + std::to_string(100 + i));
+  }
+  StoreWorld world(2, names);
+  REQUIRE(world.Leader() >= 0);
+  const FleetState& fleet = world.StateOf(world.Leader()).submissions.fleet;
+  const std::uint64_t before = fleet.workers_visited;
+  world.Submit(0, kFirst, {Tasks(3)});
+  world.Run(seconds(2));
+  REQUIRE(world.Starts(kFirst, 0, 2) == 1);
+  return fleet.workers_visited - before;
+}
+
+TEST_CASE("Looks and ends cost the same among few and many workers",
+          "[fleet]") {
+  CHECK(VisitsAmong(400) == VisitsAmong(20));
+}
+
 TEST_CASE("Runs of a worker that left start elsewhere", "[fleet]") {
   World world;
   world.run_time = seconds(2);
