Repeat a stop at once that was not surely carried out

Members of broken gangs waited for the others until their time was up.

Cause: a stop without an answer, a refused one, and one that a raised fence overtook were only repeated once a look listed the run again, up to 1.5 s later.

A stop without an answer is repeated with its time-out, a refused one after 40 ms, while the run is there. Workers that lost looks too are stopped once they list the run, as before. The time-outs of calls to workers stand in core, where the stand-in of the workers uses them too: it gives orders up after 250 ms, as the adapter does, and no longer after 800 ms.

Test: a run of a cancelled submission has ended after 600 ms though two stops were lost, or refused.

--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -61,6 +61,9 @@
   std::uint32_t looks = 0;
   /// Unset: nothing there needs a look.
   std::optional<TimePoint> next_look;
+  /// Runs whose stop it refused, and when that is repeated.
+  std::set<RunName> refused_stops;
+  std::optional<TimePoint> next_stop;
   /// When there is something to do for it; its place in FleetState::due.
   std::optional<TimePoint> due_at;
   /// Its clock, as last told, and when that was.
--- a/packages/core/include/basilspread/core/fleet_call.h
+++ b/packages/core/include/basilspread/core/fleet_call.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPREAD_CORE_FLEET_CALL_H_
 #define BASILSPREAD_CORE_FLEET_CALL_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -15,6 +16,13 @@
 /// Time since a worker's own start, on its own clock.
 using WorkerTime = Duration;
 
+/// An order is given up after this: a look tells what became of it, so that it
+/// need not be waited for.
+inline constexpr Duration kOrderTimeout = std::chrono::milliseconds(250);
+/// A look is given up this long after the end of its wait: some fifty times
+/// what its way there and back takes with a sound worker.
+inline constexpr Duration kLookTimeout = std::chrono::milliseconds(300);
+
 /// What a worker says of itself in the store.
 struct WorkerEntry {
   HostName name;
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -20,6 +20,9 @@
 /// Entries of many workers share a read, each of which is a call that is
 /// priced; what drains is used for this much longer at most.
 constexpr Duration kFollowSpacing = std::chrono::milliseconds(150);
+/// A worker that refuses a stop is asked again after this: a tenth of the time
+/// that a stop may take.
+constexpr Duration kStopRetryDelay = std::chrono::milliseconds(40);
 constexpr Duration kListRetryDelay = std::chrono::milliseconds(150);
 
 FleetState& StateOf(Context& context) {
@@ -136,6 +139,44 @@
   looks::File(context, worker);
 }
 
+/// Repeats a stop that may not have been carried out. One that was shows in the
+/// next look, which may wait for long.
+void OnStopAnswered(Context& context, FleetWorker& worker,
+                    const RunOrdered& event) {
+  switch (event.result) {
+    case OrderResult::kUnknown:
+    case OrderResult::kFenced:
+      // A worker that lost looks too is stopped once it lists the run.
+      if (!worker.is_silent) {
+        StopRunOn(context, worker, event.name);
+      }
+      return;
+    case OrderResult::kRefused:
+      worker.refused_stops.insert(event.name);
+      worker.next_stop = context.now + kStopRetryDelay;
+      looks::File(context, worker);
+      return;
+    case OrderResult::kOtherIncarnation:
+      looks::SetKnown(context, worker, false);
+      looks::LookNow(context, worker);
+      return;
+    default:
+      return;
+  }
+}
+
+void RepeatStops(Context& context, FleetWorker& worker) {
+  if (!worker.next_stop || context.now < *worker.next_stop) {
+    return;
+  }
+  worker.next_stop.reset();
+  for (const RunName& name : std::exchange(worker.refused_stops, {})) {
+    if (worker.runs.contains(name)) {
+      StopRunOn(context, worker, name);
+    }
+  }
+}
+
 /// A worker of an earlier leader, until the list says more.
 void Inherit(Context& context, const WorkerRecord& record) {
   const auto [found, is_new] =
@@ -245,6 +286,7 @@
   for (const HostName& name : looks::TakeDue(context)) {
     FleetWorker& worker = *Find(context, name);
     looks::LookIfDue(context, worker);
+    RepeatStops(context, worker);
     const auto gone_at = looks::GoneAt(context, worker);
     if (gone_at && context.now >= *gone_at) {
       Drop(context, worker);
@@ -293,8 +335,11 @@
     leadership::OnFenced(context, looks::EpochOf(event.fence));
     return;
   }
-  if (event.is_stop || !worker->runs.contains(event.name)) {
-    // A stop shows in the next look, and is repeated while the run is listed.
+  if (!worker->runs.contains(event.name)) {
+    return;
+  }
+  if (event.is_stop) {
+    OnStopAnswered(context, *worker, event);
     return;
   }
   if (event.result == OrderResult::kDone) {
--- a/packages/core/src/internal/fleet_looks.cc
+++ b/packages/core/src/internal/fleet_looks.cc
@@ -188,10 +188,10 @@
 
 void File(Context& context, FleetWorker& worker) {
   FleetState& fleet = context.state.submissions.fleet;
-  std::optional<TimePoint> due_at = worker.next_look;
-  const auto gone_at = GoneAt(context, worker);
-  if (gone_at && (!due_at || *gone_at < *due_at)) {
-    due_at = gone_at;
+  std::optional<TimePoint> due_at;
+  for (const auto& at :
+       {worker.next_look, worker.next_stop, GoneAt(context, worker)}) {
+    due_at = at && (!due_at || *at < *due_at) ? at : due_at;
   }
   if (due_at == worker.due_at) {
     return;
--- a/packages/core/src/internal/fleet_looks.h
+++ b/packages/core/src/internal/fleet_looks.h
@@ -30,8 +30,8 @@
 void LookNow(Context& context, FleetWorker& worker);
 void LookIfDue(Context& context, FleetWorker& worker);
 /// Files the worker by when there is something to do for it. To be called
-/// after each change of what that follows from: its next look, whether it is
-/// listed and known, its runs and its leases.
+/// after each change of what that follows from: its next look and stops,
+/// whether it is listed and known, its runs and its leases.
 void File(Context& context, FleetWorker& worker);
 /// Takes the workers out for which there is something to do now.
 std::vector<HostName> TakeDue(Context& context);
--- a/packages/core/tests/fleet_test.cc
+++ b/packages/core/tests/fleet_test.cc
@@ -39,6 +39,20 @@
   CHECK(VisitsAmong(400) == VisitsAmong(20));
 }
 
+TEST_CASE("A stop that was not carried out is repeated at once", "[fleet]") {
+  World world;
+  world.run_time = seconds(20);
+  world.Submit(0, kFirst, {Tasks(1)});
+  world.Run(milliseconds(300));
+  const std::string holder = world.Worker("w1").runs.empty() ? "w2" : "w1";
+  SECTION("its answer is lost") { world.Worker(holder).lost_stops = 2; }
+  SECTION("it is refused") { world.Worker(holder).refused_stops = 2; }
+  world.Ask(0, SubmissionOperation::kCancel, kFirst);
+  // Two lost answers; a look waits for 1.5 s.
+  world.Run(milliseconds(600));
+  CHECK(world.Worker(holder).runs.empty());
+}
+
 TEST_CASE("Runs of a worker that left start elsewhere", "[fleet]") {
   World world;
   world.run_time = seconds(2);
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -183,23 +183,21 @@
     if (target->start_delay > Duration::zero()) {
       target->In(target->start_delay,
                  [target, effect] { target->Start(effect); });
-      target->PostIn(this->node.index, kTimeout, ordered);
+      target->PostIn(this->node.index, kOrderTimeout, ordered);
       return;
     }
     ordered.result = target->Start(effect);
     const bool is_lost = ordered.result == OrderResult::kUnknown;
-    target->PostIn(this->node.index, is_lost ? kTimeout : kCallTime, ordered);
+    target->PostIn(this->node.index, is_lost ? kOrderTimeout : kCallTime,
+                   ordered);
   }
 
   void operator()(const StopRun& effect) const {
-    WorldWorker& worker = this->world.workers.at(effect.worker);
-    const auto run = worker.runs.find(effect.name.task);
-    const bool is_heard =
-        !worker.is_gone && !worker.is_silent && !worker.ignores_stops;
-    if (is_heard && effect.fence >= worker.fence && run != worker.runs.end() &&
-        run->second.run == effect.name.run) {
-      this->world.End(worker, effect.name.task, RunEnd::kStopped);
-    }
+    const RunOrdered ordered{effect.worker, effect.fence, effect.name, true,
+                             this->world.Stop(effect)};
+    const bool is_lost = ordered.result == OrderResult::kUnknown;
+    this->world.PostIn(this->node.index, is_lost ? kOrderTimeout : kCallTime,
+                       ordered);
   }
 
   void operator()(const AskAdvice& effect) const {
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -33,6 +33,10 @@
   /// Its entry has lapsed.
   bool is_unlisted = false;
   bool ignores_stops = false;
+  /// So many of the next stops are neither carried out nor answered.
+  int lost_stops = 0;
+  /// So many of the next stops are refused.
+  int refused_stops = 0;
   /// Answers, but what runs there makes no progress and does not end.
   bool hangs = false;
   /// Runs there end this long after they are through.
@@ -177,6 +181,7 @@
   void AdvanceWorkers();
   void End(WorldWorker& worker, const StepTask& task, RunEnd end);
   OrderResult Start(const StartRun& effect);
+  OrderResult Stop(const StopRun& effect);
   void Look(int node, const LookAtWorker& effect, TimePoint sent,
             TimePoint until);
   void Append(int node, const AppendWork& effect);
--- a/packages/core/tests/support/store_world_times.h
+++ b/packages/core/tests/support/store_world_times.h
@@ -12,8 +12,6 @@
 inline constexpr Duration kCallTime = std::chrono::milliseconds(2);
 /// From a call to its being given up.
 inline constexpr Duration kTimeout = std::chrono::milliseconds(800);
-/// A look is given up this long after the end of its wait.
-inline constexpr Duration kLookMargin = std::chrono::milliseconds(300);
 /// A look that waits sees an end within this.
 inline constexpr Duration kTick = std::chrono::milliseconds(5);
 
--- a/packages/core/tests/support/store_world_workers.cc
+++ b/packages/core/tests/support/store_world_workers.cc
@@ -129,6 +129,28 @@
   return OrderResult::kDone;
 }
 
+OrderResult StoreWorld::Stop(const StopRun& effect) {
+  WorldWorker& worker = this->workers.at(effect.worker);
+  if (worker.is_gone || worker.is_silent || worker.lost_stops > 0) {
+    worker.lost_stops -= worker.lost_stops > 0 ? 1 : 0;
+    return OrderResult::kUnknown;
+  }
+  if (worker.refused_stops > 0) {
+    --worker.refused_stops;
+    return OrderResult::kRefused;
+  }
+  if (effect.fence < worker.fence) {
+    return OrderResult::kFenced;
+  }
+  worker.fence = effect.fence;
+  const auto run = worker.runs.find(effect.name.task);
+  if (!worker.ignores_stops && run != worker.runs.end() &&
+      run->second.run == effect.name.run) {
+    this->End(worker, effect.name.task, RunEnd::kStopped);
+  }
+  return OrderResult::kDone;
+}
+
 void StoreWorld::Look(int node, const LookAtWorker& effect, TimePoint sent,
                       TimePoint until) {
   WorldWorker& worker = this->workers.at(effect.worker);
@@ -139,7 +161,7 @@
   const bool is_lost = worker.lost_looks > 0;
   worker.lost_looks -= is_lost ? 1 : 0;
   if (is_lost || worker.is_gone || worker.is_silent) {
-    this->PostIn(node, (until - sent) + kLookMargin, std::move(looked));
+    this->PostIn(node, (until - sent) + kLookTimeout, std::move(looked));
     return;
   }
   if (effect.fence < worker.fence) {
