Have processes of a worker's zone make the calls to it

Callers waited for a leader that made every call to 350 workers itself: some 900 starts and as many looks a second at the peak, on half a core at the best.

The leader now orders each call of a process of the worker's zone, in one message for what one event brings up, and that process reports how calls ended, several in one message. The decision, the fence, the leases and each worker's state stay with the leader. A process that lags behind its own work makes no calls; one that loses calls, is slow or is gone gets none for a while, and its workers go to others.

Tests: the stand-in world now knows processes that freeze and thaw, are slow, or are cut off from each other or from a worker, and zones. All its tests run with and without hands.

The stand-in takes a task's size from what was handed in, since a hand knows the command only. What of it stands in for the store moved to a file of its own.

The first looks of a new leader have 200 ms more, the time for the way, while they go through hands: a test in which all processes are slow found that it gave the workers up before.

--- a/packages/core/include/basilspread/core/fleet_call.h
+++ b/packages/core/include/basilspread/core/fleet_call.h
@@ -49,6 +49,9 @@
   WorkerTime lease_until{};
   /// The answer may wait this long for an end.
   Duration wait{};
+  /// Of a call that another process has this one make; see HandOrders. Zero:
+  /// its own.
+  std::uint64_t number = 0;
 };
 
 enum class OrderResult {
@@ -65,7 +68,7 @@
   kOtherIncarnation,
   /// The worker did nothing for another reason.
   kRefused,
-  /// The order did not leave this process in time.
+  /// The order surely did not leave in time, which is no fault of the worker.
   kNotSent,
   /// The request may have been carried out, or may be later.
   kUnknown,
@@ -113,6 +116,8 @@
   std::uint64_t incarnation = 0;
   std::vector<ListedRun> running;
   std::vector<ListedEnd> ended;
+  /// That of the LookAtWorker.
+  std::uint64_t number = 0;
 };
 
 /// Starts a run; reports RunOrdered.
@@ -126,6 +131,8 @@
   std::string checkpoint;
   /// Empty where no advice is needed.
   std::string ticket;
+  /// As in LookAtWorker.
+  std::uint64_t number = 0;
 };
 
 /// Ends a run and has it refused from now on; reports RunOrdered.
@@ -134,6 +141,8 @@
   std::string address;
   std::uint64_t fence = 0;
   RunName name;
+  /// As in LookAtWorker.
+  std::uint64_t number = 0;
 };
 
 struct RunOrdered {
@@ -142,6 +151,8 @@
   RunName name;
   bool is_stop = false;
   OrderResult result = OrderResult::kUnknown;
+  /// That of the order.
+  std::uint64_t number = 0;
 };
 
 /// A worker that may run a step, with the proof to show it.
--- a/packages/core/include/basilspread/core/metric.h
+++ b/packages/core/include/basilspread/core/metric.h
@@ -23,6 +23,7 @@
   kTakeoverTime,
   kAdviceTime,
   kWorkersAvoided,
+  kHandsPaused,
   kQueueLength,
   kWorkersUsable,
   kFreeCores,
--- a/packages/core/include/basilspread/core/peer_message.h
+++ b/packages/core/include/basilspread/core/peer_message.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "basilspread/core/error.h"
+#include "basilspread/core/hand_message.h"
 #include "basilspread/core/ids.h"
 #include "basilspread/core/job_message.h"
 #include "basilspread/core/payload.h"
@@ -99,7 +100,7 @@
                  ReserveTasks, ReserveAnswer, ConfirmTasks, ReleaseHold,
                  StopTasks, TaskReports, TaskReportsAck, SubmissionCall,
                  SubmissionAnswer, HelperReport, AdviceCall, AdviceAnswer,
-                 LeaderReport>;
+                 LeaderReport, HandOrders, HandReports>;
 
 }  // namespace basilspread
 
--- a/packages/core/include/basilspread/core/settings.h
+++ b/packages/core/include/basilspread/core/settings.h
@@ -32,6 +32,8 @@
   Duration stop_grace = std::chrono::seconds(6);
   /// Callers of a process that stops find another one within this time.
   Duration drain_time = std::chrono::seconds(2);
+  /// Whether this process makes calls to workers for the leader.
+  bool carries_calls = true;
 };
 
 /// What the reducer needs to know of the process's settings.
--- a/packages/core/include/basilspread/core/submission_message.h
+++ b/packages/core/include/basilspread/core/submission_message.h
@@ -38,7 +38,7 @@
 };
 
 /// Tells the leader that a process can ask for advice on its behalf, and
-/// whether it could lead.
+/// whether it could lead and can make calls to workers.
 struct HelperReport {
   /// Where the leader connects to.
   std::string address;
@@ -47,6 +47,8 @@
   bool stands = false;
   /// Share of the last second that its control thread was busy.
   double busy_share = 0;
+  ZoneName zone = {};
+  bool carries_calls = false;
 };
 
 /// A process that may come to lead.
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "basilspread/core/fleet.h"
+#include "basilspread/core/hands.h"
 #include "basilspread/core/leadership.h"
 #include "basilspread/core/queue_tables.h"
 #include "basilspread/core/submission.h"
@@ -137,7 +138,8 @@
   std::map<NodeName, std::uint32_t> takers;
 };
 
-/// A process that asks for advice on the leader's behalf.
+/// A process that asks for advice, and makes calls to workers, on the leader's
+/// behalf.
 struct Helper {
   ProcessId process;
   std::string address;
@@ -145,6 +147,8 @@
   /// Whether it is a member of the group.
   bool stands = false;
   double busy_share = 0;
+  ZoneName zone;
+  bool carries_calls = false;
   TimePoint heard_at;
   /// The number of helpers' changes that it was told of.
   std::uint64_t told_change = 0;
@@ -210,6 +214,7 @@
   std::uint64_t last_question = 0;
   /// Questions that this process asks for the leader, by their numbers.
   std::map<std::uint64_t, ProcessId> asked_for;
+  HandRelayState relay;
   bool placement_due = false;
   TimePoint next_report;
   /// Routes whose submissions the leader has refused for load, until when.
--- a/packages/core/include/basilspread/core/timer.h
+++ b/packages/core/include/basilspread/core/timer.h
@@ -24,6 +24,7 @@
   kFleetRetry,
   kFleetFollow,
   kLoadRetry,
+  kHandRelay,
 };
 
 }  // namespace basilspread
--- a/packages/core/src/event.cc
+++ b/packages/core/src/event.cc
@@ -43,6 +43,8 @@
       return "timer-fleet-follow";
     case TimerKind::kLoadRetry:
       return "timer-load-retry";
+    case TimerKind::kHandRelay:
+      return "timer-hand-relay";
   }
   return "timer";
 }
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "internal/fleet_looks.h"
+#include "internal/hands.h"
 #include "internal/leadership.h"
 #include "internal/step_placement.h"
 #include "internal/submission_progress.h"
@@ -56,6 +57,9 @@
   const bool has_moved = !is_new && worker.entry.address != entry.address;
   const bool was_draining = worker.entry.draining;
   fleet.unknown += is_new ? 1 : 0;
+  if (worker.entry.zone != entry.zone) {
+    worker.hand_chosen_at = 0;
+  }
   worker.entry = entry;
   worker.unlisted = false;
   worker_room::Update(context, worker);
@@ -146,6 +150,7 @@
   switch (event.result) {
     case OrderResult::kUnknown:
     case OrderResult::kFenced:
+    case OrderResult::kNotSent:
       // A worker that lost looks too is stopped once it lists the run.
       if (!worker.is_silent) {
         StopRunOn(context, worker, event.name);
@@ -325,6 +330,21 @@
   leadership::CheckLooks(context);
 }
 
+void OnHandLostLook(Context& context, const WorkerLooked& event) {
+  FleetWorker* worker = Find(context, event.worker);
+  if (worker == nullptr || !IsLeader(context)) {
+    return;
+  }
+  worker->looks -= worker->looks > 0 ? 1 : 0;
+  const bool was_sent = event.result != OrderResult::kNotSent;
+  if (was_sent && worker->is_spared) {
+    looks::OnFailed(context, *worker, event);
+    return;
+  }
+  worker->is_spared = worker->is_spared || was_sent;
+  looks::LookNow(context, *worker);
+}
+
 void OnOrdered(Context& context, const RunOrdered& event) {
   FleetWorker* worker = Find(context, event.worker);
   if (worker == nullptr || !IsLeader(context)) {
@@ -401,16 +421,18 @@
   worker.reserved += order.demand;
   worker_room::Update(context, worker);
   const WorkerTime lease_until = looks::NextLease(context, worker);
-  context.Emit(StartRun{worker.entry.name, worker.entry.address,
-                        looks::FenceOf(context, worker), std::move(order.name),
-                        std::move(order.spec), lease_until,
-                        std::move(order.checkpoint), std::move(order.ticket)});
+  hands::Send(context, worker,
+              StartRun{worker.entry.name, worker.entry.address,
+                       looks::FenceOf(context, worker), std::move(order.name),
+                       std::move(order.spec), lease_until,
+                       std::move(order.checkpoint), std::move(order.ticket)});
   looks::Watch(context, worker);
 }
 
 void StopRunOn(Context& context, FleetWorker& worker, const RunName& name) {
-  context.Emit(StopRun{worker.entry.name, worker.entry.address,
-                       looks::FenceOf(context, worker), name});
+  hands::Send(context, worker,
+              StopRun{worker.entry.name, worker.entry.address,
+                      looks::FenceOf(context, worker), name});
 }
 
 void Adopt(Context& context, FleetWorker& worker, const RunName& name,
--- a/packages/core/src/internal/fleet.h
+++ b/packages/core/src/internal/fleet.h
@@ -22,6 +22,8 @@
 void OnTimer(Context& context);
 void OnLooked(Context& context, const WorkerLooked& event);
 void OnOrdered(Context& context, const RunOrdered& event);
+/// The process that made the look is lost, or the look did not leave.
+void OnHandLostLook(Context& context, const WorkerLooked& event);
 
 bool IsListed(const Context& context);
 /// Workers that have not answered a look under the present epoch.
--- a/packages/core/src/internal/fleet_looks.cc
+++ b/packages/core/src/internal/fleet_looks.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "internal/fleet.h"
+#include "internal/hands.h"
 #include "internal/step_placement.h"
 #include "internal/submission_progress.h"
 
@@ -66,10 +67,10 @@
       worker.is_silent ? WorkerTime::zero() : NextLease(context, worker);
   look.wait = wait;
   worker.told_end = std::max(worker.told_end, worker.stored_end);
-  ++worker.looks;
   worker.next_look.reset();
+  hands::Send(context, worker, std::move(look));
+  ++worker.looks;
   File(context, worker);
-  context.Emit(std::move(look));
   if (IsAwaited(context, worker)) {
     Schedule(context, worker, context.now + kFirstLookRepeat);
   }
@@ -266,6 +267,7 @@
   }
   const bool was_usable = worker.is_known && !worker.is_silent;
   worker.is_silent = false;
+  worker.is_spared = false;
   SetKnown(context, worker, worker.is_known || is_present);
   TakeEnds(context, worker, event);
   TakeRunning(context, worker, event);
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -7,6 +7,8 @@
 
 #include "internal/candidacy.h"
 #include "internal/fleet.h"
+#include "internal/hand_relay.h"
+#include "internal/hands.h"
 #include "internal/leader_release.h"
 #include "internal/own_load.h"
 #include "internal/step_placement.h"
@@ -355,7 +357,7 @@
     }
     const auto& [node, member] = *peer++;
     context.Emit(ConnectPeer{node, member.address});
-    context.Emit(SendToPeer{node, candidacy::DescribeSelf(context)});
+    context.Emit(SendToPeer{node, hand_relay::Describe(context)});
     state.last_asked = node;
   }
 }
@@ -457,7 +459,8 @@
   const std::size_t unknown = fleet::CountUnknown(context);
   const bool is_complete = fleet::IsListed(context) && unknown == 0;
   if (!is_complete &&
-      own_load::CaughtUpTo(context) < state.phase_began + kLookPatience) {
+      own_load::CaughtUpTo(context) <
+          state.phase_began + kLookPatience + hands::TimeOfWay(context)) {
     return;
   }
   if (!is_complete) {
--- a/packages/core/src/internal/step_advice.cc
+++ b/packages/core/src/internal/step_advice.cc
@@ -10,6 +10,7 @@
 #include "internal/candidacy.h"
 #include "internal/fleet.h"
 #include "internal/gang_claims.h"
+#include "internal/hands.h"
 #include "internal/leadership.h"
 #include "internal/own_load.h"
 #include "internal/step_offers.h"
@@ -363,8 +364,10 @@
     helper.process = from;
     helper.address = report.address;
     ++state.helper_changes;
+    hands::OnHelperGone(context, from.node);
     context.Emit(ConnectPeer{from.node, report.address});
   }
+  hands::OnHelper(context, helper, report);
   helper.heard_at = context.now;
   candidacy::OnHelper(context, helper, report);
   TellLeader(context, helper);
@@ -386,6 +389,7 @@
   }
   state.helpers.erase(node);
   ++state.helper_changes;
+  hands::OnHelperGone(context, node);
   std::vector<std::uint64_t> lost;
   for (const auto& [number, question] : state.questions) {
     if (question.asker.node == node) {
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "internal/candidacy.h"
+#include "internal/hand_relay.h"
 #include "internal/leadership.h"
 #include "internal/load_shedding.h"
 #include "internal/own_load.h"
@@ -353,7 +353,7 @@
   if (!leader && event.connected &&
       state.leadership.peers.contains(event.peer)) {
     // Opened to ask who leads.
-    context.Emit(SendToPeer{event.peer, candidacy::DescribeSelf(context)});
+    context.Emit(SendToPeer{event.peer, hand_relay::Describe(context)});
   }
   if (state.leadership.holds && event.connected) {
     leadership::TellLeadership(context, event.peer);
@@ -390,8 +390,7 @@
     return;
   }
   state.next_report = context.now + kReportInterval;
-  context.Emit(
-      SendToPeer{leader->process.node, candidacy::DescribeSelf(context)});
+  context.Emit(SendToPeer{leader->process.node, hand_relay::Describe(context)});
 }
 
 void OnLeading(Context& context) { OnLeaderChanged(context); }
@@ -420,6 +419,7 @@
   context.state.stopping = true;
   context.Log(LogLevel::kInfo, kPart, "A stop was requested.");
   context.Emit(SetReadiness{false});
+  Report(context);
   leadership::Leave(context, "the process stops");
   SubmissionsState& state = StateOf(context);
   const StoreSettings& settings = context.state.settings.store;
@@ -437,7 +437,8 @@
   // refused at once, so that the open calls come to an end.
   context.Emit(RefuseCallers{});
   const bool is_over = context.now >= state.stop_by + kCheckInterval;
-  if (state.calls.empty() || is_over) {
+  const bool is_idle = state.calls.empty() && hand_relay::IsIdle(context);
+  if (is_idle || is_over) {
     context.Emit(ExitProcess{});
     return;
   }
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -5,7 +5,9 @@
 #include "internal/configuration.h"
 #include "internal/context.h"
 #include "internal/fleet.h"
+#include "internal/hand_relay.h"
 #include "internal/handover.h"
+#include "internal/hands.h"
 #include "internal/hosts.h"
 #include "internal/jobs.h"
 #include "internal/leadership.h"
@@ -73,7 +75,10 @@
     if (this->UsesStore()) {
       internal::submission_calls::OnLinkChanged(this->context, event);
       if (!event.connected) {
+        internal::hand_relay::OnLinkLost(this->context, event.peer);
         internal::step_advice::OnHelperGone(this->context, event.peer);
+      } else {
+        internal::hands::OnLinked(this->context);
       }
       return;
     }
@@ -95,6 +100,7 @@
   void operator()(const PeerMessageNotSent& event) const {
     if (this->UsesStore()) {
       internal::submission_calls::OnMessageNotSent(this->context, event);
+      internal::hands::OnMessageNotSent(this->context, event);
       return;
     }
     internal::requests::OnPeerMessageNotSent(this->context, event);
@@ -139,7 +145,10 @@
       case TimerKind::kLeadership:
         return internal::leadership::OnTimer(this->context);
       case TimerKind::kCalls:
+        internal::hands::OnTimer(this->context);
         return internal::submission_calls::OnTimer(this->context);
+      case TimerKind::kHandRelay:
+        return internal::hand_relay::OnTimer(this->context);
       case TimerKind::kFleet:
         return internal::fleet::OnTimer(this->context);
       case TimerKind::kPlacement:
@@ -208,10 +217,16 @@
   }
 
   void operator()(const WorkerLooked& event) const {
+    if (event.number != 0) {
+      return internal::hand_relay::OnLooked(this->context, event);
+    }
     internal::fleet::OnLooked(this->context, event);
   }
 
   void operator()(const RunOrdered& event) const {
+    if (event.number != 0) {
+      return internal::hand_relay::OnOrdered(this->context, event);
+    }
     internal::fleet::OnOrdered(this->context, event);
   }
 
@@ -259,6 +274,12 @@
     void operator()(const AdviceAnswer& message) const {
       internal::step_advice::OnAnswer(this->context, message);
     }
+    void operator()(const HandOrders& message) const {
+      internal::hand_relay::OnOrders(this->context, this->from, message);
+    }
+    void operator()(const HandReports& message) const {
+      internal::hands::OnReports(this->context, this->from, message);
+    }
     template <typename JobMessage>
     void operator()(const JobMessage& message) const {
       internal::jobs::OnMessage(this->context, this->from, message);
@@ -274,6 +295,7 @@
   internal::own_load::OnEvent(context, event.load);
   if (state.settings.store.enabled) {
     std::visit(Dispatcher{context}, event.body);
+    internal::hands::Flush(context);
     return effects;
   }
   internal::membership::OnEvent(context);
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -1,10 +1,10 @@
 #include "support/store_world.h"
 
 #include <algorithm>
+#include <catch2/catch.hpp>
 #include <utility>
 
 #include "basilspread/core/hooks.h"
-#include "support/store_world_log.h"
 #include "support/store_world_node.h"
 #include "support/store_world_times.h"
 
@@ -14,7 +14,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Duration kAppendTime = milliseconds(9);
 /// A process that has just started places no inherited work for 2.5 s.
 constexpr Duration kSettleTime = seconds(5);
 const Resources kDemand{1000, 256, 0};
@@ -42,12 +41,14 @@
   return tables;
 }
 
-Settings MakeSettings(int index) {
+Settings MakeSettings(int index, bool carries_calls) {
   Settings settings;
   settings.self.node = NodeName{"node-" + std::to_string(index)};
   settings.self.incarnation = static_cast<std::uint64_t>(index) + 1;
   settings.peer_address = "127.0.0.1:" + std::to_string(9000 + index);
+  settings.zone = ZoneOf(index);
   settings.store.enabled = true;
+  settings.store.carries_calls = carries_calls;
   return settings;
 }
 
@@ -166,14 +167,24 @@
   }
 
   void operator()(const LookAtWorker& effect) const {
-    this->world.Look(this->node.index, effect, this->world.now,
-                     this->world.now + effect.wait);
+    const TimePoint now = this->world.now;
+    if (!this->world.ReachesWorker(this->node.index, effect.worker)) {
+      WorkerLooked looked;
+      looked.worker = effect.worker;
+      looked.fence = effect.fence;
+      looked.sent_at = now;
+      looked.number = effect.number;
+      this->world.PostIn(this->node.index, effect.wait + kLookTimeout,
+                         std::move(looked));
+      return;
+    }
+    this->world.Look(this->node.index, effect, now, now + effect.wait);
   }
 
   void operator()(const StartRun& effect) const {
     StoreWorld* target = &this->world;
-    RunOrdered ordered{effect.worker, effect.fence, effect.name, false,
-                       OrderResult::kUnknown};
+    RunOrdered ordered{effect.worker, effect.fence,          effect.name,
+                       false,         OrderResult::kUnknown, effect.number};
     if (target->unsent_starts > 0) {
       --target->unsent_starts;
       ordered.result = OrderResult::kNotSent;
@@ -181,20 +192,25 @@
       return;
     }
     if (target->start_delay > Duration::zero()) {
+      const int index = this->node.index;
       target->In(target->start_delay,
-                 [target, effect] { target->Start(effect); });
+                 [target, index, effect] { target->Start(index, effect); });
       target->PostIn(this->node.index, kOrderTimeout, ordered);
       return;
     }
-    ordered.result = target->Start(effect);
+    ordered.result = target->Start(this->node.index, effect);
     const bool is_lost = ordered.result == OrderResult::kUnknown;
     target->PostIn(this->node.index, is_lost ? kOrderTimeout : kCallTime,
                    ordered);
   }
 
   void operator()(const StopRun& effect) const {
-    const RunOrdered ordered{effect.worker, effect.fence, effect.name, true,
-                             this->world.Stop(effect)};
+    const RunOrdered ordered{effect.worker,
+                             effect.fence,
+                             effect.name,
+                             true,
+                             this->world.Stop(this->node.index, effect),
+                             effect.number};
     const bool is_lost = ordered.result == OrderResult::kUnknown;
     this->world.PostIn(this->node.index, is_lost ? kOrderTimeout : kCallTime,
                        ordered);
@@ -224,8 +240,12 @@
                          PeerMessageNotSent{effect.peer, effect.message});
       return;
     }
+    ++this->world.messages[{this->node.index, effect.message.index()}];
     for (const auto& peer : this->world.nodes) {
-      if (peer->state.settings.self.node == effect.peer && peer->is_up) {
+      const bool is_cut = this->world.cut_links.contains(
+          std::minmax(this->node.index, peer->index));
+      if (peer->state.settings.self.node == effect.peer && peer->is_up &&
+          !is_cut) {
         this->world.PostIn(
             peer->index, kCallTime,
             PeerReceived{this->node.state.settings.self, effect.message});
@@ -262,18 +282,22 @@
   void operator()(const Other& /*effect*/) const {}
 };
 
-StoreWorld::StoreWorld(int count, const std::vector<std::string>& worker_names)
+StoreWorld::StoreWorld(int count, const std::vector<std::string>& worker_names,
+                       Hands hands)
     : StoreWorld(std::vector<Capacity>(static_cast<std::size_t>(count)),
-                 worker_names) {}
+                 worker_names, hands) {}
 
 StoreWorld::StoreWorld(const std::vector<Capacity>& capacities,
-                       const std::vector<std::string>& worker_names) {
+                       const std::vector<std::string>& worker_names,
+                       Hands hands) {
   for (const std::string& name : worker_names) {
     this->AddWorker(name);
   }
+  const bool with_hands =
+      hands == Hands::kBoth ? GENERATE(false, true) : hands == Hands::kOn;
   const int count = static_cast<int>(capacities.size());
   for (int i = 0; i < count; ++i) {
-    Settings settings = MakeSettings(i);
+    Settings settings = MakeSettings(i, with_hands);
     settings.capacity = capacities[static_cast<std::size_t>(i)];
     this->nodes.push_back(std::make_unique<Node>(i, settings));
   }
@@ -296,7 +320,8 @@
   call.time_left = seconds(3);
   call.spec.reset(new SubmissionSpec);
   call.spec->command = "run";
-  call.spec->steps = std::move(steps);
+  call.spec->steps = steps;
+  this->submitted[SubmissionId{id}] = std::move(steps);
   const CallId number = call.call;
   this->Post(node, std::move(call));
   return number;
@@ -374,6 +399,14 @@
 
 void StoreWorld::Stop(int node) { this->Post(node, StopRequested{}); }
 
+void StoreWorld::CutLink(int node, int other) {
+  this->cut_links.insert(std::minmax(node, other));
+}
+
+void StoreWorld::HealLink(int node, int other) {
+  this->cut_links.erase(std::minmax(node, other));
+}
+
 void StoreWorld::JoinLate(int node) {
   const Settings& settings = this->nodes.at(node)->state.settings;
   this->leader_member =
@@ -410,8 +443,9 @@
   return count == this->starts.end() ? 0 : count->second;
 }
 
-bool StoreWorld::ReachesStore(int node) const {
-  return !this->store_is_down && !this->cut_from_store.contains(node);
+int StoreWorld::MessagesBy(int node, std::size_t kind) const {
+  const auto count = this->messages.find({node, kind});
+  return count == this->messages.end() ? 0 : count->second;
 }
 
 void StoreWorld::In(Duration delay, std::function<void()> action) {
@@ -427,6 +461,8 @@
 }
 
 void StoreWorld::PostIn(int node, Duration delay, EventBody body) {
+  const auto slow = this->slowness.find(node);
+  delay += slow == this->slowness.end() ? Duration::zero() : slow->second;
   this->In(delay,
            [this, node, body = std::move(body)] { this->Post(node, body); });
 }
@@ -437,84 +473,6 @@
   }
 }
 
-void StoreWorld::Append(int node, const AppendWork& effect) {
-  WorkAppended appended;
-  appended.channel = effect.channel;
-  appended.epoch = effect.epoch;
-  appended.sequence = effect.sequence;
-  ++this->appends;
-  this->largest_append = std::max(this->largest_append, BytesOf(effect));
-  if (!this->ReachesStore(node)) {
-    this->PostIn(node, kTimeout, appended);
-    return;
-  }
-  if (this->appends_are_refused) {
-    appended.result = WorkAppendResult::kRefused;
-    this->PostIn(node, this->store_time, appended);
-    return;
-  }
-  if (effect.epoch < this->log_epoch) {
-    appended.result = WorkAppendResult::kFenced;
-    appended.epoch_in_force = this->log_epoch;
-    this->PostIn(node, this->store_time, appended);
-    return;
-  }
-  const bool is_repeat = effect.epoch == this->log_epoch &&
-                         effect.sequence + 1 == this->log_sequence;
-  if (is_repeat && effect.records.empty()) {
-    // An append of nothing is not remembered.
-    appended.result = WorkAppendResult::kOutOfSequence;
-    appended.expected_sequence = this->log_sequence;
-    this->PostIn(node, this->store_time, appended);
-    return;
-  }
-  if (!is_repeat) {
-    for (const WorkRecord& record : effect.records) {
-      if (IsDrop(record)) {
-        this->log.erase(KeyOf(record));
-      } else {
-        this->log.insert_or_assign(KeyOf(record), record);
-      }
-    }
-    this->log_epoch = effect.epoch;
-    this->log_sequence = effect.sequence + 1;
-  }
-  const bool is_lost = this->appends_lose_answers || this->lost_appends > 0;
-  this->lost_appends -= this->lost_appends > 0 ? 1 : 0;
-  if (is_lost) {
-    this->PostIn(node, kTimeout, appended);
-    return;
-  }
-  appended.result = WorkAppendResult::kStored;
-  this->PostIn(node, kAppendTime, appended);
-}
-
-void StoreWorld::DealLeadership() {
-  const auto before = this->members.size();
-  std::erase_if(this->members, [this](const auto& member) {
-    return member.second <= this->now;
-  });
-  if (this->members.size() != before) {
-    ++this->generation;
-  }
-  const std::string first =
-      this->members.empty() ? "" : this->members.begin()->first;
-  const bool stays = this->members.contains(this->leader_member) &&
-                     (!this->joins_move_leadership || !next_member.empty() ||
-                      this->leader_member == first);
-  if (stays || (first.empty() && this->leader_member.empty())) {
-    return;
-  }
-  ++this->generation;
-  if (this->members.contains(this->leader_member)) {
-    // Its holder gives it up by its next join.
-    this->next_member = first;
-    return;
-  }
-  this->moves += first.empty() ? 0 : 1;
-  this->leader_member = first;
-}
-
 StepSpec Tasks(std::uint32_t count) {
   StepSpec step;
   step.count = count;
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPREAD_CORE_TESTS_SUPPORT_STORE_WORLD_H_
 #define BASILSPREAD_CORE_TESTS_SUPPORT_STORE_WORLD_H_
 
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <map>
@@ -8,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "basilspread/core/reducer.h"
@@ -51,15 +53,21 @@
   std::uint64_t last_end = 0;
 };
 
+/// Whether other processes make the leader's calls to workers; with kBoth, a
+/// test is run once without and once with it.
+enum class Hands { kOff, kOn, kBoth };
+
 /// Entry processes with stand-ins of the store, the workers and the advisor,
 /// under virtual time. Checks what must always hold.
 class StoreWorld {
  public:
   /// Runs until a process leads and inherited work no longer waits.
-  StoreWorld(int nodes, const std::vector<std::string>& worker_names);
+  StoreWorld(int nodes, const std::vector<std::string>& worker_names,
+             Hands hands = Hands::kBoth);
   /// A process for each capacity.
   StoreWorld(const std::vector<Capacity>& capacities,
-             const std::vector<std::string>& worker_names);
+             const std::vector<std::string>& worker_names,
+             Hands hands = Hands::kBoth);
   ~StoreWorld();
   StoreWorld(const StoreWorld&) = delete;
   StoreWorld& operator=(const StoreWorld&) = delete;
@@ -95,6 +103,12 @@
   /// The group moves the leadership to the node: first its holder joins
   /// without it, then the node gets it.
   void MoveLeadership(int node);
+  /// The process does nothing until it is thawed; what comes meanwhile waits.
+  void Freeze(int node);
+  void Thaw(int node);
+  /// Nothing gets through between the two any longer, and neither notices.
+  void CutLink(int node, int other);
+  void HealLink(int node, int other);
   /// The process that leads; -1 when none does.
   int Leader() const;
   const State& StateOf(int node) const;
@@ -116,6 +130,11 @@
   /// Starts that a worker carried out, by task.
   int Starts(const std::string& id, std::uint32_t step = 0,
              std::uint32_t index = 0) const;
+  /// Calls that the process has made to the worker; to all: without a name.
+  int CallsBy(int node, const std::string& worker = "") const;
+  /// Messages that one process has sent to others, by their kind's place in
+  /// PeerMessage.
+  int MessagesBy(int node, std::size_t kind) const;
 
   /// What each event costs a process; none: processes are not slow.
   std::map<int, Duration> event_cost;
@@ -126,6 +145,12 @@
   /// A member that joins may be given the leadership: the one with the lowest
   /// number gets it.
   bool joins_move_leadership = false;
+  /// Workers that no call of a process gets through to.
+  std::set<std::pair<int, HostName>> cut_from_worker;
+  /// What comes to a process is handled so much later.
+  std::map<int, Duration> slowness;
+  /// How busy a process is.
+  std::map<int, LoopLoad> loads;
   /// From a call of the store to its answer.
   Duration store_time = std::chrono::milliseconds(2);
   /// Appends are carried out and not answered.
@@ -176,12 +201,14 @@
   void Schedule(Node& node);
   void TakeUp(Node& node);
   void PostIn(int node, Duration delay, EventBody body);
+  /// Whether a call of the process gets through to the worker; counts it.
+  bool ReachesWorker(int node, const HostName& worker);
   /// What every process that follows the list reads next.
   void PostToAll(const FleetRead& read);
   void AdvanceWorkers();
   void End(WorldWorker& worker, const StepTask& task, RunEnd end);
-  OrderResult Start(const StartRun& effect);
-  OrderResult Stop(const StopRun& effect);
+  OrderResult Start(int node, const StartRun& effect);
+  OrderResult Stop(int node, const StopRun& effect);
   void Look(int node, const LookAtWorker& effect, TimePoint sent,
             TimePoint until);
   void Append(int node, const AppendWork& effect);
@@ -198,6 +225,11 @@
   std::map<HostName, WorldWorker> workers;
   std::map<CallId, SubmissionAnswer> answers;
   std::uint64_t last_call = 0;
+  /// What was handed in, by id.
+  std::map<SubmissionId, std::vector<StepSpec>> submitted;
+  std::map<std::pair<int, HostName>, int> worker_calls;
+  std::map<std::pair<int, std::size_t>, int> messages;
+  std::set<std::pair<int, int>> cut_links;
 
   std::uint64_t generation = 1;
   std::map<std::string, TimePoint> members;
--- a/packages/core/tests/support/store_world_loop.cc
+++ b/packages/core/tests/support/store_world_loop.cc
@@ -12,9 +12,13 @@
   if (!node.is_up) {
     return;
   }
+  if (node.is_frozen) {
+    node.held.push_back(std::move(body));
+    return;
+  }
   const bool is_slow = this->event_cost.contains(index);
   if (!is_slow && node.events.empty() && node.due_timers.empty()) {
-    this->Handle(node, std::move(body), {});
+    this->Handle(node, std::move(body), this->loads[index]);
     return;
   }
   if (const auto* timer = std::get_if<TimerFired>(&body)) {
@@ -25,6 +29,18 @@
   this->Schedule(node);
 }
 
+void StoreWorld::Freeze(int node) {
+  this->nodes.at(static_cast<std::size_t>(node))->is_frozen = true;
+}
+
+void StoreWorld::Thaw(int node) {
+  Node& thawed = *this->nodes.at(static_cast<std::size_t>(node));
+  thawed.is_frozen = false;
+  for (EventBody& body : std::exchange(thawed.held, {})) {
+    this->Post(node, std::move(body));
+  }
+}
+
 void StoreWorld::Schedule(Node& node) {
   if (node.is_scheduled) {
     return;
--- a/packages/core/tests/support/store_world_node.h
+++ b/packages/core/tests/support/store_world_node.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <vector>
 
 #include "basilspread/core/hooks.h"
 #include "support/store_world.h"
@@ -28,6 +29,9 @@
   bool refuses = false;
   std::map<TimerKind, TimePoint> timers;
   std::set<NodeName> links;
+  bool is_frozen = false;
+  /// Came while it was frozen.
+  std::vector<EventBody> held;
   /// Of a slow process: timers that are due, since when, and events that wait.
   std::map<TimerKind, TimePoint> due_timers;
   std::deque<Queued> events;
--- a/packages/core/tests/support/store_world_workers.cc
+++ b/packages/core/tests/support/store_world_workers.cc
@@ -30,7 +30,9 @@
 }  // namespace
 
 void StoreWorld::AddWorker(const std::string& name) {
+  const ZoneName zone = ZoneOf(static_cast<int>(this->workers.size()));
   WorldWorker& worker = this->workers[HostName{name}];
+  worker.entry.zone = zone;
   worker.entry.name = HostName{name};
   worker.entry.pool = PoolName{"pool"};
   worker.entry.address = "127.0.0.1:1";
@@ -43,6 +45,22 @@
   return this->workers.at(HostName{name});
 }
 
+int StoreWorld::CallsBy(int node, const std::string& worker) const {
+  int sum = 0;
+  for (const auto& [key, count] : this->worker_calls) {
+    const auto& [caller, name] = key;
+    if (caller == node && (worker.empty() || name.value == worker)) {
+      sum += count;
+    }
+  }
+  return sum;
+}
+
+bool StoreWorld::ReachesWorker(int node, const HostName& worker) {
+  ++this->worker_calls[{node, worker}];
+  return !this->cut_from_worker.contains({node, worker});
+}
+
 void StoreWorld::Relist(const std::string& name) {
   WorldWorker& worker = this->Worker(name);
   worker.is_unlisted = false;
@@ -108,9 +126,10 @@
   }
 }
 
-OrderResult StoreWorld::Start(const StartRun& effect) {
+OrderResult StoreWorld::Start(int node, const StartRun& effect) {
   WorldWorker& worker = this->workers.at(effect.worker);
-  if (worker.is_gone || worker.is_silent) {
+  if (!this->ReachesWorker(node, effect.worker) || worker.is_gone ||
+      worker.is_silent) {
     return OrderResult::kUnknown;
   }
   if (effect.fence < worker.fence) {
@@ -120,7 +139,12 @@
   if (worker.started + effect.lease_until <= this->now) {
     return OrderResult::kLate;
   }
-  const Resources demand = effect.spec->steps.at(effect.name.task.step).demand;
+  // A hand knows the command only.
+  const StepTask& task = effect.name.task;
+  const auto& steps = effect.spec->steps.empty()
+                          ? this->submitted.at(task.submission)
+                          : effect.spec->steps;
+  const Resources demand = steps.at(task.step).demand;
   this->CheckStart(worker, effect.name, demand);
   worker.leased_until = worker.started + effect.lease_until;
   worker.runs[effect.name.task] = {effect.name.run, this->now,
@@ -129,9 +153,10 @@
   return OrderResult::kDone;
 }
 
-OrderResult StoreWorld::Stop(const StopRun& effect) {
+OrderResult StoreWorld::Stop(int node, const StopRun& effect) {
   WorldWorker& worker = this->workers.at(effect.worker);
-  if (worker.is_gone || worker.is_silent || worker.lost_stops > 0) {
+  if (!this->ReachesWorker(node, effect.worker) || worker.is_gone ||
+      worker.is_silent || worker.lost_stops > 0) {
     worker.lost_stops -= worker.lost_stops > 0 ? 1 : 0;
     return OrderResult::kUnknown;
   }
@@ -158,6 +183,7 @@
   looked.worker = effect.worker;
   looked.fence = effect.fence;
   looked.sent_at = sent;
+  looked.number = effect.number;
   const bool is_lost = worker.lost_looks > 0;
   worker.lost_looks -= is_lost ? 1 : 0;
   if (is_lost || worker.is_gone || worker.is_silent) {
--- a/packages/wire/src/bounds.cc
+++ b/packages/wire/src/bounds.cc
@@ -59,6 +59,21 @@
                       IsWithin(advice->ticket_validity, limits::kMaxTime)));
 }
 
+/// Of calls to workers. A lease ends some seconds after a reading of the
+/// worker's clock.
+struct OrderCheck {
+  bool operator()(const StartRun& order) const {
+    return limits::IsWithin(order.lease_until,
+                            limits::kMaxUptime + limits::kMaxTime);
+  }
+  bool operator()(const StopRun& /*order*/) const { return true; }
+  bool operator()(const LookAtWorker& order) const {
+    return limits::IsWithin(order.lease_until,
+                            limits::kMaxUptime + limits::kMaxTime) &&
+           IsSound(order.wait);
+  }
+};
+
 /// Of messages between processes.
 struct MessageCheck {
   bool operator()(const Heartbeat& message) const {
@@ -100,6 +115,20 @@
   bool operator()(const AdviceAnswer& message) const {
     return IsSound(message.given.validity);
   }
+  bool operator()(const HandOrders& message) const {
+    return std::all_of(message.orders.begin(), message.orders.end(),
+                       [](const WorkerOrder& order) {
+                         return std::visit(OrderCheck{}, order);
+                       });
+  }
+  bool operator()(const HandReports& message) const {
+    return std::all_of(message.reports.begin(), message.reports.end(),
+                       [](const HandReport& report) {
+                         return IsSound(report.took) &&
+                                limits::IsWithin(report.clock,
+                                                 limits::kMaxUptime);
+                       });
+  }
   template <typename Other>
   bool operator()(const Other& /*message*/) const {
     return true;
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -5,6 +5,7 @@
 
 #include "bounds.h"
 #include "common.h"
+#include "hand_codec.h"
 #include "heartbeat_codec.h"
 #include "job_codec.h"
 #include "payload_codec.h"
@@ -15,6 +16,7 @@
 
 using Builder = flatbuffers::FlatBufferBuilder;
 
+using hand_codec::Pack;
 using job_codec::Pack;
 using submission_codec::Pack;
 
@@ -88,6 +90,9 @@
     case fb::PeerBody::AdviceAnswer:
     case fb::PeerBody::LeaderReport:
       return submission_codec::UnpackMessage(frame);
+    case fb::PeerBody::HandOrders:
+    case fb::PeerBody::HandReports:
+      return hand_codec::UnpackMessage(frame);
     default:
       return job_codec::UnpackMessage(frame);
   }
--- a/packages/wire/src/submission_codec.cc
+++ b/packages/wire/src/submission_codec.cc
@@ -149,7 +149,8 @@
 Result<PeerMessage> Unpack(const fb::HelperReport& packed) {
   const bool is_within =
       IsCapacity(packed.processor_share(), packed.link_mbps()) &&
-      packed.busy_share() >= 0 && packed.busy_share() <= kMaxCapacity;
+      packed.busy_share() >= 0 && packed.busy_share() <= kMaxCapacity &&
+      IsShort(packed.zone(), limits::kMaxNameBytes);
   if (!is_within) {
     return TooLarge();
   }
@@ -158,6 +159,8 @@
   message.capacity = {packed.processor_share(), packed.link_mbps()};
   message.stands = packed.stands();
   message.busy_share = packed.busy_share();
+  message.zone = ZoneName{TextOf(packed.zone())};
+  message.carries_calls = packed.carries_calls();
   return PeerMessage(std::move(message));
 }
 
@@ -231,11 +234,13 @@
 
 PackedBody Pack(Builder& builder, const HelperReport& message) {
   const auto address = builder.CreateString(message.address);
-  return {fb::PeerBody::HelperReport,
-          fb::CreateHelperReport(
-              builder, address, message.capacity.processor_share,
-              message.capacity.link_mbps, message.stands, message.busy_share)
-              .Union()};
+  const auto zone = PackText(builder, message.zone.value);
+  return {
+      fb::PeerBody::HelperReport,
+      fb::CreateHelperReport(builder, address, message.capacity.processor_share,
+                             message.capacity.link_mbps, message.stands,
+                             message.busy_share, zone, message.carries_calls)
+          .Union()};
 }
 
 PackedBody Pack(Builder& builder, const LeaderReport& message) {
--- a/packages/wire/tests/peer_codec_test.cc
+++ b/packages/wire/tests/peer_codec_test.cc
@@ -74,6 +74,15 @@
       REQUIRE_FALSE(DecodeFrame(bytes.substr(0, size)));
     }
   }
+  SECTION("every damage that takes something away") {
+    for (std::size_t place = 0; place < bytes.size(); ++place) {
+      for (const char value : {'\x00', '\x01', '\x7f', '\xff'}) {
+        std::string damaged = bytes;
+        damaged[place] = value;
+        REQUIRE_NOTHROW(DecodeFrame(damaged).has_value());
+      }
+    }
+  }
   SECTION("a length of zero") {
     REQUIRE(DecodeLength(std::string(4, '\0')).error().kind ==
             ErrorKind::kBadRequest);
