Leave out at most a quarter of the hands at once

Reports that are late from many hands at once are late here: more than a quarter of the processes is never left out, and the calls of the others are given up one by one.

Test: with all hands 180 ms behind at most two are left out; three before.

--- a/packages/core/src/internal/hands.cc
+++ b/packages/core/src/internal/hands.cc
@@ -22,6 +22,9 @@
 constexpr std::uint32_t kMaxDoublings = 3;
 /// After so long without another fault the first pause is short again.
 constexpr Duration kForgivenAfter = std::chrono::seconds(30);
+/// Of the processes that report, one in this many may be paused at once: with
+/// more, the delay is more likely this process's or its link's.
+constexpr std::size_t kPausedDivisor = 4;
 /// Hands report every second; one that was silent for longer than this is not
 /// relied on.
 constexpr Duration kReportTimeout = std::chrono::milliseconds(2500);
@@ -163,10 +166,21 @@
   fleet::OnHandLostLook(context, DescribeLook(call, result));
 }
 
+bool MayPause(const Context& context) {
+  const SubmissionsState& state = context.state.submissions;
+  const auto& hands = state.fleet.hands.hands;
+  const auto paused =
+      std::count_if(hands.begin(), hands.end(), [&context](const auto& hand) {
+        return context.now < hand.second.paused_until;
+      });
+  const std::size_t most = state.helpers.size() / kPausedDivisor;
+  return static_cast<std::size_t>(paused) < std::max<std::size_t>(most, 1);
+}
+
 void Pause(Context& context, const NodeName& node, std::string_view reason) {
   HandsState& state = StateOf(context);
   Hand& hand = state.hands[node];
-  if (context.now < hand.paused_until) {
+  if (context.now < hand.paused_until || !MayPause(context)) {
     return;
   }
   if (context.now >= hand.paused_until + kForgivenAfter) {
@@ -280,7 +294,7 @@
 
 Duration TimeOfWay(const Context& context) {
   const bool has_calls = !context.state.submissions.fleet.hands.open.empty();
-  return has_calls ? kWayMargin : Duration::zero();
+  return has_calls ? kLookTimeout : Duration::zero();
 }
 
 void OnReports(Context& context, const ProcessId& from,
@@ -340,10 +354,12 @@
   // What this process itself has not come to yet is no fault of the hand's.
   const TimePoint before = own_load::CaughtUpTo(context);
   while (!state.by_time.empty() && state.by_time.begin()->first <= before) {
-    const NodeName hand =
-        state.open.at(state.by_time.begin()->second).hand.node;
-    Pause(context, hand, "lost a call");
-    LoseCalls(context, hand);
+    const RelayedCall call = *Finish(context, state.by_time.begin()->second);
+    EndWithout(context, call, OrderResult::kUnknown);
+    Pause(context, call.hand.node, "lost a call");
+    if (IsPaused(context, call.hand.node)) {
+      LoseCalls(context, call.hand.node);
+    }
   }
 }
 
--- a/packages/core/tests/hands_test.cc
+++ b/packages/core/tests/hands_test.cc
@@ -193,6 +193,31 @@
   world.CheckRunsOnce(kFirst, 24);
 }
 
+TEST_CASE("A leader whose own link is slow keeps most of its hands",
+          "[hands]") {
+  World world;
+  world.WarmUp();
+  const int leader = world.Leader();
+  for (int node = 0; node < kNodes; ++node) {
+    if (node != leader) {
+      world.slowness[node] = milliseconds(180);
+    }
+  }
+  world.run_time = seconds(2);
+  world.Submit(leader, kFirst, {Tasks(24)}, kNoAdvice);
+  world.Run(seconds(1));
+  std::size_t paused = 0;
+  for (const auto& [node, hand] :
+       world.StateOf(leader).submissions.fleet.hands.hands) {
+    paused += hand.pauses > 0 ? 1 : 0;
+  }
+  CHECK(paused <= 2);
+  world.slowness.clear();
+  world.Run(seconds(5));
+  CHECK(world.StatusOf(leader, kFirst) == SubmissionState::kCompleted);
+  CHECK(world.faults.empty());
+}
+
 TEST_CASE("A starved process gets no calls", "[hands]") {
   World world;
   world.WarmUp();
