--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -2,11 +2,11 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
 #include "internal/fleet_looks.h"
+#include "internal/hands.h"
 #include "internal/leadership.h"
 #include "internal/step_placement.h"
 #include "internal/submission_progress.h"
@@ -21,6 +21,9 @@
 /// Entries of many workers share a read, each of which is a call that is
 /// priced; what drains is used for this much longer at most.
 constexpr Duration kFollowSpacing = std::chrono::milliseconds(150);
+/// A worker that refuses a stop is asked again after this: a tenth of the time
+/// that a stop may take.
+constexpr Duration kStopRetryDelay = std::chrono::milliseconds(40);
 constexpr Duration kListRetryDelay = std::chrono::milliseconds(150);
 
 FleetState& StateOf(Context& context) {
@@ -38,11 +41,9 @@
   context.Log(
       LogLevel::kWarning, kPart, "A worker started anew.",
       {{"worker", worker.entry.name.value}, {"runs_lost", worker.runs.size()}});
-  worker.is_known = false;
+  looks::SetKnown(context, worker, false);
   worker.clock_read_at.reset();
-  worker.seen_end = 0;
-  worker.stored_end = 0;
-  worker.told_end = 0;
+  looks::ForgetEnds(context, worker);
   Note(context, worker);
   looks::LookNow(context, worker);
 }
@@ -55,9 +56,14 @@
       !is_new && worker.entry.incarnation != entry.incarnation;
   const bool has_moved = !is_new && worker.entry.address != entry.address;
   const bool was_draining = worker.entry.draining;
+  fleet.unknown += is_new ? 1 : 0;
+  if (worker.entry.zone != entry.zone) {
+    worker.hand_chosen_at = 0;
+  }
   worker.entry = entry;
   worker.unlisted = false;
   worker_room::Update(context, worker);
+  looks::File(context, worker);
   if (is_new || has_moved) {
     Note(context, worker);
   }
@@ -82,7 +88,7 @@
               {{"worker", name.value}, {"runs", found->second.runs.size()}});
   found->second.unlisted = true;
   looks::LookNow(context, found->second);
-  looks::ArmTimer(context);
+  looks::File(context, found->second);
 }
 
 void Follow(Context& context) {
@@ -131,14 +137,57 @@
                            event.result == OrderResult::kLate ||
                            event.result == OrderResult::kOtherIncarnation;
   if (is_mistaken) {
-    worker.is_known = false;
+    looks::SetKnown(context, worker, false);
     looks::LookNow(context, worker);
   }
+  looks::File(context, worker);
+}
+
+/// Repeats a stop that may not have been carried out. One that was shows in the
+/// next look, which may wait for long.
+void OnStopAnswered(Context& context, FleetWorker& worker,
+                    const RunOrdered& event) {
+  switch (event.result) {
+    case OrderResult::kUnknown:
+    case OrderResult::kFenced:
+    case OrderResult::kNotSent:
+      // A worker that lost looks too is stopped once it lists the run.
+      if (!worker.is_silent) {
+        StopRunOn(context, worker, event.name);
+      }
+      return;
+    case OrderResult::kRefused:
+      worker.refused_stops.insert(event.name);
+      worker.next_stop = context.now + kStopRetryDelay;
+      looks::File(context, worker);
+      return;
+    case OrderResult::kOtherIncarnation:
+      looks::SetKnown(context, worker, false);
+      looks::LookNow(context, worker);
+      return;
+    default:
+      return;
+  }
+}
+
+void RepeatStops(Context& context, FleetWorker& worker) {
+  if (!worker.next_stop || context.now < *worker.next_stop) {
+    return;
+  }
+  worker.next_stop.reset();
+  for (const RunName& name : std::exchange(worker.refused_stops, {})) {
+    if (worker.runs.contains(name)) {
+      StopRunOn(context, worker, name);
+    }
+  }
 }
 
 /// A worker of an earlier leader, until the list says more.
 void Inherit(Context& context, const WorkerRecord& record) {
-  FleetWorker& worker = StateOf(context).workers[record.worker];
+  const auto [found, is_new] =
+      StateOf(context).workers.try_emplace(record.worker);
+  FleetWorker& worker = found->second;
+  StateOf(context).unknown += is_new ? 1 : 0;
   worker.entry.name = record.worker;
   worker.entry.address = record.address;
   worker.entry.incarnation = record.incarnation;
@@ -148,6 +197,21 @@
   looks::LookNow(context, worker);
 }
 
+/// Nothing runs there any longer, and nothing more is said of it.
+void Drop(Context& context, FleetWorker& worker) {
+  FleetState& fleet = StateOf(context);
+  const HostName name = worker.entry.name;
+  looks::LoseRuns(context, worker, "the worker is gone");
+  looks::ForgetEnds(context, worker);
+  looks::SetKnown(context, worker, true);
+  if (worker.due_at) {
+    fleet.due.erase({*worker.due_at, name});
+  }
+  worker_room::Remove(context, worker);
+  fleet.workers.erase(name);
+  work_log::Note(context, name);
+}
+
 }  // namespace
 
 void Start(Context& context) {
@@ -220,25 +284,21 @@
 }
 
 void OnTimer(Context& context) {
+  StateOf(context).timer_at.reset();
   if (!IsLeader(context)) {
     return;
   }
-  FleetState& fleet = StateOf(context);
-  std::vector<HostName> gone;
-  for (auto& [name, worker] : fleet.workers) {
+  for (const HostName& name : looks::TakeDue(context)) {
+    FleetWorker& worker = *Find(context, name);
     looks::LookIfDue(context, worker);
+    RepeatStops(context, worker);
     const auto gone_at = looks::GoneAt(context, worker);
     if (gone_at && context.now >= *gone_at) {
-      gone.push_back(name);
+      Drop(context, worker);
+    } else {
+      looks::File(context, worker);
     }
   }
-  for (const HostName& name : gone) {
-    FleetWorker& worker = fleet.workers.at(name);
-    looks::LoseRuns(context, worker, "the worker is gone");
-    worker_room::Remove(context, worker);
-    fleet.workers.erase(name);
-    work_log::Note(context, name);
-  }
   leadership::CheckLooks(context);
   looks::ArmTimer(context);
 }
@@ -270,6 +330,21 @@
   leadership::CheckLooks(context);
 }
 
+void OnHandLostLook(Context& context, const WorkerLooked& event) {
+  FleetWorker* worker = Find(context, event.worker);
+  if (worker == nullptr || !IsLeader(context)) {
+    return;
+  }
+  worker->looks -= worker->looks > 0 ? 1 : 0;
+  const bool was_sent = event.result != OrderResult::kNotSent;
+  if (was_sent && worker->is_spared) {
+    looks::OnFailed(context, *worker, event);
+    return;
+  }
+  worker->is_spared = worker->is_spared || was_sent;
+  looks::LookNow(context, *worker);
+}
+
 void OnOrdered(Context& context, const RunOrdered& event) {
   FleetWorker* worker = Find(context, event.worker);
   if (worker == nullptr || !IsLeader(context)) {
@@ -280,8 +355,11 @@
     leadership::OnFenced(context, looks::EpochOf(event.fence));
     return;
   }
-  if (event.is_stop || !worker->runs.contains(event.name)) {
-    // A stop shows in the next look, and is repeated while the run is listed.
+  if (!worker->runs.contains(event.name)) {
+    return;
+  }
+  if (event.is_stop) {
+    OnStopAnswered(context, *worker, event);
     return;
   }
   if (event.result == OrderResult::kDone) {
@@ -306,10 +384,7 @@
 }
 
 std::size_t CountUnknown(const Context& context) {
-  const auto& workers = context.state.submissions.fleet.workers;
-  return static_cast<std::size_t>(
-      std::count_if(workers.begin(), workers.end(),
-                    [](const auto& entry) { return !entry.second.is_known; }));
+  return context.state.submissions.fleet.unknown;
 }
 
 void HoldInherited(Context& context) {
@@ -346,16 +421,18 @@
   worker.reserved += order.demand;
   worker_room::Update(context, worker);
   const WorkerTime lease_until = looks::NextLease(context, worker);
-  context.Emit(StartRun{worker.entry.name, worker.entry.address,
-                        looks::FenceOf(context, worker), std::move(order.name),
-                        std::move(order.spec), lease_until,
-                        std::move(order.checkpoint), std::move(order.ticket)});
+  hands::Send(context, worker,
+              StartRun{worker.entry.name, worker.entry.address,
+                       looks::FenceOf(context, worker), std::move(order.name),
+                       std::move(order.spec), lease_until,
+                       std::move(order.checkpoint), std::move(order.ticket)});
   looks::Watch(context, worker);
 }
 
 void StopRunOn(Context& context, FleetWorker& worker, const RunName& name) {
-  context.Emit(StopRun{worker.entry.name, worker.entry.address,
-                       looks::FenceOf(context, worker), name});
+  hands::Send(context, worker,
+              StopRun{worker.entry.name, worker.entry.address,
+                      looks::FenceOf(context, worker), name});
 }
 
 void Adopt(Context& context, FleetWorker& worker, const RunName& name,
