Ask about workers with room before a gang waits for those it knows

Cause: once the advisor had allowed as many workers as a gang needs, the gang kept their room and asked about no others, however long the work there took.

Evidence: the new test keeps a gang waiting for a worker that is busy for 20 s while three others are free. Without the change it has not started after 2.5 s; with it, it has. core_tests passes.

Result: the gang first asks about workers that have room now, and waits for those it knows only when there are too few.

--- a/packages/core/src/internal/step_advice.cc
+++ b/packages/core/src/internal/step_advice.cc
@@ -189,14 +189,14 @@
   if (search.expected >= needed) {
     return search;
   }
-  if (is_new_gang && gang_claims::Claim(context, round)) {
-    // Enough workers are allowed: only their room is missing.
-    search.workers.clear();
-    return search;
-  }
   const std::size_t known = search.workers.size();
   AddUnknown(context, round, search);
-  if (is_new_gang && search.workers.size() == known) {
+  if (!is_new_gang || search.expected >= needed) {
+    return search;
+  }
+  if (gang_claims::Claim(context, round) || search.workers.size() == known) {
+    // Enough workers are allowed, or nothing new can be learned: only room is
+    // missing.
     search.workers.clear();
   }
   return search;
--- /dev/null
+++ b/packages/core/tests/gang_test.cc
@@ -0,0 +1,56 @@
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "support/store_world.h"
+
+namespace basilspread::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kGang = "00000000000000a1";
+const std::string kOther = "00000000000000b1";
+/// A route that needs no advice.
+const std::string kNoAdvice = "/previews/";
+
+std::vector<std::string> Names(int count) {
+  std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    names.push_back(fmt::format("w{}", i));
+  }
+  return names;
+}
+
+StepSpec Gang(std::uint32_t members) {
+  StepSpec step = Tasks(members);
+  step.gang = true;
+  return step;
+}
+
+TEST_CASE("A gang does not wait for busy workers while others have room",
+          "[gang]") {
+  StoreWorld world(1, Names(4));
+  world.run_time = seconds(2);
+  // Leaves one worker empty.
+  world.Submit(0, kOther, {Tasks(12)}, kNoAdvice);
+  world.Run(seconds(1));
+  world.run_time = seconds(20);
+  world.Submit(0, kGang, {Gang(4)});
+  // Takes the empty worker while the advisor is asked about it.
+  world.Submit(0, "00000000000000b2", {Tasks(4)}, kNoAdvice);
+  world.Run(milliseconds(500));
+  REQUIRE(world.Questions() == 1);
+  REQUIRE(world.Starts(kGang) == 0);
+  world.Run(seconds(2));
+  CHECK(world.Starts(kGang, 0, 3) == 1);
+  CHECK(world.faults.empty());
+}
+
+}  // namespace
+}  // namespace basilspread::test
