Answer the calls that a stopping process did not come to

Cause: a process exits when none of the calls it knows is open, but a call may wait in its queue of events at that moment. The callers' loop waited 500 ms for an answer that nobody would give, then closed the connection.

Evidence: the new test leaves a call untaken and stops the loop; without the change the connection ends without a byte.

Change: once the control thread has ended, calls without an answer are told that their outcome is not known. node_tests and adapter_tests pass.

--- a/packages/node/src/http_loop.cc
+++ b/packages/node/src/http_loop.cc
@@ -79,7 +79,11 @@
     for (const auto& [socket, mode] : this->poll_set.poll(kCheckInterval)) {
       this->OnReady(socket, mode);
     }
+    const bool is_ending = this->ending;
     this->GiveAnswers();
+    if (is_ending) {
+      this->EndOpenCalls();
+    }
     if (this->draining && this->is_listening) {
       this->poll_set.remove(this->listener);
       this->listener.close();
@@ -249,19 +253,33 @@
     pending.swap(this->answers);
   }
   for (const PendingAnswer& answer : pending) {
-    const auto found = this->calls.find(answer.call);
-    if (found == this->calls.end()) {
-      continue;
-    }
-    const ConnectionPtr connection = found->second;
-    this->calls.erase(found);
-    connection->Answer(*answer.make_response(), !this->winding);
-    this->Enter(connection, ConnectionPhase::kWriting);
-    try {
-      this->Write(connection);
-    } catch (const Poco::Exception&) {
-      this->Close(connection);
-    }
+    this->Give(answer.call, answer.make_response);
+  }
+}
+
+void HttpLoop::Give(CallId call, const ResponseMaker& make_response) {
+  const auto found = this->calls.find(call);
+  if (found == this->calls.end()) {
+    return;
+  }
+  const ConnectionPtr connection = found->second;
+  this->calls.erase(found);
+  connection->Answer(*make_response(), !this->winding);
+  this->Enter(connection, ConnectionPhase::kWriting);
+  try {
+    this->Write(connection);
+  } catch (const Poco::Exception&) {
+    this->Close(connection);
+  }
+}
+
+void HttpLoop::EndOpenCalls() {
+  // The control thread has ended with their events in its queue, or without
+  // an answer to them.
+  while (!this->calls.empty()) {
+    this->Give(this->calls.begin()->first, [] {
+      return MakeErrorResponse(ErrorKind::kOutcomeUnknown, "");
+    });
   }
 }
 
--- a/packages/node/src/http_loop.h
+++ b/packages/node/src/http_loop.h
@@ -71,8 +71,9 @@
   /// connection. From any thread.
   void Drain();
 
-  /// Serves what is in progress for at most `bound`, then ends the thread.
-  /// Requests that come meanwhile are refused.
+  /// Gives the answers so far for at most `bound`, then ends the thread. Calls
+  /// without an answer are told that their outcome is not known; requests that
+  /// come meanwhile are refused.
   void Stop(Duration bound);
 
   std::size_t ConnectionCount() const { return this->connection_count; }
@@ -93,6 +94,9 @@
   void Refuse(const ConnectionPtr& connection, const Error& error);
   void Write(const ConnectionPtr& connection);
   void GiveAnswers();
+  void Give(CallId call, const ResponseMaker& make_response);
+  /// Answers those that nobody else will answer any more.
+  void EndOpenCalls();
   void Enter(const ConnectionPtr& connection, ConnectionPhase phase);
   void Watch(const ConnectionPtr& connection);
   void Close(const ConnectionPtr& connection);
--- a/packages/node/tests/http_loop_test.cc
+++ b/packages/node/tests/http_loop_test.cc
@@ -176,6 +176,24 @@
   CHECK(ReceiveUntil(caller, "more").empty());
 }
 
+TEST_CASE("A call that nobody took up before a stop is answered, not cut off",
+          "[node][http]") {
+  const config::Endpoint endpoint = FreeEndpoint();
+  std::promise<void> arrived;
+  HttpLoop loop(endpoint, HttpLimits{},
+                HttpLoop::Hooks{[&arrived](CallId, const PayloadPtr&) {
+                                  arrived.set_value();
+                                },
+                                [](CallId) {}});
+  loop.Start();
+  StreamSocket caller(SocketAddress("127.0.0.1", endpoint.port));
+  caller.setReceiveTimeout(kPatience);
+  Send(caller, Post("late"));
+  arrived.get_future().wait();
+  loop.Stop(std::chrono::milliseconds(500));
+  CHECK_THAT(ReceiveUntil(caller, "never"), Catch::StartsWith("HTTP/1.1 504"));
+}
+
 TEST_CASE("A request larger than the socket's buffers is sent whole",
           "[http-client]") {
   constexpr std::size_t kBytes = std::size_t{12} << 20U;
