Ask about free workers beside those that a gang claims

Callers could see a gang wait for busy workers while others had room: found by a reviewer in the code, not seen in a run.

Cause: when free workers that nobody had asked about were likely too few, and enough busy ones were allowed, the gang claimed these and asked about no others.

Evidence: the new test has six free cores for a gang of four, half of which can be expected to be allowed; without the change the gang waits for workers that are busy for 20 s. core_tests passes.

--- a/packages/core/src/internal/step_advice.cc
+++ b/packages/core/src/internal/step_advice.cc
@@ -245,8 +245,11 @@
     return search;
   }
   if (gang_claims::Claim(context, round)) {
-    AddClaimed(context, round, renewal);
-    return renewal;
+    // Others may have room sooner than those that it knows.
+    search.workers.erase(search.workers.begin(),
+                         search.workers.begin() + static_cast<long>(known));
+    AddClaimed(context, round, search);
+    return search;
   }
   if (gang_claims::MayClaim(context, round.submission.id)) {
     Search ahead;
--- a/packages/core/tests/gang_test.cc
+++ b/packages/core/tests/gang_test.cc
@@ -52,21 +52,53 @@
   CHECK(world.faults.empty());
 }
 
-TEST_CASE("A wide gang gets its room beside small tasks that keep coming",
+TEST_CASE("A gang that may claim busy workers still asks about free ones",
           "[gang]") {
   StoreWorld world(1, Names(8));
-  world.run_time = seconds(1);
-  int number = 0;
-  // Takes 30 of the 32 cores.
-  const auto load = [&world, &number](int tenths) {
+  world.run_time = seconds(2);
+  world.Submit(0, kOther, {Tasks(6)}, kNoAdvice);
+  world.Run(milliseconds(500));
+  world.run_time = seconds(20);
+  world.Submit(0, "00000000000000b2", {Tasks(22)}, kNoAdvice);
+  world.Run(milliseconds(500));
+  world.Submit(0, kGang, {Gang(4)});
+  // Takes the empty worker while the advisor is asked about it. Six cores will
+  // be free elsewhere, of which half can be expected to be allowed.
+  world.Submit(0, "00000000000000b3", {Tasks(4)}, kNoAdvice);
+  world.Run(milliseconds(500));
+  REQUIRE(world.Starts(kGang) == 0);
+  world.Run(seconds(2));
+  CHECK(world.Starts(kGang, 0, 3) == 1);
+  CHECK(world.faults.empty());
+}
+
+/// Small tasks that take 30 of 32 cores.
+class SmallTasks {
+ public:
+  explicit SmallTasks(StoreWorld& loaded_world) : world(loaded_world) {
+    this->world.run_time = seconds(1);
+  }
+
+  void Load(int tenths) {
     for (int i = 0; i < tenths; ++i) {
-      world.Submit(0, fmt::format("{:016x}", ++number), {Tasks(3)}, kNoAdvice);
-      world.Run(milliseconds(100));
+      this->world.Submit(0, fmt::format("{:016x}", ++this->number), {Tasks(3)},
+                         kNoAdvice);
+      this->world.Run(milliseconds(100));
     }
-  };
-  load(20);
+  }
+
+ private:
+  StoreWorld& world;
+  int number = 0;
+};
+
+TEST_CASE("A wide gang gets its room beside small tasks that keep coming",
+          "[gang]") {
+  StoreWorld world(1, Names(8));
+  SmallTasks tasks(world);
+  tasks.Load(20);
   world.Submit(0, kGang, {Gang(16)});
-  load(40);
+  tasks.Load(40);
   CHECK(world.Starts(kGang, 0, 15) == 1);
   CHECK(world.faults.empty());
 }
