Give up the room of a gang whose submission was not stored

Cause: a gang may claim workers while its record is on its way to the store. When the store refused it, the claim stayed, and counted against all others.

--- a/packages/core/src/internal/submission_service.cc
+++ b/packages/core/src/internal/submission_service.cc
@@ -8,6 +8,7 @@
 
 #include "internal/candidacy.h"
 #include "internal/fleet.h"
+#include "internal/gang_claims.h"
 #include "internal/leader_release.h"
 #include "internal/leadership.h"
 #include "internal/load_shedding.h"
@@ -249,6 +250,7 @@
   }
   const SubmissionPtr submission = found->second;
   step_order::Dequeue(context, *submission);
+  gang_claims::Drop(context, id);
   StateOf(context).all.erase(found);
   context.Log(LogLevel::kInfo, kPart, "A submission is refused.",
               {{"id", id.value}, {"reason", AnswerFor(kind).name}});
--- a/packages/core/tests/gang_test.cc
+++ b/packages/core/tests/gang_test.cc
@@ -103,5 +103,27 @@
   CHECK(world.faults.empty());
 }
 
+TEST_CASE("A gang that was not accepted keeps no room from others", "[gang]") {
+  StoreWorld world(1, Names(8));
+  SmallTasks tasks(world);
+  tasks.Load(20);
+  const Duration store_time = world.store_time;
+  // Time to be advised, and to claim workers, before the append is refused.
+  world.store_time = milliseconds(200);
+  world.appends_are_refused = true;
+  const CallId refused = world.Submit(0, "00000000000000c1", {Gang(12)});
+  world.Run(seconds(1));
+  world.appends_are_refused = false;
+  world.store_time = store_time;
+  REQUIRE(world.AnswerTo(refused));
+  REQUIRE(world.AnswerTo(refused)->kind != ErrorKind::kNone);
+  tasks.Load(20);
+  world.Submit(0, kGang, {Gang(16)});
+  tasks.Load(40);
+  CHECK(world.Starts(kGang, 0, 15) == 1);
+  CHECK(world.StateOf(0).submissions.claims.size() <= 1);
+  CHECK(world.faults.empty());
+}
+
 }  // namespace
 }  // namespace basilspread::test
