Open silent connections between processes anew

Cause: only TCP's own time-out watched these connections. It sees nothing while the other end, or a proxy, confirms the bytes that nobody reads. The mesh of heartbeats has opened silent links anew since long; with a store there is none.

Change: a process that has heard nothing of the leader for 1.5 s says so in its report, and the leader answers; at the second such report in a row the leader opens its connection anew, and the process its own after 3.5 s. Idle links cost a message in some 2 s for each process and are not reopened (test).

Ruled out: reopening when a call goes unanswered, since a store that is away delays answers as well, and every process would reconnect.

--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -80,6 +80,10 @@
   std::uint64_t leader_generation = 0;
   bool reading_leader = false;
   TimePoint leader_adopted_at;
+  /// When the leader last sent something, or became it; and when the link to
+  /// it was last opened anew for its silence.
+  TimePoint leader_heard_at;
+  TimePoint leader_reopened_at;
   /// Peers to which the connection stands.
   std::set<NodeName> linked;
   CandidacyState candidacy;
--- a/packages/core/include/basilspread/core/submission_message.h
+++ b/packages/core/include/basilspread/core/submission_message.h
@@ -49,6 +49,8 @@
   double busy_share = 0;
   ZoneName zone = {};
   bool carries_calls = false;
+  /// Has heard nothing of the leader lately, and asks for a sign.
+  bool misses_leader = false;
 };
 
 /// A process that may come to lead.
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -150,6 +150,8 @@
   ZoneName zone;
   bool carries_calls = false;
   TimePoint heard_at;
+  /// Its reports in a row that miss the leader.
+  std::uint32_t missing_reports = 0;
   /// The number of helpers' changes that it was told of.
   std::uint64_t told_change = 0;
   /// Questions that it has not answered.
--- a/packages/core/src/internal/candidacy.cc
+++ b/packages/core/src/internal/candidacy.cc
@@ -260,6 +260,7 @@
   // Not while it is cut off from the store and can't be named by the group.
   report.stands = state.candidacy.stands && !state.joins_fail_since;
   report.busy_share = own_load::BusyShare(context);
+  report.misses_leader = leadership::MissesLeader(context);
   return report;
 }
 
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -35,6 +35,11 @@
 /// leadership moves in two joins, of its former and then of its next holder.
 constexpr Duration kSettleInterval = std::chrono::milliseconds(50);
 constexpr Duration kSettleTime = std::chrono::milliseconds(500);
+/// A process that has heard nothing of its leader for so long says so in its
+/// reports, one a second, and the leader answers at once.
+constexpr Duration kUnheard = std::chrono::milliseconds(1500);
+/// Two such reports without an answer: the link has gone silent for good.
+constexpr Duration kSilence = std::chrono::milliseconds(3500);
 /// The join that follows the end of a membership tells who leads next.
 constexpr Duration kAfterLeave = std::chrono::milliseconds(20);
 
@@ -98,6 +103,7 @@
   }
   state.leader = member;
   state.leader_adopted_at = context.now;
+  state.leader_heard_at = context.now;
   state.candidacy.refused_since.reset();
   context.Log(
       LogLevel::kInfo, kPart, "Follows a leader.",
@@ -133,8 +139,39 @@
               {{"generation", state.generation}, {"leads", state.holds}});
 }
 
+/// Something between the two may have lost track of the connection, which new
+/// ones get through.
+void ReopenIfSilent(Context& context) {
+  LeadershipState& state = StateOf(context);
+  const bool is_linked =
+      state.leader && state.linked.contains(state.leader->process.node);
+  const TimePoint since =
+      std::max(state.leader_heard_at, state.leader_reopened_at);
+  if (state.holds || !is_linked ||
+      own_load::CaughtUpTo(context) < since + kSilence) {
+    return;
+  }
+  state.leader_reopened_at = context.now;
+  context.Log(LogLevel::kWarning, kPart, "Reopens a silent link.",
+              {{"peer", state.leader->process.node.value}});
+  context.Emit(ReopenLink{state.leader->process.node});
+}
+
 }  // namespace
 
+void OnHeard(Context& context, const ProcessId& from) {
+  LeadershipState& state = StateOf(context);
+  if (state.leader && state.leader->process == from) {
+    state.leader_heard_at = context.now;
+  }
+}
+
+bool MissesLeader(const Context& context) {
+  const LeadershipState& state = context.state.submissions.leadership;
+  return state.leader && !state.holds &&
+         own_load::CaughtUpTo(context) >= state.leader_heard_at + kUnheard;
+}
+
 void Join(Context& context) {
   LeadershipState& state = StateOf(context);
   if (context.state.stopping || !candidacy::Stands(context)) {
@@ -202,6 +239,7 @@
   if (context.now >= context.state.submissions.next_report) {
     submission_calls::Report(context);
   }
+  ReopenIfSilent(context);
   CheckLooks(context);
   const Duration interval = context.state.settings.store.join_interval;
   const Duration next = candidacy::NextCheck(context, interval);
--- a/packages/core/src/internal/leadership.h
+++ b/packages/core/src/internal/leadership.h
@@ -17,6 +17,10 @@
 void OnReport(Context& context, const LeaderReport& report);
 /// The host of a peer says that no process listens there.
 void OnPeerRefused(Context& context, const PeerRefused& event);
+/// Another process has sent something.
+void OnHeard(Context& context, const ProcessId& from);
+/// Whether the leader has been silent for so long that it is asked for a sign.
+bool MissesLeader(const Context& context);
 /// The connection to the leader broke.
 void OnLeaderLost(Context& context);
 /// Asks the other members who leads.
--- a/packages/core/src/internal/step_advice.cc
+++ b/packages/core/src/internal/step_advice.cc
@@ -36,6 +36,9 @@
 /// A process with a longer line of questions is not asked.
 constexpr Duration kMaxLine = std::chrono::milliseconds(250);
 constexpr Duration kHelperTimeout = std::chrono::seconds(3);
+/// Reports without a sign of the leader, a second apart, of which the second
+/// tells that the answer to the first was lost.
+constexpr std::uint32_t kMissingReports = 2;
 /// Weight of the newest answer in the mean share of allowed workers.
 constexpr double kShareWeight = 0.05;
 /// More workers than the mean share asks for, since the share varies.
@@ -110,6 +113,20 @@
   context.Emit(SendToPeer{helper.process.node, std::move(report)});
 }
 
+/// A sign for one that has heard nothing lately. What was sent after its last
+/// report has not come either, so that the connection has gone silent.
+void AnswerMissing(Context& context, Helper& helper) {
+  const NodeName& node = helper.process.node;
+  ++helper.missing_reports;
+  if (helper.missing_reports % kMissingReports != 0) {
+    leadership::TellLeadership(context, node);
+    return;
+  }
+  context.Log(LogLevel::kWarning, kPart, "Reopens a silent link.",
+              {{"peer", node.value}});
+  context.Emit(ReopenLink{node});
+}
+
 double AllowedShare(const Context& context, const RouteName& route) {
   const auto& advice = context.state.submissions.advice;
   const auto found = advice.find(route);
@@ -437,6 +454,11 @@
   hands::OnHelper(context, helper, report);
   helper.heard_at = context.now;
   candidacy::OnHelper(context, helper, report);
+  if (report.misses_leader && context.state.submissions.leadership.holds) {
+    AnswerMissing(context, helper);
+    return;
+  }
+  helper.missing_reports = 0;
   TellLeader(context, helper);
 }
 
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -68,6 +68,9 @@
   }
 
   void operator()(const PeerReceived& event) const {
+    if (this->UsesStore()) {
+      internal::leadership::OnHeard(this->context, event.from);
+    }
     std::visit(PeerDispatcher{this->context, event.from}, event.message);
   }
 
--- a/packages/core/tests/leadership_test.cc
+++ b/packages/core/tests/leadership_test.cc
@@ -48,6 +48,32 @@
   CHECK(world.Leader() != before);
 }
 
+TEST_CASE("A link between processes that went silent is opened anew",
+          "[leadership]") {
+  World world;
+  const int leader = world.Leader();
+  const int other = Other(leader);
+  SECTION("to the leader") { world.SilenceLink(other, leader); }
+  SECTION("from the leader") { world.SilenceLink(leader, other); }
+  SECTION("both") {
+    world.SilenceLink(other, leader);
+    world.SilenceLink(leader, other);
+  }
+  // recoveryS of both sites.
+  world.Run(seconds(12));
+  const CallId call = world.Submit(other, kFirst, {Tasks(1)});
+  world.Run(seconds(3));
+  REQUIRE(world.AnswerTo(call));
+  CHECK(world.AnswerTo(call)->kind == ErrorKind::kNone);
+  CHECK(world.Leader() == leader);
+}
+
+TEST_CASE("Idle links between processes stay open", "[leadership]") {
+  World world;
+  world.Run(seconds(30));
+  CHECK(world.Reopened() == 0);
+}
+
 /// Whether another process than the former leader comes to lead in time.
 bool IsReplaced(StoreWorld& world, int former, Duration time) {
   for (Duration waited{}; waited < time; waited += milliseconds(10)) {
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -16,6 +16,8 @@
 
 /// A process that has just started places no inherited work for 2.5 s.
 constexpr Duration kSettleTime = seconds(5);
+/// From the end of a link that is opened anew to the next try.
+constexpr Duration kReopenTime = milliseconds(100);
 const Resources kDemand{1000, 256, 0};
 
 QueueTables MakeTables() {
@@ -241,6 +243,9 @@
       return;
     }
     ++this->world.messages[{this->node.index, effect.message.index()}];
+    if (this->world.silent_links.contains({this->node.index, effect.peer})) {
+      return;
+    }
     for (const auto& peer : this->world.nodes) {
       const bool is_cut = this->world.cut_links.contains(
           std::minmax(this->node.index, peer->index));
@@ -278,6 +283,21 @@
     });
   }
 
+  void operator()(const ReopenLink& effect) const {
+    ++this->world.reopened;
+    this->world.silent_links.erase({this->node.index, effect.peer});
+    if (this->node.links.erase(effect.peer) == 0) {
+      return;
+    }
+    this->world.PostIn(this->node.index, kCallTime,
+                       PeerLinkChanged{effect.peer, false});
+    StoreWorld* target = &this->world;
+    Node* owner = &this->node;
+    target->In(kReopenTime, [target, owner, peer = effect.peer] {
+      Deliver{*target, *owner}(ConnectPeer{peer, ""});
+    });
+  }
+
   template <typename Other>
   void operator()(const Other& /*effect*/) const {}
 };
@@ -407,6 +427,10 @@
   this->cut_links.erase(std::minmax(node, other));
 }
 
+void StoreWorld::SilenceLink(int node, int other) {
+  this->silent_links.insert({node, this->StateOf(other).settings.self.node});
+}
+
 void StoreWorld::JoinLate(int node) {
   const Settings& settings = this->nodes.at(node)->state.settings;
   this->leader_member =
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -109,6 +109,8 @@
   /// Nothing gets through between the two any longer, and neither notices.
   void CutLink(int node, int other);
   void HealLink(int node, int other);
+  /// What the node sends to the other is lost until it opens the link anew.
+  void SilenceLink(int node, int other);
   /// The process that leads; -1 when none does.
   int Leader() const;
   const State& StateOf(int node) const;
@@ -118,6 +120,8 @@
   std::set<int> Members() const;
   /// Nodes that have ever joined the group.
   const std::set<int>& Joined() const { return this->joined; }
+  /// How often a process has opened a link anew.
+  int Reopened() const { return this->reopened; }
   /// How often the group has named another holder of the leadership.
   int Moves() const { return this->moves; }
   TimePoint Now() const { return this->now; }
@@ -230,6 +234,9 @@
   std::map<std::pair<int, HostName>, int> worker_calls;
   std::map<std::pair<int, std::size_t>, int> messages;
   std::set<std::pair<int, int>> cut_links;
+  /// By the sender and the name of the one that hears nothing.
+  std::set<std::pair<int, NodeName>> silent_links;
+  int reopened = 0;
 
   std::uint64_t generation = 1;
   std::map<std::string, TimePoint> members;
--- a/packages/wire/src/submission_codec.cc
+++ b/packages/wire/src/submission_codec.cc
@@ -161,6 +161,7 @@
   message.busy_share = packed.busy_share();
   message.zone = ZoneName{TextOf(packed.zone())};
   message.carries_calls = packed.carries_calls();
+  message.misses_leader = packed.misses_leader();
   return PeerMessage(std::move(message));
 }
 
@@ -235,12 +236,12 @@
 PackedBody Pack(Builder& builder, const HelperReport& message) {
   const auto address = builder.CreateString(message.address);
   const auto zone = PackText(builder, message.zone.value);
-  return {
-      fb::PeerBody::HelperReport,
-      fb::CreateHelperReport(builder, address, message.capacity.processor_share,
-                             message.capacity.link_mbps, message.stands,
-                             message.busy_share, zone, message.carries_calls)
-          .Union()};
+  return {fb::PeerBody::HelperReport,
+          fb::CreateHelperReport(
+              builder, address, message.capacity.processor_share,
+              message.capacity.link_mbps, message.stands, message.busy_share,
+              zone, message.carries_calls, message.misses_leader)
+              .Union()};
 }
 
 PackedBody Pack(Builder& builder, const LeaderReport& message) {
--- a/packages/wire/tests/hand_codec_test.cc
+++ b/packages/wire/tests/hand_codec_test.cc
@@ -133,10 +133,11 @@
 
 TEST_CASE("A helper's report tells its zone", "[wire][hands]") {
   const HelperReport report = PassThrough(
-      HelperReport{"10.0.0.1:80", {}, false, 0, ZoneName{"east"}, true});
+      HelperReport{"10.0.0.1:80", {}, false, 0, ZoneName{"east"}, true, true});
   CHECK(report.address == "10.0.0.1:80");
   CHECK(report.zone == ZoneName{"east"});
   CHECK(report.carries_calls);
+  CHECK(report.misses_leader);
 }
 
 TEST_CASE("Damaged messages of hands are refused", "[wire][hands]") {
