Wait for the last run of a broken gang at a takeover

Cause: the former leader had begun to stop the gang when it was told to stop. The next one adopted a member at one worker, then read of a member that had ended and of two that were being stopped at another. With the gang known as broken, those two were stopped as strangers, so that their tasks counted as free; when the adopted member ended, the gang seemed idle and started anew.

Change: a run of a broken gang is adopted like any other, as one that is being stopped, so that the gang is idle only once it has ended.

--- a/packages/core/src/internal/submission_progress.cc
+++ b/packages/core/src/internal/submission_progress.cc
@@ -240,14 +240,16 @@
     }
     return;
   }
-  const bool is_free = is_wanted && task->worker.value.empty() &&
-                       run.name.run >= task->run &&
-                       !submission->steps[run.name.task.step].gang_broken;
+  const bool is_free =
+      is_wanted && task->worker.value.empty() && run.name.run >= task->run;
   if (is_free && submission->inherited) {
     const StepSpec& spec = submission->spec->steps[run.name.task.step];
+    StepState& step = submission->steps[run.name.task.step];
     submission_runs::BeginRun(*submission, run.name, worker.entry.name);
-    submission->steps[run.name.task.step].gang_began = context.now;
+    step.gang_began = context.now;
     task->checkpoint = run.checkpoint;
+    // A broken gang starts again only once its last member has ended.
+    task->stopping = step.gang_broken;
     fleet::Adopt(context, worker, run.name, spec.demand);
     OnStarted(context, run.name);
     return;
--- a/packages/core/tests/gang_test.cc
+++ b/packages/core/tests/gang_test.cc
@@ -71,5 +71,44 @@
   CHECK(world.faults.empty());
 }
 
+TEST_CASE("A gang that breaks at a takeover starts again after its last run",
+          "[gang]") {
+  StoreWorld world(3, Names(4));
+  world.run_time = seconds(60);
+  world.end_of = [](const RunName& name) {
+    return name.run == Attempt{1} ? RunEnd::kStopped : RunEnd::kSucceeded;
+  };
+  world.Submit(0, kGang, {Gang(6)}, kNoAdvice);
+  world.Run(seconds(1));
+  std::vector<std::string> used;
+  for (const std::string& name : Names(4)) {
+    if (!world.Worker(name).runs.empty()) {
+      used.push_back(name);
+    }
+  }
+  REQUIRE(used.size() == 2);
+  // Either may be looked at first.
+  const bool is_turned = GENERATE(false, true);
+  WorldWorker& first = world.Worker(used[is_turned ? 1 : 0]);
+  WorldWorker& second = world.Worker(used[is_turned ? 0 : 1]);
+  REQUIRE(second.runs.size() > 1);
+  world.Kill(world.Leader());
+  // Until the next leader comes, one member ends at the second worker, and
+  // soon after it those at the first; the others take long to stop.
+  second.ignores_stops = true;
+  for (auto& [task, run] : first.runs) {
+    run.ends_at = world.Now() + seconds(3);
+  }
+  for (auto& [task, run] : second.runs) {
+    run.ends_at = world.Now() + seconds(6);
+  }
+  second.runs.begin()->second.ends_at = world.Now();
+  world.run_time = milliseconds(200);
+  world.Run(seconds(15));
+  REQUIRE(world.Leader() >= 0);
+  CHECK(world.StatusOf(world.Leader(), kGang) == SubmissionState::kCompleted);
+  CHECK(world.faults.empty());
+}
+
 }  // namespace
 }  // namespace basilspread::test
