--- a/bench/leader/play.cc
+++ b/bench/leader/play.cc
@@ -127,8 +127,10 @@
   for (std::size_t done = 0; done < workers; done += kLongTasksTogether) {
     const std::size_t count =
         std::min<std::size_t>(kLongTasksTogether, workers - done);
-    world.Submit(0, IdOf('a', done),
-                 {StepOf(static_cast<std::uint32_t>(count), kLongDemand)});
+    StepSpec step = StepOf(static_cast<std::uint32_t>(count), kLongDemand);
+    // Else the runs would be taken for stuck, and their workers avoided.
+    step.expected_run_time = kLongRunTime;
+    world.Submit(0, IdOf('a', done), {step});
     world.Run(kBetweenLong);
   }
   world.Run(kSettleTime);
