Lead the links between processes of the soak through its proxy

So far processes spoke to each other directly, so that their links failed only with the processes, and orders to hands were never held, lost or late.

A preloaded connect leads them through the proxy; a probe of the peer's own listener keeps the refusal of a dead process, which its peers act upon. The settings and the product are as before. New kinds of faults: links held to some, to the leader and from it, delayed, reset, silenced; processes that stand still for two thirds of the time.

Not run: a few hundred processes, many minutes, the earlier regressions on this code.

--- a/tests/soak/fault.cc
+++ b/tests/soak/fault.cc
@@ -20,10 +20,9 @@
 
 }  // namespace
 
-std::vector<Fault> PlanFaults(std::uint64_t seed, Duration from,
-                              Duration until) {
+std::vector<Fault> PlanFaults(std::uint64_t seed, std::size_t kinds,
+                              Duration from, Duration until) {
   standin::Random random(seed);
-  const std::size_t kinds = FaultKinds().size();
   std::vector<Fault> faults;
   Duration at = from;
   while (at < until) {
--- a/tests/soak/fault.h
+++ b/tests/soak/fault.h
@@ -35,9 +35,9 @@
 
 /// The faults of a run, in the order of their start: series that overlap, with
 /// calm times between them. The first comes at `from`, and all are over at
-/// `until`.
-std::vector<Fault> PlanFaults(std::uint64_t seed, Duration from,
-                              Duration until);
+/// `until`. Draws among the first `kinds`.
+std::vector<Fault> PlanFaults(std::uint64_t seed, std::size_t kinds,
+                              Duration from, Duration until);
 
 }  // namespace soak
 
--- a/tests/soak/fault_kinds.cc
+++ b/tests/soak/fault_kinds.cc
@@ -15,6 +15,7 @@
 
 constexpr milliseconds kRollGap(1500);
 constexpr milliseconds kStormGap(300);
+constexpr milliseconds kStutterGap(300);
 /// After a burst callers press beyond the usual for this long.
 constexpr milliseconds kBurstTime(5000);
 constexpr double kBurstPerWorker = 1.5;
@@ -57,6 +58,15 @@
   }
 }
 
+/// Slow rather than away: it stands still for most of the time.
+void Stutter(Scene& scene) {
+  scene.EachHost([&scene](std::size_t host) {
+    for (TimePoint at = scene.context.now; at < scene.end; at += kStutterGap) {
+      scene.trouble.stutters.emplace(at, host);
+    }
+  });
+}
+
 void ForgetHistory(Scene& scene) {
   TimePoint unused;
   scene.DisturbStore(unused);
@@ -215,12 +225,28 @@
   };
 }
 
+std::vector<FaultKind> PeerKinds() {
+  return {
+      {"hold-peers", kShort, kLong, [](S& s) { s.PeerLinks(kHoldsBoth); }},
+      {"hold-to-leader", kShort, kLong,
+       [](S& s) { s.PeerLinkTo(s.Leader(), kHoldsRequests); }},
+      {"hold-from-leader", kShort, kLong,
+       [](S& s) { s.PeerLinksBut(s.Leader(), kHoldsRequests); }},
+      {"delay-peers", kShort, kLong, [](S& s) { s.PeerLinks(kDelays); }},
+      {"reset-peers", kNone, kNone, [](S& s) { s.PeerLinks(kResets); }},
+      {"silence-peers", kNone, kNone, [](S& s) { s.PeerLinks(kSilences); }},
+      {"stutter-hosts", kShort, kLong, Stutter},
+  };
+}
+
 }  // namespace
 
 const std::vector<FaultKind>& FaultKinds() {
+  // Regressions name how many kinds there were: new ones come last.
   static const std::vector<FaultKind> kKinds = [] {
     std::vector<FaultKind> all = HostKinds();
-    for (const auto& more : {LinkKinds(), StoreKinds(), WorkerKinds()}) {
+    for (const auto& more :
+         {LinkKinds(), StoreKinds(), WorkerKinds(), PeerKinds()}) {
       all.insert(all.end(), more.begin(), more.end());
     }
     return all;
--- a/tests/soak/host.h
+++ b/tests/soak/host.h
@@ -20,6 +20,8 @@
   /// Where callers reach it through the proxy.
   std::string proxied;
   std::string peer;
+  /// Where its peers reach it through the proxy.
+  std::string proxied_peer;
   std::string admin;
   std::string ready;
   std::string store;
--- a/tests/soak/ledger.cc
+++ b/tests/soak/ledger.cc
@@ -98,6 +98,7 @@
   if (outcome == CallOutcome::kUnknown) {
     return;
   }
+  this->acceptances.push_back(now);
   if (!this->hooks.is_stored(id)) {
     // PROTOCOL, submissions: "accepted and is stored".
     this->Report("stored", id, "accepted, and the store has no record", now);
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -108,6 +108,10 @@
   const std::map<std::int64_t, AnswerCounts>& AnswersBySecond() const {
     return this->answers;
   }
+  /// When callers were told of an acceptance, in order.
+  const std::vector<TimePoint>& Acceptances() const {
+    return this->acceptances;
+  }
   const Totals& GetTotals() const { return this->totals; }
 
  private:
@@ -174,6 +178,7 @@
   /// Tasks that have something on a life of a worker.
   std::map<standin::WorkerLife, std::set<standin::TaskName>> tasks_on;
   std::vector<Finding> findings;
+  std::vector<TimePoint> acceptances;
   std::map<std::int64_t, AnswerCounts> answers;
   Totals totals;
 };
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -1,16 +1,20 @@
 // Runs the real processes against stand-ins of the platform, injects faults,
 // and checks what callers and workers see. See docs/SOAK.md.
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <signal.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cxxopts.hpp>
 #include <filesystem>
 #include <iostream>
 #include <string>
+#include <vector>
 
+#include "soak/outages.h"
 #include "soak/picture.h"
 #include "soak/run.h"
 
@@ -49,6 +53,9 @@
       cxxopts::value<std::size_t>()->default_value("6"))(
       "workers", "stand-ins of workers",
       cxxopts::value<std::size_t>()->default_value("40"))("calm", "no faults")(
+      "kinds", "draws faults among the first so many kinds",
+      cxxopts::value<std::size_t>()->default_value(
+          std::to_string(soak::FaultKinds().size())))(
       "broken", "plays a part wrong; its check must find it",
       cxxopts::value<std::string>()->default_value("nothing"))(
       "out", "folder of logs, settings and the picture; kept on failure",
@@ -84,6 +91,20 @@
   return text;
 }
 
+/// A line a kind: how many faults, and the time without service in seconds.
+void PrintOutages(const soak::World& world) {
+  for (const auto& [kind, times] : soak::FindOutages(world)) {
+    std::vector<double> seconds;
+    for (const soak::Duration time : times) {
+      seconds.push_back(std::chrono::duration<double>(time).count());
+    }
+    fmt::print("outage: {} faults={} p50={:.2f} max={:.2f} each={:.2f}\n",
+               soak::FaultKinds()[kind].name, seconds.size(),
+               seconds[seconds.size() / 2], seconds.back(),
+               fmt::join(seconds, ","));
+  }
+}
+
 void Print(const soak::RunOptions& options, const soak::Run& run) {
   const soak::Ledger& ledger = run.GetWorld().GetLedger();
   for (const soak::Finding& finding : ledger.Findings()) {
@@ -96,6 +117,7 @@
                options.world.seed, at.count(), finding.check, finding.id,
                finding.text, FaultsBefore(run.GetWorld(), finding.at), history);
   }
+  PrintOutages(run.GetWorld());
   const soak::Totals& totals = ledger.GetTotals();
   fmt::print(
       "seed={} processes={} workers={} faults={} submitted={} accepted={} "
@@ -129,6 +151,8 @@
           flags["minutes"].as<double>()));
   options.world.has_faults = flags.count("calm") == 0;
   options.world.broken = broken.broken;
+  options.world.kinds = std::clamp<std::size_t>(
+      flags["kinds"].as<std::size_t>(), 1, soak::FaultKinds().size());
   options.processes = flags["processes"].as<std::size_t>();
   options.workers = flags["workers"].as<std::size_t>();
   options.folder = flags["out"].as<std::string>();
--- a/tests/soak/processes.cc
+++ b/tests/soak/processes.cc
@@ -103,7 +103,7 @@
       std::vector<std::string>{BASILSPREAD_BINARY, "--config",
                                PathOf(host, ".ini")},
       log,
-      std::vector<std::string>{std::string("LD_PRELOAD=") + SOAK_CLOCK_LIBRARY,
+      std::vector<std::string>{std::string("LD_PRELOAD=") + SOAK_SHIM_LIBRARY,
                                "SOAK_CLOCK_FILE=" + PathOf(host, ".clock")});
 }
 
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "platform/bounds.h"
+#include "soak/peer_address.h"
 
 namespace soak {
 namespace {
@@ -68,7 +69,7 @@
 
 void Run::Listen() {
   // Process H has 127.N.1.H; what it calls the store and the advisor, and
-  // where the callers reach it, are the proxy's 127.N.2.H to 127.N.4.H.
+  // where callers and peers reach it, are the proxy's 127.N.2.H to 127.N.5.H.
   const std::string stand_in =
       fmt::format("{}.0.1:{}", this->net, kStandInPort);
   for (std::size_t i = 0; i < this->options.processes; ++i) {
@@ -77,8 +78,10 @@
     };
     this->addresses.hosts.push_back(
         {HostName(i), fmt::format("zone-{}", i % kZones), at(1, 8080),
-         at(4, 8080), at(1, 8082), at(1, 8083), at(1, 8081), at(2, 7001),
-         at(3, 7002)});
+         at(4, 8080), at(kHostPart, kPeerPort), at(kProxiedPeerPart, kPeerPort),
+         at(1, 8083), at(1, 8081), at(2, 7001), at(3, 7002)});
+    this->proxy.Listen(at(kProxiedPeerPart, kPeerPort),
+                       at(kHostPart, kPeerPort));
     this->proxy.Listen(at(2, 7001), stand_in);
     this->proxy.Listen(at(3, 7002), stand_in);
     this->proxy.Listen(at(4, 8080), at(1, 8080));
--- a/tests/soak/trouble.cc
+++ b/tests/soak/trouble.cc
@@ -88,6 +88,26 @@
   });
 }
 
+void Scene::PeerLinks(const test::LinkChange& change) {
+  this->EachHost([&](std::size_t host) {
+    this->ChangeLink(this->hosts.SettingsOf(host).proxied_peer, change);
+  });
+}
+
+void Scene::PeerLinkTo(std::size_t host, const test::LinkChange& change) {
+  this->Disturb(this->end);
+  this->hosts.Disturb(host, this->end);
+  this->ChangeLink(this->hosts.SettingsOf(host).proxied_peer, change);
+}
+
+void Scene::PeerLinksBut(std::size_t host, const test::LinkChange& change) {
+  for (std::size_t other = 0; other < this->hosts.Count(); ++other) {
+    if (other != host) {
+      this->PeerLinkTo(other, change);
+    }
+  }
+}
+
 void Scene::EachWorker(const std::function<void(std::size_t)>& action) {
   this->Disturb(this->end);
   for (const std::size_t i : this->Some(this->workers.Count(), kFewWorkers)) {
--- a/tests/soak/trouble.h
+++ b/tests/soak/trouble.h
@@ -28,6 +28,8 @@
   std::multimap<std::string, TimePoint> links;
   /// Hosts that are to be stopped in turn.
   std::multimap<TimePoint, std::size_t> stops;
+  /// Hosts that stand still for a moment, again and again.
+  std::multimap<TimePoint, std::size_t> stutters;
   std::vector<TimePoint> table_changes;
   /// Until when a fault concerns the store, and anything at all.
   TimePoint store_disturbed;
@@ -64,6 +66,11 @@
   void AdvisorLinks(const test::LinkChange& change);
   void CallerLinks(const test::LinkChange& change);
   void WorkerLinks(const test::LinkChange& change);
+  /// What some hosts hear of all others.
+  void PeerLinks(const test::LinkChange& change);
+  /// What one host hears of all others, or they of it and of each other.
+  void PeerLinkTo(std::size_t host, const test::LinkChange& change);
+  void PeerLinksBut(std::size_t host, const test::LinkChange& change);
   void EachWorker(const std::function<void(std::size_t)>& action);
   void MarkWorkers(TimePoint standin::Worker::*until);
   void WriteGarbage();
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -29,6 +29,8 @@
 constexpr double kMostRate = 40;
 /// A process that was stopped in turn with others starts again after this.
 constexpr milliseconds kStopInTurnAway(300);
+/// A process that stutters stands still for this long.
+constexpr milliseconds kStutterPause(200);
 constexpr const char* kPool = "planners";
 /// Treatments of calls by a store in trouble.
 constexpr double kLossShare = 0.3;
@@ -81,8 +83,8 @@
   this->tables.Change(start);
   const Duration rest = standin::bounds::kRecovery + standin::bounds::kFinish;
   if (world_options.has_faults && world_options.broken == Broken::kNothing) {
-    this->plan = PlanFaults(SeedOf(world_options.seed, 5), kFirstFault,
-                            world_options.length - rest);
+    this->plan = PlanFaults(SeedOf(world_options.seed, 5), world_options.kinds,
+                            kFirstFault, world_options.length - rest);
   }
 }
 
@@ -225,6 +227,11 @@
     this->hosts.Stop(context, stops.begin()->second, kStopInTurnAway);
     stops.erase(stops.begin());
   }
+  auto& stutters = this->trouble.stutters;
+  while (!stutters.empty() && stutters.begin()->first <= context.now) {
+    this->hosts.Pause(context, stutters.begin()->second, kStutterPause, false);
+    stutters.erase(stutters.begin());
+  }
   this->RestoreLinks(context);
   this->hosts.Advance(context);
   this->store.Advance(context);
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -51,6 +51,8 @@
   std::uint64_t seed = 1;
   Duration length{};
   bool has_faults = true;
+  /// Faults are drawn among the first of all kinds.
+  std::size_t kinds = FaultKinds().size();
   Broken broken = Broken::kNothing;
 };
 
