--- a/bench/leader/reduce_watch.cc
+++ b/bench/leader/reduce_watch.cc
@@ -47,13 +47,13 @@
     "__wrap__ZN11basilspread6ReduceERNS_5StateERKNS_5EventE");
 
 Effects WatchedReduce(State& state, const Event& event) {
-  static const Duration overhead = MeasureOverhead();
+  static const Duration kOverhead = MeasureOverhead();
   if (!TheWatch()) {
     return RealReduce(state, event);
   }
   const Duration before = ThreadTime();
   Effects effects = RealReduce(state, event);
-  const Duration taken = ThreadTime() - before - overhead;
+  const Duration taken = ThreadTime() - before - kOverhead;
   TheWatch()(state, event, std::max(taken, Duration::zero()));
   return effects;
 }
--- a/packages/core/src/internal/step_advice.cc
+++ b/packages/core/src/internal/step_advice.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <utility>
@@ -263,8 +264,9 @@
   }
   if (gang_claims::Claim(context, round)) {
     // Others may have room sooner than those that it knows.
-    search.workers.erase(search.workers.begin(),
-                         search.workers.begin() + static_cast<long>(known));
+    search.workers.erase(
+        search.workers.begin(),
+        search.workers.begin() + static_cast<std::ptrdiff_t>(known));
     AddClaimed(context, round, search);
     return search;
   }
