Keep a submission's age and place through a takeover

Callers saw: after every takeover all inherited work counted as if it had just arrived, so that its order was that of its ids, and a target that had long passed counted as still to be met.

Cause: the records of the log told no time; the new leader took its own.

Now the record of an accepted submission says when it arrived, by the clock of the host that accepted it (each event carries the time of day, so the reducer still reads no clock). The next leader takes the age by its own clock, never below zero: it is wrong by the difference of the two clocks at most. Old records, and times before 1970, count from the takeover. What a suspension of the leader's host took counts into the ages.

Ruled out: an age carried with progress records; the time between the last record and the takeover would be missing, all of it after a loss of power.

--- a/packages/core/include/basilspread/core/event.h
+++ b/packages/core/include/basilspread/core/event.h
@@ -192,6 +192,8 @@
   TimePoint time;
   EventBody body;
   LoopLoad load = {};
+  /// The same moment by the host's clock.
+  TimeOfDay time_of_day = {};
 };
 
 }  // namespace basilspread
--- a/packages/core/include/basilspread/core/submission_record.h
+++ b/packages/core/include/basilspread/core/submission_record.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -10,6 +11,7 @@
 #include "basilspread/core/ids.h"
 #include "basilspread/core/queue_tables.h"
 #include "basilspread/core/submission.h"
+#include "basilspread/core/time.h"
 
 namespace basilspread {
 
@@ -18,6 +20,9 @@
   SubmissionSpecPtr spec;
   /// The policy at acceptance, for when the route has been removed since.
   QueuePolicy policy;
+  /// When it arrived, by the clock of the host that accepted it; unset in
+  /// records that do not say.
+  std::optional<TimeOfDay> arrived = std::nullopt;
 };
 
 /// What is kept of a task beside its submission.
--- a/packages/core/src/internal/context.h
+++ b/packages/core/src/internal/context.h
@@ -17,6 +17,7 @@
   State& state;
   TimePoint now;
   Effects& effects;
+  TimeOfDay time_of_day = {};
 
   void Emit(Effect effect) { this->effects.push_back(std::move(effect)); }
   void ArmIn(TimerKind kind, Duration delay);
--- a/packages/core/src/internal/step_order.cc
+++ b/packages/core/src/internal/step_order.cc
@@ -104,6 +104,15 @@
   }
 }
 
+void OnResumed(Context& context, const Resumed& event) {
+  for (const auto& [id, submission] : context.state.submissions.all) {
+    submission->arrived -= event.suspended;
+    if (submission->queued_as) {
+      Enqueue(context, *submission);
+    }
+  }
+}
+
 void Enqueue(Context& context, Submission& submission) {
   const QueueRank rank = RankOf(context, submission);
   if (submission.queued_as == rank) {
--- a/packages/core/src/internal/step_order.h
+++ b/packages/core/src/internal/step_order.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPREAD_CORE_INTERNAL_STEP_ORDER_H_
 #define BASILSPREAD_CORE_INTERNAL_STEP_ORDER_H_
 
+#include "basilspread/core/event.h"
 #include "basilspread/core/submissions.h"
 #include "internal/context.h"
 
@@ -22,6 +23,9 @@
 /// Ranks anew those whose time to start has passed since they were queued.
 void RefreshQueue(Context& context);
 
+/// Counts the suspension into the ages.
+void OnResumed(Context& context, const Resumed& event);
+
 void Enqueue(Context& context, Submission& submission);
 void Dequeue(Context& context, Submission& submission);
 
--- a/packages/core/src/internal/submission_loading.cc
+++ b/packages/core/src/internal/submission_loading.cc
@@ -29,6 +29,16 @@
   submission->loaded = record.tasks;
 }
 
+/// When the submission arrived, by this process's clock. No clock of a host is
+/// trusted to say that it has not arrived yet.
+TimePoint ArrivalOf(const Context& context, const AcceptedRecord& record) {
+  if (!record.arrived) {
+    return context.now;
+  }
+  return context.now -
+         std::max(context.time_of_day - *record.arrived, Duration::zero());
+}
+
 /// Puts what was read of tasks on the submission.
 void ApplyProgress(Submission& submission) {
   for (const TaskProgress& progress : submission.loaded) {
@@ -68,8 +78,8 @@
   if (submission && submission->spec) {
     return;
   }
-  SubmissionPtr made =
-      submission_runs::Make(accepted->spec, accepted->policy, context.now);
+  SubmissionPtr made = submission_runs::Make(accepted->spec, accepted->policy,
+                                             ArrivalOf(context, *accepted));
   made->accepted = true;
   made->inherited = true;
   if (submission) {
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -288,8 +288,9 @@
 }
 
 void Accept(Context& context, const Submission& submission) {
-  StateOf(context).log.accepted.emplace_back(
-      AcceptedRecord{submission.spec, submission.policy});
+  const Duration age = context.now - submission.arrived;
+  StateOf(context).log.accepted.emplace_back(AcceptedRecord{
+      submission.spec, submission.policy, context.time_of_day - age});
   PumpSoon(context);
 }
 
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -19,6 +19,7 @@
 #include "internal/report.h"
 #include "internal/requests.h"
 #include "internal/step_advice.h"
+#include "internal/step_order.h"
 #include "internal/step_placement.h"
 #include "internal/submission_calls.h"
 #include "internal/submission_service.h"
@@ -189,6 +190,7 @@
   void operator()(const Resumed& event) const {
     if (this->UsesStore()) {
       internal::leadership::OnResumed(this->context, event);
+      internal::step_order::OnResumed(this->context, event);
     }
   }
 
@@ -291,7 +293,7 @@
 
 Effects Reduce(State& state, const Event& event) {
   Effects effects;
-  Context context{state, event.time, effects};
+  Context context{state, event.time, effects, event.time_of_day};
   internal::own_load::OnEvent(context, event.load);
   if (state.settings.store.enabled) {
     std::visit(Dispatcher{context}, event.body);
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -455,11 +455,25 @@
 
 void StoreWorld::Handle(Node& node, EventBody body, const LoopLoad& load) {
   for (const Effect& effect :
-       Reduce(node.state, Event{this->now, std::move(body), load})) {
+       Reduce(node.state, Event{this->now, std::move(body), load,
+                                this->TimeOfDayAt(node.index)})) {
     std::visit(Deliver{*this, node}, effect);
   }
 }
 
+void StoreWorld::Suspend(int node, Duration duration) {
+  this->clock_errors[node] += duration;
+  this->Post(node, Resumed{duration});
+}
+
+TimeOfDay StoreWorld::TimeOfDayAt(int node) const {
+  constexpr std::chrono::sys_days kFirstDay =
+      std::chrono::year{2026} / std::chrono::January / 1;
+  const auto error = this->clock_errors.find(node);
+  return TimeOfDay{kFirstDay} + this->now.time_since_epoch() +
+         (error == this->clock_errors.end() ? Duration::zero() : error->second);
+}
+
 void StoreWorld::PostIn(int node, Duration delay, EventBody body) {
   const auto slow = this->slowness.find(node);
   delay += slow == this->slowness.end() ? Duration::zero() : slow->second;
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -103,6 +103,8 @@
   /// The group moves the leadership to the node: first its holder joins
   /// without it, then the node gets it.
   void MoveLeadership(int node);
+  /// The host has stood still, its monotonic clock too.
+  void Suspend(int node, Duration duration);
   /// The process does nothing until it is thawed; what comes meanwhile waits.
   void Freeze(int node);
   void Thaw(int node);
@@ -159,6 +161,8 @@
   std::set<std::pair<int, HostName>> cut_from_worker;
   /// What comes to a process is handled so much later.
   std::map<int, Duration> slowness;
+  /// How far a host's clock is ahead of true time.
+  std::map<int, Duration> clock_errors;
   /// How busy a process is.
   std::map<int, LoopLoad> loads;
   /// From a call of the store to its answer.
@@ -195,6 +199,7 @@
 
   bool ReachesStore(int node) const;
   void In(Duration delay, std::function<void()> action);
+  TimeOfDay TimeOfDayAt(int node) const;
   void Post(int node, EventBody body);
   void Handle(Node& node, EventBody body, const LoopLoad& load);
   /// Has a slow process take up what waits, once it is through with the last.
--- a/packages/node/src/control_loop.cc
+++ b/packages/node/src/control_loop.cc
@@ -148,7 +148,8 @@
   // A timer overtakes the events that came before it was due.
   load.delay = now - this->OldestSince(next.since, load.waiting);
   load.busy = this->busy;
-  const Event event{now, std::move(next.body), load};
+  const Event event{now, std::move(next.body), load,
+                    std::chrono::system_clock::now()};
   for (const Effect& effect : Reduce(this->state, event)) {
     if (const auto* timer = std::get_if<SetTimer>(&effect)) {
       this->timers[timer->kind] = timer->at;
--- a/packages/wire/src/work_codec.cc
+++ b/packages/wire/src/work_codec.cc
@@ -1,5 +1,7 @@
 #include "basilspread/wire/work_codec.h"
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -68,13 +70,28 @@
   return policy;
 }
 
+/// A clock that stands before 1970 tells nothing.
+std::int64_t PackTime(const std::optional<TimeOfDay>& time) {
+  const Duration since = time.value_or(TimeOfDay{}).time_since_epoch();
+  return std::max(since, Duration::zero()).count();
+}
+
+std::optional<TimeOfDay> UnpackTime(std::int64_t nanoseconds) {
+  if (nanoseconds <= 0) {
+    return std::nullopt;
+  }
+  return TimeOfDay{Duration(nanoseconds)};
+}
+
 /// Writes one kind of record.
 struct Encoder {
   KeyedRecord operator()(const AcceptedRecord& record) const {
     Builder builder;
     const auto spec = submission_codec::PackSpec(builder, *record.spec);
     const auto policy = Pack(builder, record.policy);
-    const auto body = fb::CreateAcceptedRecord(builder, spec, policy).Union();
+    const auto body = fb::CreateAcceptedRecord(builder, spec, policy,
+                                               PackTime(record.arrived))
+                          .Union();
     return {KeyOf(kSpecPrefix, record.spec->id),
             Finish(builder, fb::WorkBody::AcceptedRecord, body)};
   }
@@ -125,7 +142,8 @@
 
 Result<WorkRecord> DecodeAccepted(const fb::AcceptedRecord& packed) {
   BOOST_OUTCOME_TRY(spec, submission_codec::UnpackSpec(*packed.spec()));
-  return WorkRecord(AcceptedRecord{std::move(spec), Unpack(*packed.policy())});
+  return WorkRecord(AcceptedRecord{std::move(spec), Unpack(*packed.policy()),
+                                   UnpackTime(packed.arrived_ns())});
 }
 
 /// Whether the progress is that of a submission, before it is copied.
--- a/packages/wire/tests/odd_values_test.cc
+++ b/packages/wire/tests/odd_values_test.cc
@@ -144,6 +144,25 @@
   }
 }
 
+TEST_CASE("A time of arrival that no clock tells is taken for unknown",
+          "[wire][odd]") {
+  const auto arrival = [](const std::optional<TimeOfDay>& time) {
+    const KeyedRecord keyed =
+        EncodeWork(AcceptedRecord{Spec([](SubmissionSpec&) {}), {}, time});
+    const Result<WorkRecord> record = DecodeWork(keyed.key, *keyed.value);
+    REQUIRE(record);
+    return std::get<AcceptedRecord>(record.value()).arrived;
+  };
+  const TimeOfDay time{std::chrono::sys_days{std::chrono::year{2026} /
+                                             std::chrono::December / 5}};
+  CHECK(arrival(time) == time);
+  CHECK(arrival(TimeOfDay::max()) == TimeOfDay::max());
+  CHECK_FALSE(arrival(std::nullopt));
+  CHECK_FALSE(arrival(TimeOfDay{}));
+  CHECK_FALSE(arrival(TimeOfDay{seconds(-1)}));
+  CHECK_FALSE(arrival(TimeOfDay::min()));
+}
+
 TEST_CASE("A work record names a submission or a worker", "[wire][odd]") {
   CHECK(IsTaken(WorkRecord(WorkerRecord{HostName{"i-1"}, "1.1.1.1:1", 1})));
   CHECK(IsTaken(WorkRecord(ProgressRecord{SubmissionId{"a"}, {}, {}})));
@@ -206,7 +225,7 @@
     QueuePolicy policy;
     policy.pool.value = name;
     policy.advice = AdvicePolicy{seconds(1), seconds(1), seconds(1)};
-    check(AcceptedRecord{spec, policy});
+    check(AcceptedRecord{spec, policy, TimeOfDay::max()});
     ProgressRecord progress{id, SubmissionState::kRunning, {}};
     progress.tasks.resize(count * 64, TaskProgress{1, 1, true, {}, Attempt{1}});
     check(progress);
