--- a/review/standin/platform.hpp
+++ b/review/standin/platform.hpp
@@ -267,7 +267,9 @@
     std::erase_if(this->waiting, [&](const Waiting& read) {
       const Topic& topic = this->topics[read.topic];
       const bool is_due = topic.records.size() > read.from || read.until <= now;
-      if (is_due) {
+      const bool is_silent =
+          this->mode && this->mode(0, "", Request{}) == StoreMode::kSilent;
+      if (is_due && !is_silent) {
         this->loop.Reply(read.connection,
                          {200, this->ReadBody(topic, read.from),
                           "application/octet-stream"});
