--- a/review/standin/platform.hpp
+++ b/review/standin/platform.hpp
@@ -457,6 +457,13 @@
   int cores = 64;
   /// How long a task works, in milliseconds.
   std::function<std::int64_t(const std::string& task)> run_time;
+  /// How a run ends that is neither stopped nor lapses.
+  std::function<std::string(const std::string& task)> outcome =
+      [](const std::string&) { return "done"; };
+  /// What a minion says of a run's progress.
+  std::function<int(const std::string& task)> percent =
+      [](const std::string&) { return 50; };
+  std::string service = "planners";
   /// A minion that is cut off answers nothing, and neither beats.
   bool is_cut = false;
   bool is_up = true;
@@ -494,7 +501,8 @@
   std::uint64_t Born() const { return this->born; }
   void Publish() {
     std::ostringstream text;
-    text << "{\"service\":\"planners\",\"address\":\"127.0.0.1:" << this->port
+    text << "{\"service\":\"" << this->service
+         << "\",\"address\":\"127.0.0.1:" << this->port
          << "\",\"zone\":\"" << this->zone
          << "\",\"version\":\"v1\",\"slots\":8,\"state\":\""
          << (this->is_draining ? "draining" : "ready")
@@ -639,7 +647,7 @@
       const auto found = this->runs.find(task);
       if (of_life == this->life && found != this->runs.end() &&
           found->second.number == run && !found->second.stopping) {
-        this->End(task, "done");
+        this->End(task, this->outcome(task));
       }
     });
     this->loop.Reply(request.connection, {200, "{" + this->Stamp() + "}"});
@@ -702,7 +710,8 @@
     std::string running;
     for (const auto& [task, run] : this->runs) {
       running += (running.empty() ? "" : ",");
-      running += "[\"" + task + "\"," + std::to_string(run.number) + ",\"\",50]";
+      running += "[\"" + task + "\"," + std::to_string(run.number) + ",\"\"," +
+                 std::to_string(this->percent(task)) + "]";
     }
     std::string ended;
     std::size_t count = 0;
