--- a/review/standin/platform.hpp
+++ b/review/standin/platform.hpp
@@ -3,6 +3,7 @@
 #define REVIEW_STANDIN_PLATFORM_HPP_
 
 #include <cctype>
+#include <cstdlib>
 #include <deque>
 #include <optional>
 #include <set>
@@ -464,6 +465,8 @@
   std::function<int(const std::string& task)> percent =
       [](const std::string&) { return 50; };
   std::string service = "planners";
+  /// Whether the next order is carried out late.
+  std::function<bool()> late;
   /// A minion that is cut off answers nothing, and neither beats.
   bool is_cut = false;
   bool is_up = true;
@@ -550,6 +553,16 @@
 
  private:
   void Handle(const Request& request) {
+    if (this->is_up && this->late && this->late()) {
+      // Gets no answer, and is carried out seconds later.
+      this->loop.In(2000 + std::rand() % 2000,
+                    [this, request] { this->Carry(request); });
+      return;
+    }
+    this->Carry(request);
+  }
+
+  void Carry(const Request& request) {
     if (!this->is_up) {
       this->loop.Drop(request.connection);
       return;
