--- a/review/standin/net.hpp
+++ b/review/standin/net.hpp
@@ -391,18 +391,24 @@
   std::map<std::uint64_t, std::unique_ptr<Outgoing>> calls;
 };
 
-/// A port that was free a moment ago.
+/// A port that was free a moment ago, below those of outgoing connections.
 inline int FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
-    throw std::runtime_error("no free port");
+  static int next = 12000 + static_cast<int>(getpid() % 200) * 80;
+  for (int tries = 0; tries < 20000; ++tries) {
+    next = next >= 31999 ? 12000 : next + 1;
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(next));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool is_free =
+        bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    close(fd);
+    if (is_free) {
+      return next;
+    }
   }
-  const int port = Loop::PortOf(fd);
-  close(fd);
-  return port;
+  throw std::runtime_error("no free port");
 }
 
 /// A child process; ended when this goes out of scope.
--- a/review/standin/scene.hpp
+++ b/review/standin/scene.hpp
@@ -76,7 +76,8 @@
   }
 
   void AddNodes(std::size_t count) {
-    for (std::size_t i = 0; i < count; ++i) {
+    for (std::size_t added = 0; added < count; ++added) {
+      const std::size_t i = this->nodes.size();
       Node node;
       node.name = "front-" + std::to_string(i);
       node.http = FreePort();
