--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,7 +3,7 @@
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
-program=target/review/pools
+program=target/review/late
 [ -x "$program" ] && [ -x target/packages/entry/basilspread ] || exit 2
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
