Treat a worker's list of ends that reached its limit as incomplete

A worker lists 500 ends in one answer until they are acknowledged. The leader took each list for complete, so that a confirmed run in neither list counted as lost; a new leader started inherited tasks whose ends stood beyond the first 500.

The adapter marks answers that reached the limit and relays pass the mark on. With it no run is taken for lost and the worker is not reconciled; inherited tasks wait until all ends are listed. After ends are stored, such a worker is polled at once.

Tests, seen failing before the change of the leader, with the mark already set: 'A task whose end exceeds the limit of a worker's list runs once' (15 starts of each task in place of 1) and 'A new leader reads all ends of a worker before it starts its tasks'.

--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -101,6 +101,8 @@
   std::uint64_t seen_end = 0;
   std::uint64_t stored_end = 0;
   std::uint64_t acknowledged_end = 0;
+  /// The last answer may have lacked ends; see WorkerPolled.
+  bool may_have_more_ends = false;
   /// Submissions whose runs failed there since the last success.
   std::set<SubmissionId> failed_for;
   /// Starts that it refused since the last success.
@@ -127,6 +129,9 @@
   std::size_t unreconciled = 0;
   /// Workers that reported ends which are not stored yet.
   std::set<HostName> with_unstored_ends;
+  /// Workers that answer, but have not listed all ends to this leader: a task
+  /// that looks as if it had to start may have succeeded there.
+  std::set<HostName> with_unread_ends;
   /// The store's list was read to its end at least once.
   bool is_listed = false;
   /// Where to go on following the changes of the list.
--- a/packages/core/include/basilspread/core/fleet_call.h
+++ b/packages/core/include/basilspread/core/fleet_call.h
@@ -111,12 +111,15 @@
   std::uint64_t fence = 0;
   OrderResult result = OrderResult::kUnknown;
   TimePoint sent_at;
-  /// The members from here to `ended` are set with kDone.
+  /// The members from here to `may_have_more_ends` are set with kDone.
   WorkerTime clock{};
   /// Zero when the worker does not state it.
   std::uint64_t incarnation = 0;
   std::vector<ListedRun> running;
+  /// Ends that are not acknowledged, in order of their numbers.
   std::vector<ListedEnd> ended;
+  /// The answer reached the limit on listed ends; there may be later ones.
+  bool may_have_more_ends = false;
   /// PollWorker::number.
   std::uint64_t number = 0;
 };
--- a/packages/core/include/basilspread/core/relay_message.h
+++ b/packages/core/include/basilspread/core/relay_message.h
@@ -33,6 +33,7 @@
   std::uint64_t incarnation = 0;
   std::vector<ListedRun> running;
   std::vector<ListedEnd> ended;
+  bool may_have_more_ends = false;
 };
 
 /// Results of relayed calls, sent to the leader.
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -421,8 +421,10 @@
 
 bool MayStartInherited(const Context& context) {
   const FleetState& fleet = context.state.submissions.fleet;
+  // Ends that a worker still has to list outlast the leases.
   return !fleet.inherited_leases_end ||
-         context.now >= *fleet.inherited_leases_end ||
+         (context.now >= *fleet.inherited_leases_end &&
+          fleet.with_unread_ends.empty()) ||
          (fleet.is_listed && CountUnreconciled(context) == 0);
 }
 
--- a/packages/core/src/internal/fleet_polls.cc
+++ b/packages/core/src/internal/fleet_polls.cc
@@ -113,6 +113,11 @@
 /// Reports runs as lost that the worker would list if they existed.
 void ApplyMissing(Context& context, FleetWorker& worker,
                   const WorkerPolled& event) {
+  if (event.may_have_more_ends) {
+    // The runs may have ended; their ends follow once the listed ones are
+    // acknowledged.
+    return;
+  }
   std::vector<RunName> missing;
   for (const auto& [name, demand] : worker.runs) {
     const bool is_listed = std::any_of(
@@ -252,6 +257,9 @@
   const bool was_counted = is_counted();
   worker.is_reconciled = is_reconciled;
   worker.has_known_runs = worker.has_known_runs && !is_reconciled;
+  if (is_reconciled) {
+    context.state.submissions.fleet.with_unread_ends.erase(worker.entry.name);
+  }
   std::size_t& unreconciled = context.state.submissions.fleet.unreconciled;
   unreconciled -= was_counted && !is_counted() ? 1 : 0;
   unreconciled += is_counted() && !was_counted ? 1 : 0;
@@ -261,6 +269,8 @@
   worker.seen_end = 0;
   worker.stored_end = 0;
   worker.acknowledged_end = 0;
+  worker.may_have_more_ends = false;
+  context.state.submissions.fleet.with_unread_ends.erase(worker.entry.name);
   // The append in flight holds ends of the former life, whose numbers would
   // cover those of the new one.
   context.state.submissions.log.in_flight_ends.erase(worker.entry.name);
@@ -292,7 +302,14 @@
     UpdateClosure(context, worker);
   }
   worker.lost_poll_excused = false;
-  SetReconciled(context, worker, worker.is_reconciled || is_current);
+  // An incomplete list does not tell which inherited tasks have succeeded.
+  worker.may_have_more_ends = event.may_have_more_ends;
+  SetReconciled(
+      context, worker,
+      worker.is_reconciled || (is_current && !event.may_have_more_ends));
+  if (event.may_have_more_ends && !worker.is_reconciled) {
+    context.state.submissions.fleet.with_unread_ends.insert(worker.entry.name);
+  }
   ApplyEnds(context, worker, event);
   ApplyRunning(context, worker, event);
   ApplyMissing(context, worker, event);
@@ -346,6 +363,7 @@
 }
 
 void LoseRuns(Context& context, FleetWorker& worker, std::string_view reason) {
+  context.state.submissions.fleet.with_unread_ends.erase(worker.entry.name);
   const auto runs = worker.runs;
   for (const auto& [name, demand] : runs) {
     context.Log(LogLevel::kInfo, kPart,
--- a/packages/core/src/internal/relay_agent.cc
+++ b/packages/core/src/internal/relay_agent.cc
@@ -118,6 +118,7 @@
     report->incarnation = event.incarnation;
     report->running = event.running;
     report->ended = event.ended;
+    report->may_have_more_ends = event.may_have_more_ends;
     QueueReport(context, *std::move(report));
   }
 }
--- a/packages/core/src/internal/relays.cc
+++ b/packages/core/src/internal/relays.cc
@@ -266,6 +266,7 @@
   polled.incarnation = report.incarnation;
   polled.running = report.running;
   polled.ended = report.ended;
+  polled.may_have_more_ends = report.may_have_more_ends;
   fleet::OnPolled(context, polled);
 }
 
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "internal/fleet.h"
+#include "internal/fleet_polls.h"
 #include "internal/leadership.h"
 #include "internal/long_running.h"
 #include "internal/own_load.h"
@@ -233,6 +234,9 @@
     if (known.stored_end == known.seen_end) {
       state.fleet.with_unstored_ends.erase(name);
     }
+    if (known.may_have_more_ends) {
+      fleet::polls::StartPolling(context, known);
+    }
   }
   state.log.in_flight_ends.clear();
 }
--- a/packages/core/tests/fleet_test.cc
+++ b/packages/core/tests/fleet_test.cc
@@ -136,5 +136,57 @@
   CHECK(world.violations.empty());
 }
 
+/// A world whose workers list few ends in one answer. It has 40 tasks that end
+/// while no end can be stored, so that most ends are not listed.
+struct TruncatedEndsWorld : StoreWorld {
+  static constexpr std::uint32_t kTasks = 40;
+
+  TruncatedEndsWorld() : StoreWorld(3, {"w1", "w2"}) {
+    REQUIRE(this->Leader() >= 0);
+    this->max_listed_ends = 4;
+    this->run_time = milliseconds(100);
+    this->Submit(this->Leader(), kFirst, {Tasks(kTasks)});
+    this->Run(milliseconds(20));
+  }
+
+  void CheckEachTaskRanOnce() const {
+    for (std::uint32_t i = 0; i < kTasks; ++i) {
+      INFO("task " << i);
+      CHECK(this->Starts(kFirst, 0, i) == 1);
+    }
+    CHECK(this->violations.empty());
+  }
+};
+
+// A run whose end stood beyond the limit of the list was taken for lost, and
+// its task started again although it had succeeded.
+TEST_CASE("A task whose end exceeds the limit of a worker's list runs once",
+          "[fleet]") {
+  TruncatedEndsWorld world;
+  SECTION("appends are refused") { world.appends_are_refused = true; }
+  SECTION("the store is down") { world.store_is_down = true; }
+  world.Run(seconds(2));
+  world.appends_are_refused = false;
+  world.store_is_down = false;
+  world.Run(seconds(4));
+  CHECK(world.StatusOf(0, kFirst) == SubmissionState::kCompleted);
+  world.CheckEachTaskRanOnce();
+}
+
+// The new leader took the first part of the list for all ends and started the
+// tasks whose ends it had not read.
+TEST_CASE("A new leader reads all ends of a worker before it starts its tasks",
+          "[fleet]") {
+  TruncatedEndsWorld world;
+  world.appends_are_refused = true;
+  world.Run(seconds(1));
+  world.Kill(world.Leader());
+  world.appends_are_refused = false;
+  world.Run(seconds(8));
+  REQUIRE(world.Leader() >= 0);
+  CHECK(world.StatusOf(world.Leader(), kFirst) == SubmissionState::kCompleted);
+  world.CheckEachTaskRanOnce();
+}
+
 }  // namespace
 }  // namespace basilspread::test
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -191,6 +191,8 @@
   /// Result of a run, and its duration.
   std::function<RunEnd(const RunName&)> end_of;
   Duration run_time = std::chrono::milliseconds(200);
+  /// Number of ends that a worker lists in one answer at most.
+  std::size_t max_listed_ends = 500;
   /// Long-running tasks fail instead of completing their startup.
   bool long_running_fail = false;
   /// Workers that the advisor allows.
--- a/packages/core/tests/support/store_world_workers.cc
+++ b/packages/core/tests/support/store_world_workers.cc
@@ -277,12 +277,15 @@
   }
   for (const ListedEnd& end : worker.ends) {
     if (end.number > worker.acknowledged) {
-      polled.ended.push_back(end);
+      if (polled.ended.size() < this->max_listed_ends) {
+        polled.ended.push_back(end);
+      }
     } else if (end.end == RunEnd::kSucceeded &&
                !this->IsLongRunning(end.name.task)) {
       this->acknowledged_done.insert(end.name.task);
     }
   }
+  polled.may_have_more_ends = polled.ended.size() >= this->max_listed_ends;
   if (polled.ended.empty() && this->now < until) {
     const std::uint64_t life = worker.entry.incarnation;
     this->ScheduleAction(kTick, [this, node, effect, sent, until, life] {
--- a/packages/wire/src/relay_codec.cc
+++ b/packages/wire/src/relay_codec.cc
@@ -139,10 +139,10 @@
   const auto packed_running =
       running.empty() ? 0 : builder.CreateVector(running);
   const auto packed_ended = ended.empty() ? 0 : builder.CreateVector(ended);
-  return fb::CreateHandReport(builder, report.number,
-                              static_cast<std::uint8_t>(report.result),
-                              report.took.count(), report.clock.count(),
-                              report.incarnation, packed_running, packed_ended);
+  return fb::CreateHandReport(
+      builder, report.number, static_cast<std::uint8_t>(report.result),
+      report.took.count(), report.clock.count(), report.incarnation,
+      packed_running, packed_ended, report.may_have_more_ends);
 }
 
 /// The submissions of a message, by their index in it.
@@ -235,6 +235,7 @@
   report.took = Duration(packed.took_ns());
   report.clock = WorkerTime(packed.clock_ns());
   report.incarnation = packed.incarnation();
+  report.may_have_more_ends = packed.may_have_more_ends();
   if (packed.running() != nullptr) {
     for (const fb::HandListedRun* listed : *packed.running()) {
       BOOST_OUTCOME_TRY(name, UnpackRun(submissions, listed->run()));
--- a/packages/wire/tests/relay_codec_test.cc
+++ b/packages/wire/tests/relay_codec_test.cc
@@ -109,6 +109,7 @@
   poll.incarnation = 88;
   poll.running = {{MakeName("a", 1), "saved", 41}, {MakeName("b", 2), "", 0}};
   poll.ended = {{58, MakeName("a", 9), RunEnd::kGangBroken, "kept"}};
+  poll.may_have_more_ends = true;
   const RelayReports reports = RoundTrip(RelayReports{Epoch{6}, {order, poll}});
   CHECK(reports.epoch == Epoch{6});
   REQUIRE(reports.reports.size() == 2);
@@ -129,6 +130,7 @@
   CHECK(decoded.ended[0].name == MakeName("a", 9));
   CHECK(decoded.ended[0].end == RunEnd::kGangBroken);
   CHECK(decoded.ended[0].checkpoint == "kept");
+  CHECK(decoded.may_have_more_ends);
 }
 
 TEST_CASE("A helper's report contains its zone", "[wire][relays]") {
