Remember the cancellation of a submission that has not arrived

The leader answered the cancel of an unknown id with 410 and kept nothing of it; a paused process passed the submission on later, and it was accepted.

Such a cancel is now recorded and acknowledged once stored. A submission with its id is rejected with 409, by later leaders too.

--- a/packages/core/include/basilspread/core/submission_record.h
+++ b/packages/core/include/basilspread/core/submission_record.h
@@ -40,6 +40,8 @@
   /// Only tasks that succeeded or have failed runs; empty once the submission
   /// has ended.
   std::vector<TaskProgress> tasks;
+  /// The submission was cancelled before it arrived, and is never accepted.
+  bool cancelled_early = false;
 };
 
 /// The outcome of the submission is no longer retained.
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -141,6 +141,9 @@
   /// Whether `state` is stored; a terminal state is reported only then.
   bool is_stored = false;
   bool accepted = false;
+  /// It was cancelled before it arrived. Kept so that a call that submits it
+  /// later is rejected.
+  bool cancelled_early = false;
   bool has_started = false;
   /// Read from the log, so that an earlier leader may have started its tasks.
   bool inherited = false;
--- a/packages/core/src/internal/submission_loading.cc
+++ b/packages/core/src/internal/submission_loading.cc
@@ -24,6 +24,8 @@
     submission->arrived = context.now;
   }
   submission->state = record.state;
+  submission->cancelled_early = record.cancelled_early;
+  submission->accepted = submission->accepted && !record.cancelled_early;
   submission->is_stored = true;
   submission->ended_at = context.now;
   submission->loaded_progress = record.tasks;
--- a/packages/core/src/internal/submission_service.cc
+++ b/packages/core/src/internal/submission_service.cc
@@ -57,7 +57,11 @@
             const SubmissionCall& message) {
   SubmissionsState& state = StateOf(context);
   if (Submission* known = submission_progress::Find(context, message.id)) {
-    if (known->accepted) {
+    if (known->cancelled_early) {
+      // Before the cancellation is stored, another leader could accept a copy.
+      Reply(context, from, message.call,
+            known->is_stored ? ErrorKind::kCancelled : ErrorKind::kNotReady);
+    } else if (known->accepted) {
       Reply(context, from, message.call, ErrorKind::kNone);
     } else {
       known->submitters.emplace_back(from, message.call);
@@ -113,7 +117,7 @@
 void ReplyStatus(Context& context, const ProcessId& from,
                  const SubmissionCall& message) {
   const Submission* submission = submission_progress::Find(context, message.id);
-  if (submission == nullptr) {
+  if (submission == nullptr || submission->cancelled_early) {
     return ReplyUnknown(context, from, message.call);
   }
   if (!submission->accepted) {
@@ -125,20 +129,43 @@
   Reply(context, from, answer);
 }
 
+/// Result of a cancel whose record is stored.
+ErrorKind CancelResult(const Submission& submission) {
+  const bool is_cancelled = submission.state == SubmissionState::kCancelled &&
+                            !submission.cancelled_early;
+  return is_cancelled ? ErrorKind::kNone : ErrorKind::kUnknownSubmission;
+}
+
+/// Cancels a submission that has not arrived. A process that was paused or a
+/// slow connection may still hold the call that submits it, so the cancellation
+/// is stored like that of a known one before it is acknowledged.
+void CancelEarly(Context& context, const ProcessId& from,
+                 const SubmissionCall& message) {
+  if (!work_log::IsAvailable(context)) {
+    return Reply(context, from, message.call, ErrorKind::kLogUnavailable);
+  }
+  const SubmissionPtr submission(new Submission);
+  submission->id = message.id;
+  submission->state = SubmissionState::kCancelled;
+  submission->cancelled_early = true;
+  submission->arrived = context.now;
+  submission->ended_at = context.now;
+  submission->cancellers.emplace_back(from, message.call);
+  StateOf(context).all.emplace(message.id, submission);
+  work_log::Change(context, message.id);
+}
+
 void Cancel(Context& context, const ProcessId& from,
             const SubmissionCall& message) {
   Submission* submission = submission_progress::Find(context, message.id);
   if (submission == nullptr) {
-    return ReplyUnknown(context, from, message.call);
+    return CancelEarly(context, from, message);
   }
-  if (!submission->accepted) {
+  if (!submission->accepted && !submission->cancelled_early) {
     return Reply(context, from, message.call, ErrorKind::kNotReady);
   }
   if (HasEnded(submission->state) && submission->is_stored) {
-    const bool is_cancelled = submission->state == SubmissionState::kCancelled;
-    return Reply(
-        context, from, message.call,
-        is_cancelled ? ErrorKind::kNone : ErrorKind::kUnknownSubmission);
+    return Reply(context, from, message.call, CancelResult(*submission));
   }
   submission->cancellers.emplace_back(from, message.call);
   if (!HasEnded(submission->state)) {
@@ -328,9 +355,7 @@
     return;
   }
   submission->is_stored = true;
-  const ErrorKind kind = submission->state == SubmissionState::kCancelled
-                             ? ErrorKind::kNone
-                             : ErrorKind::kUnknownSubmission;
+  const ErrorKind kind = CancelResult(*submission);
   for (const auto& [to, call] : std::exchange(submission->cancellers, {})) {
     Reply(context, to, call, kind);
   }
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -46,6 +46,7 @@
   ProgressRecord record;
   record.id = submission.id;
   record.state = submission.state;
+  record.cancelled_early = submission.cancelled_early;
   if (HasEnded(submission.state)) {
     return record;
   }
--- a/packages/core/tests/submissions_test.cc
+++ b/packages/core/tests/submissions_test.cc
@@ -165,6 +165,70 @@
   CHECK(world.StatusOf(world.Leader(), kFirst) == SubmissionState::kCancelled);
 }
 
+/// Submits at a paused process and cancels at the leader, which has not seen
+/// the submission.
+struct EarlyCancelWorld : World {
+  EarlyCancelWorld() {
+    this->paused = Follower(*this);
+    this->Freeze(this->paused);
+    this->submit = this->Submit(this->paused, kFirst, {Tasks(1)});
+    this->cancel =
+        this->SendCall(this->Leader(), SubmissionOperation::kCancel, kFirst);
+    this->Run(milliseconds(200));
+  }
+
+  int paused = 0;
+  CallId submit;
+  CallId cancel;
+};
+
+// The leader acknowledged the cancel of an id that it did not know, and
+// accepted the submission when a paused process passed it on later.
+TEST_CASE("A submission that arrives after its cancellation is rejected",
+          "[submissions]") {
+  EarlyCancelWorld world;
+  REQUIRE(world.AnswerTo(world.cancel));
+  CHECK(world.AnswerTo(world.cancel)->kind == ErrorKind::kUnknownSubmission);
+  SECTION("the leader is the same") {}
+  SECTION("another process leads") {
+    world.Kill(world.Leader());
+    world.Run(seconds(4));
+    REQUIRE(world.Leader() >= 0);
+  }
+  world.Thaw(world.paused);
+  world.Run(seconds(2));
+  REQUIRE(world.AnswerTo(world.submit));
+  CHECK(world.AnswerTo(world.submit)->kind == ErrorKind::kCancelled);
+  CHECK(world.Starts(kFirst) == 0);
+  // Nobody has submitted it successfully, so it has no state.
+  CHECK_FALSE(world.StatusOf(world.Leader(), kFirst));
+  const CallId again =
+      world.SendCall(world.Leader(), SubmissionOperation::kCancel, kFirst);
+  world.Run(milliseconds(200));
+  REQUIRE(world.AnswerTo(again));
+  CHECK(world.AnswerTo(again)->kind == ErrorKind::kUnknownSubmission);
+}
+
+TEST_CASE("The cancel of an unknown submission is acknowledged once stored",
+          "[submissions]") {
+  World world;
+  world.appends_lose_answers = true;
+  const CallId cancel =
+      world.SendCall(world.Leader(), SubmissionOperation::kCancel, kFirst);
+  world.Run(milliseconds(600));
+  CHECK_FALSE(world.AnswerTo(cancel));
+  const CallId submit = world.Submit(world.Leader(), kFirst, {Tasks(1)});
+  world.Run(milliseconds(100));
+  CHECK_FALSE(world.AnswerTo(submit));
+  world.appends_lose_answers = false;
+  world.Run(seconds(1));
+  REQUIRE(world.AnswerTo(cancel));
+  CHECK(world.AnswerTo(cancel)->kind == ErrorKind::kUnknownSubmission);
+  REQUIRE(world.AnswerTo(submit));
+  CHECK(world.AnswerTo(submit)->kind == ErrorKind::kCancelled);
+  CHECK(world.Starts(kFirst) == 0);
+}
+
 TEST_CASE("An append whose response is lost is settled by a retry",
           "[submissions]") {
   World world;
--- a/packages/wire/src/work_codec.cc
+++ b/packages/wire/src/work_codec.cc
@@ -94,10 +94,10 @@
                                              task.run.value));
     }
     const auto packed = builder.CreateVector(tasks);
-    const auto body =
-        fb::CreateProgressRecord(
-            builder, static_cast<std::uint8_t>(record.state), packed)
-            .Union();
+    const auto body = fb::CreateProgressRecord(
+                          builder, static_cast<std::uint8_t>(record.state),
+                          packed, record.cancelled_early)
+                          .Union();
     return {KeyOf(kProgressPrefix, record.id),
             Finish(builder, fb::WorkBody::ProgressRecord, body)};
   }
@@ -157,6 +157,7 @@
   ProgressRecord record;
   record.id = std::move(id);
   record.state = job_codec::ToEnum(packed.state(), SubmissionState::kCancelled);
+  record.cancelled_early = packed.cancelled_early();
   if (packed.tasks() != nullptr) {
     for (const auto* task : *packed.tasks()) {
       TaskProgress progress;
