--- a/packages/core/tests/support/store_world_workers.cc
+++ b/packages/core/tests/support/store_world_workers.cc
@@ -27,6 +27,17 @@
   return static_cast<std::uint32_t>(std::min<std::int64_t>(percent, kPercent));
 }
 
+/// Adds the ends that are not acknowledged, up to the limit.
+void ListEnds(const FakeWorker& worker, std::size_t limit,
+              WorkerPolled& polled) {
+  for (const ListedEnd& end : worker.ends) {
+    if (end.number > worker.acknowledged && polled.ended.size() < limit) {
+      polled.ended.push_back(end);
+    }
+  }
+  polled.may_have_more_ends = polled.ended.size() >= limit;
+}
+
 }  // namespace
 
 void StoreWorld::AddWorker(const std::string& name) {
@@ -275,17 +286,13 @@
   if (effect.lease_until > WorkerTime::zero()) {
     worker.leased_until = worker.started + effect.lease_until;
   }
+  ListEnds(worker, this->max_listed_ends, polled);
   for (const ListedEnd& end : worker.ends) {
-    if (end.number > worker.acknowledged) {
-      if (polled.ended.size() < this->max_listed_ends) {
-        polled.ended.push_back(end);
-      }
-    } else if (end.end == RunEnd::kSucceeded &&
-               !this->IsLongRunning(end.name.task)) {
+    if (end.number <= worker.acknowledged && end.end == RunEnd::kSucceeded &&
+        !this->IsLongRunning(end.name.task)) {
       this->acknowledged_done.insert(end.name.task);
     }
   }
-  polled.may_have_more_ends = polled.ended.size() >= this->max_listed_ends;
   if (polled.ended.empty() && this->now < until) {
     const std::uint64_t life = worker.entry.incarnation;
     this->ScheduleAction(kTick, [this, node, effect, sent, until, life] {
