Log what a takeover reads and which answers belong to an earlier one

Listings and reads of the fleet now carry the epoch of the takeover that asks, as polls, orders and appends do, and answers to an earlier one are logged and counted (basilspread_outdated_answers_total). They are handled as before: no logic changes. Placements tell the epoch, how many tasks had a run before, and whether the submission is inherited.

--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -114,8 +114,9 @@
   /// When joins, or on a process that is no member the reads of the group's
   /// owner, started to fail; unset while they succeed.
   std::optional<TimePoint> joins_fail_since;
-  /// When this process last gained the leadership.
+  /// When this process last gained the leadership, and when it last lost it.
   TimePoint gained_at;
+  std::optional<TimePoint> lost_at;
 };
 
 /// The leader's writer of the work log; it has one append in flight at a time.
@@ -136,6 +137,9 @@
   TimePoint not_before;
   Duration retry_delay{};
   TimePoint last_sent;
+  /// Listings of the records that this takeover began, and pages that it read.
+  std::size_t listings = 0;
+  std::size_t pages = 0;
 
   /// Contents of the next append: records of new and of forgotten submissions,
   /// changed submissions, and changed workers.
--- a/packages/core/include/basilspread/core/metric.h
+++ b/packages/core/include/basilspread/core/metric.h
@@ -25,6 +25,7 @@
   kLongRunningAtWork,
   kTakeovers,
   kTakeoverTime,
+  kOutdatedAnswers,
   kAdviceTime,
   kWorkersAvoided,
   kRelaysPaused,
--- a/packages/core/include/basilspread/core/store_call.h
+++ b/packages/core/include/basilspread/core/store_call.h
@@ -86,6 +86,8 @@
 struct ListWork {
   /// Key after which the page starts; empty for the first page.
   std::string after;
+  /// Epoch of the takeover that reads.
+  Epoch epoch;
 };
 
 struct WorkListed {
@@ -93,6 +95,8 @@
   std::vector<WorkRecord> records;
   /// `after` of the next page; empty when this is the last one.
   std::string next;
+  /// ListWork::epoch.
+  Epoch epoch;
 };
 
 /// Reads the newest tables; the result arrives as TablesRead.
@@ -117,10 +121,14 @@
 /// Reads a page of the newest worker entries; the result arrives as FleetRead.
 struct ListFleet {
   std::string after;
+  /// Epoch of the leader that reads.
+  Epoch epoch;
 };
 /// Waits for changed worker entries; the result arrives as FleetRead.
 struct FollowFleet {
   Offset from;
+  /// Epoch of the leader that reads.
+  Epoch epoch;
 };
 
 struct FleetRead {
@@ -134,6 +142,8 @@
   /// In a listing: `after` of the next page; empty on the last one.
   std::string next_page;
   Offset next;
+  /// ListFleet::epoch or FollowFleet::epoch.
+  Epoch epoch;
 };
 
 }  // namespace basilspread
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -106,8 +106,13 @@
   polls::UpdateDueTime(context, found->second);
 }
 
+void RequestList(Context& context) {
+  context.Emit(ListFleet{"", context.state.submissions.leadership.epoch});
+}
+
 void Follow(Context& context) {
-  context.Emit(FollowFleet{StateOf(context).next});
+  context.Emit(FollowFleet{StateOf(context).next,
+                           context.state.submissions.leadership.epoch});
 }
 
 void FinishListing(Context& context) {
@@ -206,6 +211,13 @@
   worker.is_recorded_closed = record.is_closed;
   worker.is_silent = record.is_closed;
   StateOf(context).unreconciled += is_new && !record.is_closed ? 1 : 0;
+  if (!is_new) {
+    context.Log(LogLevel::kWarning, kPart,
+                "The record of a worker was read more than once.",
+                {{"worker", record.worker.value},
+                 {"is_closed", record.is_closed},
+                 {"runs", record.runs.size()}});
+  }
   worker.entry.name = record.worker;
   worker.entry.address = record.address;
   worker.entry.incarnation = record.incarnation;
@@ -243,7 +255,7 @@
     InheritWorker(context, record);
   }
   context.state.submissions.inherited_workers.clear();
-  context.Emit(ListFleet{});
+  RequestList(context);
 }
 
 void OnRecorded(Context& context, const std::set<HostName>& names) {
@@ -269,7 +281,7 @@
     return;
   }
   if (event.expired) {
-    context.Emit(ListFleet{});
+    RequestList(context);
     return;
   }
   for (const WorkerEntry& entry : event.entries) {
@@ -283,7 +295,7 @@
   }
   fleet.next = event.next;
   if (event.is_listing && !event.next_page.empty()) {
-    context.Emit(ListFleet{event.next_page});
+    context.Emit(ListFleet{event.next_page, event.epoch});
   } else if (event.is_listing) {
     FinishListing(context);
   } else {
@@ -301,7 +313,7 @@
 void OnRetryTimer(Context& context) {
   if (IsLeader(context)) {
     // Change records may have expired meanwhile, so the whole list is read.
-    context.Emit(ListFleet{});
+    RequestList(context);
   }
 }
 
@@ -409,6 +421,19 @@
   return context.state.submissions.fleet.unreconciled;
 }
 
+std::string DescribeUnreconciled(const Context& context) {
+  constexpr std::size_t kMaxNames = 8;
+  std::string names;
+  std::size_t count = 0;
+  for (const auto& [name, worker] : context.state.submissions.fleet.workers) {
+    if (!worker.is_reconciled && !worker.has_known_runs &&
+        count++ < kMaxNames) {
+      names += (names.empty() ? "" : " ") + name.value;
+    }
+  }
+  return names;
+}
+
 void HoldInherited(Context& context) {
   FleetState& fleet = StateOf(context);
   fleet.inherited_leases_end = context.now + polls::LongestLease(context);
--- a/packages/core/src/internal/fleet.h
+++ b/packages/core/src/internal/fleet.h
@@ -29,6 +29,8 @@
 bool IsListed(const Context& context);
 /// Number of workers that have not answered a poll under the current fence.
 std::size_t CountUnreconciled(const Context& context);
+/// Names of workers that have not answered, at most eight.
+std::string DescribeUnreconciled(const Context& context);
 /// Keeps inherited tasks waiting until every run that an earlier leader may
 /// have started on a worker that does not answer has surely ended.
 void HoldInherited(Context& context);
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -58,13 +58,21 @@
   context.Log(LogLevel::kInfo, kPart, "Leader phase changed.",
               {{"from", NameOf(state.phase)},
                {"to", NameOf(phase)},
-               {"epoch", state.epoch.value}});
+               {"epoch", state.epoch.value},
+               {"generation", state.generation}});
   state.phase = phase;
   state.phase_began = context.now;
 }
 
 void BeginTakeover(Context& context, Epoch epoch) {
   LeadershipState& state = StateOf(context);
+  if (state.lost_at) {
+    context.Log(LogLevel::kInfo, kPart, "Leads again.",
+                {{"epoch", epoch.value},
+                 {"epoch_before", state.epoch.value},
+                 {"generation", state.generation},
+                 {"since_lost_ms", context.now - *state.lost_at}});
+  }
   state.epoch = epoch;
   state.gained_at = context.now;
   state.leader = Self(context);
@@ -91,6 +99,7 @@
                {"store_heard_ms", context.now - state.store_heard_at},
                {"own_delay_ms", own_load::RecentDelay(context)},
                {"busy_share", own_load::BusyShare(context)}});
+  state.lost_at = context.now;
   work_log::DeclineQueued(context, ErrorKind::kNotOwner);
   EnterPhase(context, LeaderPhase::kFollowing);
   submission_calls::DropLeaderState(context);
@@ -495,7 +504,7 @@
 
 void OnEpochRaised(Context& context) {
   EnterPhase(context, LeaderPhase::kLoading);
-  context.Emit(ListWork{});
+  work_log::RequestList(context);
 }
 
 void OnWorkLogLoaded(Context& context) {
@@ -526,6 +535,7 @@
               {{"epoch", state.epoch.value},
                {"took_ms", context.now - state.gained_at},
                {"unknown_workers", unknown},
+               {"awaited", fleet::DescribeUnreconciled(context)},
                {"submissions", context.state.submissions.all.size()}});
   EnterPhase(context, LeaderPhase::kLeading);
   // From here on, results of the polls are stored and tasks are placed.
--- a/packages/core/src/internal/step_placement.cc
+++ b/packages/core/src/internal/step_placement.cc
@@ -88,7 +88,7 @@
 }
 
 void RecordPlaced(Context& context, const PendingStep& pending,
-                  std::size_t placed, std::size_t left) {
+                  std::size_t placed, std::size_t left, std::size_t restarts) {
   if (placed == 0) {
     return;
   }
@@ -106,6 +106,9 @@
        {"step", pending.index},
        {"tasks", placed},
        {"left", left},
+       {"restarts", restarts},
+       {"inherited", submission.inherited},
+       {"epoch", context.state.submissions.leadership.epoch.value},
        {"workers", workers},
        {"age_ms", context.now - submission.arrived},
        {"slack_ms",
@@ -195,6 +198,7 @@
   const Attempt gang_run = NextRun(pending, pending.step.tasks.front());
   std::vector<std::uint32_t> left;
   const std::vector<std::uint32_t> waiting = pending.waiting;
+  std::size_t restarts = 0;
   for (const std::uint32_t index : waiting) {
     Offer* offer = ChooseOffer(pending.step.tasks[index], offers);
     if (offer == nullptr) {
@@ -211,9 +215,11 @@
     const Attempt run = pending.spec.gang
                             ? gang_run
                             : NextRun(pending, pending.step.tasks[index]);
+    restarts += pending.step.tasks[index].run.value > 0 ? 1 : 0;
     StartTask(context, pending, worker, index, run);
   }
-  RecordPlaced(context, pending, waiting.size() - left.size(), left.size());
+  RecordPlaced(context, pending, waiting.size() - left.size(), left.size(),
+               restarts);
   if (is_new_gang) {
     pending.step.gang_started_at = context.now;
   }
--- a/packages/core/src/internal/submission_loading.cc
+++ b/packages/core/src/internal/submission_loading.cc
@@ -84,8 +84,9 @@
 }
 
 void FinishLoading(Context& context) {
+  const SubmissionsState& state = context.state.submissions;
   std::size_t live = 0;
-  for (const auto& [id, submission] : context.state.submissions.all) {
+  for (const auto& [id, submission] : state.all) {
     if (HasEnded(submission->state) || !submission->spec) {
       continue;
     }
@@ -97,10 +98,19 @@
     submission_progress::UpdateWaiting(context, *submission);
     submission_progress::Advance(context, *submission, 0);
   }
-  context.Log(
-      LogLevel::kInfo, kPart,
-      "Read the work log; unfinished submissions resume.",
-      {{"submissions", context.state.submissions.all.size()}, {"live", live}});
+  context.Log(LogLevel::kInfo, kPart,
+              "Read the work log; unfinished submissions resume.",
+              {{"epoch", state.leadership.epoch.value},
+               {"listings", state.log.listings},
+               {"pages", state.log.pages},
+               {"submissions", state.all.size()},
+               {"live", live},
+               {"workers", state.inherited_workers.size()},
+               {"closed_workers", std::count_if(state.inherited_workers.begin(),
+                                                state.inherited_workers.end(),
+                                                [](const WorkerRecord& worker) {
+                                                  return worker.is_closed;
+                                                })}});
 }
 
 }  // namespace basilspread::internal::submission_loading
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -287,6 +287,11 @@
   Begin(context, AppendWork{state.log.epoch, 0, {}});
 }
 
+void RequestList(Context& context) {
+  ++StateOf(context).log.listings;
+  context.Emit(ListWork{"", StateOf(context).leadership.epoch});
+}
+
 void OnListed(Context& context, const WorkListed& event) {
   if (StateOf(context).leadership.phase != LeaderPhase::kLoading) {
     return;
@@ -295,11 +300,12 @@
     context.ArmIn(TimerKind::kLoadRetry, kLoadRetryDelay);
     return;
   }
+  ++StateOf(context).log.pages;
   for (const WorkRecord& record : event.records) {
     submission_loading::Load(context, record);
   }
   if (!event.next.empty()) {
-    context.Emit(ListWork{event.next});
+    context.Emit(ListWork{event.next, event.epoch});
     return;
   }
   submission_loading::FinishLoading(context);
@@ -309,7 +315,7 @@
 void OnLoadTimer(Context& context) {
   if (StateOf(context).leadership.phase == LeaderPhase::kLoading) {
     // Loading a record is idempotent, so the list is read from the start.
-    context.Emit(ListWork{});
+    RequestList(context);
   }
 }
 
@@ -385,6 +391,12 @@
   const bool was_stored = is_out_of_sequence && may_be_duplicate &&
                           event.expected_sequence == event.sequence + 1;
   if (is_out_of_sequence && !was_stored) {
+    context.Log(LogLevel::kWarning, kPart,
+                "The store expects another sequence number; going on with it.",
+                {{"epoch", log.epoch.value},
+                 {"sequence", event.sequence},
+                 {"expected", event.expected_sequence},
+                 {"records", log.in_flight->records.size()}});
     log.sequence = event.expected_sequence;
     log.in_flight->sequence = event.expected_sequence;
     Send(context);
--- a/packages/core/src/internal/work_log.h
+++ b/packages/core/src/internal/work_log.h
@@ -11,6 +11,8 @@
 
 /// Raises the log's epoch, which keeps every earlier leader from appending.
 void RaiseEpoch(Context& context);
+/// Starts to read the list of records from its begin.
+void RequestList(Context& context);
 void OnListed(Context& context, const WorkListed& event);
 void OnLoadTimer(Context& context);
 
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -12,6 +12,7 @@
 #include "internal/leadership.h"
 #include "internal/log.h"
 #include "internal/membership.h"
+#include "internal/outdated_answers.h"
 #include "internal/own_load.h"
 #include "internal/peers.h"
 #include "internal/queue_tables.h"
@@ -209,6 +210,7 @@
   }
 
   void operator()(const WorkListed& event) const {
+    internal::outdated_answers::IsOutdated(this->context, event);
     internal::work_log::OnListed(this->context, event);
   }
 
@@ -217,6 +219,7 @@
   }
 
   void operator()(const FleetRead& event) const {
+    internal::outdated_answers::IsOutdated(this->context, event);
     internal::fleet::OnRead(this->context, event);
   }
 
@@ -224,6 +227,7 @@
     if (event.number != 0) {
       return internal::relay_agent::OnPolled(this->context, event);
     }
+    internal::outdated_answers::IsOutdated(this->context, event);
     internal::fleet::OnPolled(this->context, event);
   }
 
@@ -231,6 +235,7 @@
     if (event.number != 0) {
       return internal::relay_agent::OnOrdered(this->context, event);
     }
+    internal::outdated_answers::IsOutdated(this->context, event);
     internal::fleet::OnOrdered(this->context, event);
   }
 
