--- a/tests/soak/fault.cc
+++ b/tests/soak/fault.cc
@@ -20,7 +20,8 @@
 
 }  // namespace
 
-std::vector<Fault> PlanFaults(std::uint64_t seed, std::size_t kinds,
+std::vector<Fault> PlanFaults(std::uint64_t seed,
+                              const std::vector<std::size_t>& kinds,
                               Duration from, Duration until) {
   standin::Random random(seed);
   std::vector<Fault> faults;
@@ -28,12 +29,12 @@
   while (at < until) {
     const std::size_t count = 1 + standin::Below(random, kMostFaults);
     Duration end = at;
-    std::size_t kind = standin::Below(random, kinds);
+    std::size_t kind = standin::Pick(random, kinds);
     for (std::size_t i = 0; i < count && at < until; ++i) {
       // Some kinds come again and again.
       kind = standin::Chance(random, kRepeatShare)
                  ? kind
-                 : standin::Below(random, kinds);
+                 : standin::Pick(random, kinds);
       const FaultKind& row = FaultKinds()[kind];
       const Duration lasts =
           standin::Between(random, row.shortest, row.longest);
--- a/tests/soak/fault.h
+++ b/tests/soak/fault.h
@@ -35,8 +35,9 @@
 
 /// The faults of a run, in the order of their start: series that overlap, with
 /// calm times between them. The first comes at `from`, and all are over at
-/// `until`. Draws among the first `kinds`.
-std::vector<Fault> PlanFaults(std::uint64_t seed, std::size_t kinds,
+/// `until`. Draws among the `kinds`, which are indices.
+std::vector<Fault> PlanFaults(std::uint64_t seed,
+                              const std::vector<std::size_t>& kinds,
                               Duration from, Duration until);
 
 }  // namespace soak
--- a/tests/soak/fault_kinds.cc
+++ b/tests/soak/fault_kinds.cc
@@ -16,6 +16,8 @@
 constexpr milliseconds kRollGap(1500);
 constexpr milliseconds kStormGap(300);
 constexpr milliseconds kStutterGap(300);
+constexpr milliseconds kShortestDealGap(200);
+constexpr milliseconds kLongestDealGap(1200);
 /// After a burst callers press beyond the usual for this long.
 constexpr milliseconds kBurstTime(5000);
 constexpr double kBurstPerWorker = 1.5;
@@ -79,6 +81,17 @@
   scene.store.Deal();
 }
 
+/// The leadership moves again and again, while the members' joins overtake each
+/// other.
+void DealAgainAndAgain(Scene& scene) {
+  scene.DisturbStore(scene.trouble.jitter_until);
+  for (TimePoint at = scene.context.now; at < scene.end;
+       at +=
+       standin::Between(scene.random, kShortestDealGap, kLongestDealGap)) {
+    scene.trouble.deals.insert(at);
+  }
+}
+
 void TakeStoreDown(Scene& scene) {
   scene.DisturbStore(scene.trouble.down_until);
   if (standin::Chance(scene.random, 0.5)) {
@@ -239,14 +252,20 @@
   };
 }
 
+std::vector<FaultKind> GroupKinds() {
+  return {
+      {"leadership-storm", kShort, kLong, DealAgainAndAgain},
+  };
+}
+
 }  // namespace
 
 const std::vector<FaultKind>& FaultKinds() {
   // Regressions name how many kinds there were: new ones come last.
   static const std::vector<FaultKind> kKinds = [] {
     std::vector<FaultKind> all = HostKinds();
-    for (const auto& more :
-         {LinkKinds(), StoreKinds(), WorkerKinds(), PeerKinds()}) {
+    for (const auto& more : {LinkKinds(), StoreKinds(), WorkerKinds(),
+                             PeerKinds(), GroupKinds()}) {
       all.insert(all.end(), more.begin(), more.end());
     }
     return all;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -11,6 +11,8 @@
 #include <cxxopts.hpp>
 #include <filesystem>
 #include <iostream>
+#include <numeric>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -56,6 +58,10 @@
       "kinds", "draws faults among the first so many kinds",
       cxxopts::value<std::size_t>()->default_value(
           std::to_string(soak::FaultKinds().size())))(
+      "only", "draws faults among these kinds, separated by commas",
+      cxxopts::value<std::vector<std::string>>())(
+      "rate", "submissions a second; by default in proportion to the workers",
+      cxxopts::value<double>())(
       "broken", "plays a part wrong; its check must find it",
       cxxopts::value<std::string>()->default_value("nothing"))(
       "out", "folder of logs, settings and the picture; kept on failure",
@@ -143,6 +149,28 @@
   return false;
 }
 
+/// Indices of the kinds that the flags choose. Throws for an unknown name.
+std::vector<std::size_t> DrawnKinds(const cxxopts::ParseResult& flags) {
+  const std::vector<soak::FaultKind>& all = soak::FaultKinds();
+  std::vector<std::size_t> kinds;
+  if (flags.count("only") > 0) {
+    for (const auto& name : flags["only"].as<std::vector<std::string>>()) {
+      const auto kind = std::find_if(
+          all.begin(), all.end(),
+          [&name](const soak::FaultKind& row) { return row.name == name; });
+      if (kind == all.end()) {
+        throw std::invalid_argument("unknown kind of fault: " + name);
+      }
+      kinds.push_back(static_cast<std::size_t>(kind - all.begin()));
+    }
+    return kinds;
+  }
+  kinds.resize(
+      std::clamp<std::size_t>(flags["kinds"].as<std::size_t>(), 1, all.size()));
+  std::iota(kinds.begin(), kinds.end(), 0);
+  return kinds;
+}
+
 int Play(const cxxopts::ParseResult& flags, const BrokenRow& broken) {
   soak::RunOptions options;
   options.world.seed = flags["seed"].as<std::uint64_t>();
@@ -151,8 +179,10 @@
           flags["minutes"].as<double>()));
   options.world.has_faults = flags.count("calm") == 0;
   options.world.broken = broken.broken;
-  options.world.kinds = std::clamp<std::size_t>(
-      flags["kinds"].as<std::size_t>(), 1, soak::FaultKinds().size());
+  options.world.kinds = DrawnKinds(flags);
+  if (flags.count("rate") > 0) {
+    options.world.rate = flags["rate"].as<double>();
+  }
   options.processes = flags["processes"].as<std::size_t>();
   options.workers = flags["workers"].as<std::size_t>();
   options.folder = flags["out"].as<std::string>();
--- a/tests/soak/trouble.h
+++ b/tests/soak/trouble.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,6 +24,10 @@
   TimePoint slow_until;
   TimePoint loses_until;
   TimePoint late_until;
+  /// Answers of the store overtake each other.
+  TimePoint jitter_until;
+  /// When the leadership is given to another member.
+  std::multiset<TimePoint> deals;
   std::map<std::size_t, TimePoint> refuses_host;
   /// Links that are held or delayed, by address.
   std::multimap<std::string, TimePoint> links;
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -38,6 +38,8 @@
 constexpr milliseconds kShortestDelay(100);
 constexpr milliseconds kLongestDelay(1500);
 constexpr milliseconds kLongestLateness(4000);
+constexpr double kJitterShare = 0.5;
+constexpr milliseconds kLongestJitter(600);
 /// Parts that are played wrong act this often, on so many calls.
 constexpr milliseconds kBrokenInterval(500);
 constexpr std::uint64_t kBrokenOf = 8;
@@ -232,6 +234,11 @@
     this->hosts.Pause(context, stutters.begin()->second, kStutterPause, false);
     stutters.erase(stutters.begin());
   }
+  auto& deals = this->trouble.deals;
+  while (!deals.empty() && *deals.begin() <= context.now) {
+    this->store.Deal();
+    deals.erase(deals.begin());
+  }
   this->RestoreLinks(context);
   this->hosts.Advance(context);
   this->store.Advance(context);
@@ -279,9 +286,9 @@
         this->trouble.store_disturbed = context.now;
       }
       if (age >= kStartTime) {
-        this->callers.SetRate(std::min(
+        this->callers.SetRate(this->options.rate.value_or(std::min(
             kMostRate,
-            kRateOfWorker * static_cast<double>(this->workers.Count())));
+            kRateOfWorker * static_cast<double>(this->workers.Count()))));
         this->phase = Phase::kRunning;
       }
       break;
@@ -365,6 +372,12 @@
     treatment.delay =
         standin::Between(this->random, kShortestDelay, kLongestDelay);
   }
+  if (this->trouble.jitter_until > at &&
+      standin::Chance(this->random, kJitterShare)) {
+    treatment.delay = std::max<Duration>(
+        treatment.delay,
+        standin::Between(this->random, milliseconds(0), kLongestJitter));
+  }
   if (this->trouble.loses_until > at &&
       standin::Chance(this->random, kLossShare)) {
     treatment.loses_call =
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -51,8 +51,10 @@
   std::uint64_t seed = 1;
   Duration length{};
   bool has_faults = true;
-  /// Faults are drawn among the first of all kinds.
-  std::size_t kinds = FaultKinds().size();
+  /// Kinds among which faults are drawn, as indices.
+  std::vector<std::size_t> kinds;
+  /// Submissions a second; unset: in proportion to the workers.
+  std::optional<double> rate;
   Broken broken = Broken::kNothing;
 };
 
