Read work records in pages and check sequence numbers in the simulated store

The simulated store of the core tests listed all records in one page that never failed, and accepted any sequence number within an epoch, so that a takeover after a failed page and two leaders with one epoch could not be played. It now pages, loses pages and delays listings on demand, and answers numbers that do not follow with the expected one, as the protocol says; the last five appends may be repeated.

--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -146,13 +146,24 @@
     this->world.Append(this->node.index, effect);
   }
 
-  void operator()(const ListWork& /*effect*/) const {
+  void operator()(const ListWork& effect) const {
     WorkListed listed;
-    listed.ok = !this->world.store_is_down;
-    for (const auto& [key, record] : this->world.log) {
-      listed.records.push_back(record);
+    listed.epoch = effect.epoch;
+    const StoreWorld& store = this->world;
+    listed.ok = !store.store_is_down &&
+                !(store.loses_page && store.loses_page(effect.after));
+    std::string last = effect.after;
+    for (auto record = store.log.upper_bound(effect.after);
+         record != store.log.end(); ++record) {
+      if (listed.records.size() == store.records_per_page) {
+        listed.next = last;
+        break;
+      }
+      last = record->first;
+      listed.records.push_back(record->second);
     }
-    this->world.PostAfter(this->node.index, listed.ok ? kCallTime : kTimeout,
+    this->world.PostAfter(this->node.index,
+                          listed.ok ? store.list_time : kTimeout,
                           std::move(listed));
   }
 
@@ -163,8 +174,9 @@
     this->world.PostAfter(this->node.index, kCallTime, std::move(read));
   }
 
-  void operator()(const ListFleet& /*effect*/) const {
+  void operator()(const ListFleet& effect) const {
     FleetRead read;
+    read.epoch = effect.epoch;
     read.ok = !this->world.store_is_down;
     read.is_listing = true;
     for (const auto& [name, worker] : this->world.workers) {
@@ -516,8 +528,9 @@
       delay, [this, node, body = std::move(body)] { this->Post(node, body); });
 }
 
-void StoreWorld::PostToAll(const FleetRead& read) {
+void StoreWorld::PostToAll(FleetRead read) {
   for (const auto& node : this->nodes) {
+    read.epoch = node->state.submissions.leadership.epoch;
     this->PostAfter(node->index, kCallTime, read);
   }
 }
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -184,6 +185,13 @@
   std::map<int, LoopLoad> loads;
   /// Response time of the store.
   Duration store_time = std::chrono::milliseconds(2);
+  /// Time of an answer to a call that lists work records, which are read as the
+  /// call arrives.
+  Duration list_time = std::chrono::milliseconds(2);
+  /// Most records in one page of the list of work records.
+  std::size_t records_per_page = std::numeric_limits<std::size_t>::max();
+  /// Whether the page after this key is not answered; unset: none.
+  std::function<bool(const std::string& after)> loses_page;
   /// Size of the largest append so far, in bytes.
   std::size_t largest_append = 0;
   /// If not zero, starts are carried out after this delay and not answered.
@@ -234,7 +242,7 @@
   /// arrives.
   bool ReachesWorker(int node, const HostName& worker);
   /// Posts the update of the fleet to all processes.
-  void PostToAll(const FleetRead& read);
+  void PostToAll(FleetRead read);
   void AdvanceWorkers();
   void End(FakeWorker& worker, const StepTask& task, RunEnd end);
   OrderResult Start(int node, const StartRun& effect);
@@ -276,7 +284,10 @@
   std::string next_member;
 
   Epoch log_epoch;
+  /// The next append in this epoch has this number.
   std::uint64_t log_sequence = 0;
+  /// Numbers of the last appends in this epoch, which may be repeated.
+  std::deque<std::uint64_t> log_repeats;
   std::map<std::string, WorkRecord> log;
   std::set<int> joined;
   int leader_changes = 0;
--- a/packages/core/tests/support/store_world_store.cc
+++ b/packages/core/tests/support/store_world_store.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 #include <variant>
 
@@ -9,6 +10,8 @@
 namespace {
 
 constexpr Duration kAppendTime = std::chrono::milliseconds(9);
+/// Number of the last appends that get their first answer when repeated.
+constexpr std::size_t kRepeats = 5;
 
 }  // namespace
 
@@ -38,15 +41,21 @@
     this->PostAfter(node, this->store_time, appended);
     return;
   }
-  const bool is_repeat = effect.epoch == this->log_epoch &&
-                         effect.sequence + 1 == this->log_sequence;
-  if (is_repeat && effect.records.empty()) {
-    // The store does not deduplicate empty appends.
+  const bool is_same_epoch = effect.epoch == this->log_epoch;
+  // The store does not deduplicate empty appends.
+  const bool is_repeat =
+      is_same_epoch && !effect.records.empty() &&
+      std::find(this->log_repeats.begin(), this->log_repeats.end(),
+                effect.sequence) != this->log_repeats.end();
+  if (is_same_epoch && !is_repeat && effect.sequence != this->log_sequence) {
     appended.result = WorkAppendResult::kOutOfSequence;
     appended.expected_sequence = this->log_sequence;
     this->PostAfter(node, this->store_time, appended);
     return;
   }
+  if (!is_same_epoch) {
+    this->log_repeats.clear();
+  }
   if (!is_repeat) {
     for (const WorkRecord& record : effect.records) {
       if (IsDrop(record)) {
@@ -57,6 +66,10 @@
     }
     this->log_epoch = effect.epoch;
     this->log_sequence = effect.sequence + 1;
+    this->log_repeats.push_back(effect.sequence);
+    if (this->log_repeats.size() > kRepeats) {
+      this->log_repeats.pop_front();
+    }
   }
   const bool is_lost = this->appends_lose_answers || this->lost_appends > 0;
   this->lost_appends -= this->lost_appends > 0 ? 1 : 0;
