Keep the channels of appends over takeovers

Callers: a submission was told "not run" (503) although it was stored, and ran.

The channels of appends began anew with each takeover, while calls of the takeover before were still in flight. Their late answers freed channels that calls of now held, so that a refused repeat of an append counted as its only attempt: its submissions were rejected and its number was used again, although an earlier attempt may have been stored.

The channels now outlast the takeover, as those of joins do. The test failed before in both modes of relays (log-unavailable instead of accepted).

--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -69,6 +69,8 @@
   /// Latest generation of the group that this process received.
   std::uint64_t generation = 0;
   CallChannels join_channels;
+  /// Kept over takeovers, since a call of an earlier one may be in flight.
+  CallChannels append_channels;
   /// Whether the last answered join gave this process the leadership.
   bool holds_leadership = false;
   /// Send time of the latest join that confirmed the leadership; unset while
@@ -128,7 +130,6 @@
   std::optional<AppendWork> in_flight;
   /// When `in_flight` was created.
   TimePoint in_flight_since;
-  CallChannels channels;
   /// A timer is armed for the next append; later events do not postpone it.
   bool append_scheduled = false;
   /// An earlier attempt of `in_flight` may have been stored.
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -71,11 +71,15 @@
   return record;
 }
 
+CallChannels& Channels(Context& context) {
+  return StateOf(context).leadership.append_channels;
+}
+
 /// Sends the append in flight, also as a repeat. Arms the timer that repeats it
 /// if no answer arrives.
 void Send(Context& context) {
   WorkLogState& log = StateOf(context).log;
-  const std::optional<CallChannel> channel = log.channels.Acquire();
+  const std::optional<CallChannel> channel = Channels(context).Acquire();
   if (channel) {
     log.last_sent = context.now;
     log.in_flight->channel = *channel;
@@ -372,7 +376,7 @@
 
 void OnAppended(Context& context, const WorkAppended& event) {
   WorkLogState& log = StateOf(context).log;
-  log.channels.Release(event.channel);
+  Channels(context).Release(event.channel);
   const bool is_expected = log.in_flight && event.epoch == log.epoch &&
                            event.sequence == log.in_flight->sequence;
   if (!is_expected) {
@@ -385,7 +389,8 @@
   const bool raises_epoch = log.in_flight->records.empty();
   const bool is_out_of_sequence =
       event.result == WorkAppendResult::kOutOfSequence;
-  const bool may_be_duplicate = log.may_be_stored || !log.channels.IsIdle();
+  const bool may_be_duplicate =
+      log.may_be_stored || !Channels(context).IsIdle();
   // The store expects the next number because it carried out another attempt
   // of this append.
   const bool was_stored = is_out_of_sequence && may_be_duplicate &&
--- /dev/null
+++ b/packages/core/tests/takeover_answers_test.cc
@@ -0,0 +1,110 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include "support/store_world.h"
+
+namespace basilspread::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kFirst = "00000000000000e1";
+const std::string kNoAdvice = "/previews/";
+/// Processes join the group at this interval.
+constexpr Duration kJoinInterval = milliseconds(300);
+
+struct World : StoreWorld {
+  World() : StoreWorld(3, {"w1", "w2", "w3"}) { REQUIRE(this->Leader() >= 0); }
+
+  int Other(int node) const { return node == 0 ? 1 : 0; }
+
+  const LeadershipState& Leadership(int node) const {
+    return this->StateOf(node).submissions.leadership;
+  }
+
+  /// Runs until the process has reached the phase.
+  void Await(int node, LeaderPhase phase) {
+    for (int i = 0; i < 1000 && this->Leadership(node).phase != phase; ++i) {
+      this->Run(milliseconds(5));
+    }
+    REQUIRE(this->Leadership(node).phase == phase);
+  }
+
+  /// Moves the leadership and runs until the process leads.
+  void MoveTo(int node) {
+    this->MoveLeadership(node);
+    this->Await(node, LeaderPhase::kLeading);
+  }
+
+  void CheckRanOnce(std::uint32_t tasks) const {
+    for (std::uint32_t i = 0; i < tasks; ++i) {
+      INFO("task " << i);
+      CHECK(this->Starts(kFirst, 0, i) == 1);
+    }
+    for (const std::string& violation : this->violations) {
+      UNSCOPED_INFO(violation);
+    }
+    CHECK(this->violations.empty());
+  }
+
+  /// Occupies the workers for long.
+  void Fill() {
+    this->run_time = seconds(30);
+    this->Submit(this->Leader(), kFirst, {Tasks(12)}, kNoAdvice);
+    this->Run(milliseconds(500));
+    this->CheckRanOnce(12);
+  }
+
+  /// Frees the worker's capacity.
+  void FinishRunsOn(const std::string& name) {
+    for (auto& [task, run] : this->Worker(name).runs) {
+      run.ends_at = this->Now();
+    }
+  }
+
+  /// The answer to a join that was carried out before the process led.
+  GroupJoined JoinedBefore(int node, TimePoint sent_at) const {
+    GroupJoined joined;
+    joined.ok = true;
+    joined.sent_at = sent_at;
+    joined.generation = this->Leadership(node).generation;
+    return joined;
+  }
+};
+
+TEST_CASE("A submission that may be stored is not refused after a takeover",
+          "[work-log][takeover]") {
+  World world;
+  const int leader = world.Leader();
+  // The answer to this append arrives when its call times out, in the next
+  // takeover.
+  world.appends_lose_answers = true;
+  world.Submit(leader, kFirst, {Tasks(1)}, kNoAdvice);
+  world.Run(milliseconds(50));
+  world.appends_lose_answers = false;
+  WorkerPolled fenced;
+  fenced.worker = HostName{"w1"};
+  fenced.result = OrderResult::kFenced;
+  fenced.fence = world.Worker("w1").fence;
+  world.Inject(leader, fenced);
+  world.Await(leader, LeaderPhase::kLeading);
+  world.Run(milliseconds(300));
+  world.appends_lose_answers = true;
+  const CallId call =
+      world.Submit(leader, "00000000000000e3", {Tasks(1)}, kNoAdvice);
+  world.Run(milliseconds(30));
+  world.appends_lose_answers = false;
+  world.appends_are_refused = true;
+  world.Run(milliseconds(800));
+  CHECK_FALSE(world.AnswerTo(call));
+  world.appends_are_refused = false;
+  world.Run(seconds(1));
+  REQUIRE(world.AnswerTo(call));
+  CHECK(world.AnswerTo(call)->kind == ErrorKind::kNone);
+}
+
+}  // namespace
+}  // namespace basilspread::test
