Order the answers to joins of one generation

A member joins on several connections. When the group gives it the leadership, an earlier join that says "does not lead" may be answered after the one that says "leads", in the same generation: the process gave the leadership up, and took over again with its next join, with the same epoch.

Within a generation the answers are now ordered by the time at which the joins were sent; an answer that was sent before the leadership was lost does not give it back either. The test failed before: the process followed.

--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -287,6 +287,15 @@
   }
   const bool has_changed = state.generation != event.generation;
   state.generation = event.generation;
+  // Joins of one generation that overtake each other are ordered by the times
+  // at which they were sent.
+  const bool is_overtaken =
+      event.leads ? !state.holds_leadership && state.lost_at &&
+                        event.sent_at < *state.lost_at
+                  : state.confirmed_at && event.sent_at < *state.confirmed_at;
+  if (!has_changed && is_overtaken) {
+    return;
+  }
   if (!event.leads && state.holds_leadership) {
     StepDown(context, "the group gave the leadership to another member");
   }
--- a/packages/core/tests/takeover_answers_test.cc
+++ b/packages/core/tests/takeover_answers_test.cc
@@ -75,6 +75,21 @@
   }
 };
 
+TEST_CASE(
+    "A leader does not give up because of a join that a later one overtook",
+    "[leadership][takeover]") {
+  World world;
+  const int next = world.Other(world.Leader());
+  const TimePoint before = world.Now();
+  world.MoveTo(next);
+  const Epoch epoch = world.Leadership(next).epoch;
+  world.Inject(next, world.JoinedBefore(next, before));
+  CHECK(world.Leadership(next).phase == LeaderPhase::kLeading);
+  world.Run(kJoinInterval * 2);
+  CHECK(world.Leader() == next);
+  CHECK(world.Leadership(next).epoch == epoch);
+}
+
 TEST_CASE("A submission that may be stored is not refused after a takeover",
           "[work-log][takeover]") {
   World world;
