Give each takeover an epoch of its own

The epoch was the generation of the group at which the leadership was gained, or one more than the epoch in force after a fence. Two takeovers of one process in one generation, and two processes after one was fenced, came to the same number. Then neither log nor workers told them apart: orders of the first counted in the second, tasks were placed twice, and the second's appends were answered as repeats of the first's and not stored, so that accepted work was lost and ends were acknowledged that nobody had stored.

A takeover now has an epoch above all that the process knows to be in use. A second takeover in the epoch does not follow that number and ends, as does a leader whose number does not follow later on. Fences of workers come from the epoch, so that they differ too.

--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -76,9 +76,12 @@
   /// Send time of the latest join that confirmed the leadership; unset while
   /// it is unconfirmed.
   std::optional<TimePoint> confirmed_at;
-  /// Epoch of this process's leadership: the generation at which it gained the
-  /// leadership, or a higher number if another epoch had to be exceeded.
+  /// Epoch of this process's latest takeover, which no other takeover has: the
+  /// generation at which it gained the leadership, or a higher number if that
+  /// was in use.
   Epoch epoch;
+  /// Highest epoch that this process knows to be in use.
+  Epoch highest_epoch;
   TimePoint phase_began;
 
   /// The current leader; unset while it is unknown.
--- a/packages/core/include/basilspread/core/submission_record.h
+++ b/packages/core/include/basilspread/core/submission_record.h
@@ -72,11 +72,14 @@
   HostName worker;
 };
 
+/// Begins a takeover: raises the epoch, and leaves nothing in the log.
+struct TakeoverRecord {};
+
 /// A durable record of the work log. A newer record replaces earlier ones of
 /// the same kind and submission or worker.
-using WorkRecord =
-    std::variant<AcceptedRecord, ProgressRecord, ForgottenRecord,
-                 SpecDroppedRecord, WorkerRecord, WorkerGoneRecord>;
+using WorkRecord = std::variant<AcceptedRecord, ProgressRecord, ForgottenRecord,
+                                SpecDroppedRecord, WorkerRecord,
+                                WorkerGoneRecord, TakeoverRecord>;
 
 /// Upper bound on the record's size in the log, in bytes, with its key and
 /// framing.
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -64,8 +64,9 @@
   state.phase_began = context.now;
 }
 
-void BeginTakeover(Context& context, Epoch epoch) {
+void BeginTakeover(Context& context) {
   LeadershipState& state = StateOf(context);
+  const Epoch epoch{std::max(state.generation, state.highest_epoch.value + 1)};
   if (state.lost_at) {
     context.Log(LogLevel::kInfo, kPart, "Leads again.",
                 {{"epoch", epoch.value},
@@ -74,6 +75,7 @@
                  {"since_lost_ms", context.now - *state.lost_at}});
   }
   state.epoch = epoch;
+  state.highest_epoch = epoch;
   state.gained_at = context.now;
   state.leader = Self(context);
   state.leader_generation = state.generation;
@@ -304,7 +306,7 @@
         std::max(state.confirmed_at.value_or(event.sent_at), event.sent_at);
     if (!state.holds_leadership) {
       state.holds_leadership = true;
-      BeginTakeover(context, std::max(Epoch{event.generation}, state.epoch));
+      BeginTakeover(context);
     }
   }
   leader_release::OnJoined(context, event.sent_at);
@@ -494,7 +496,7 @@
   StepDown(context, "a higher epoch is in force");
   // If the group still names this process, it takes over again with an epoch
   // higher than the one in force.
-  state.epoch = std::max(state.epoch, Epoch{in_force.value + 1});
+  state.highest_epoch = std::max(state.highest_epoch, in_force);
   if (held) {
     Join(context);
   }
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "basilspread/core/random.h"
 #include "internal/fleet.h"
 #include "internal/fleet_polls.h"
 #include "internal/leadership.h"
@@ -75,6 +76,17 @@
   return StateOf(context).leadership.append_channels;
 }
 
+/// Returns the number of a takeover's first append. It differs between
+/// takeovers, so that the store tells two that use the same epoch apart.
+std::uint64_t FirstSequence(const Context& context) {
+  constexpr unsigned kUnusedBits = 24;
+  const LeadershipState& leadership = context.state.submissions.leadership;
+  const ProcessId& self = context.state.settings.self;
+  return StableHash(fmt::format("{}|{}|{}", self.node.value, self.incarnation,
+                                leadership.epoch.value)) >>
+         kUnusedBits;
+}
+
 /// Sends the append in flight, also as a repeat. Arms the timer that repeats it
 /// if no answer arrives.
 void Send(Context& context) {
@@ -288,7 +300,10 @@
   SubmissionsState& state = StateOf(context);
   state.log = WorkLogState{};
   state.log.epoch = state.leadership.epoch;
-  Begin(context, AppendWork{state.log.epoch, 0, {}});
+  state.log.sequence = FirstSequence(context);
+  // Not without records: whether the store numbers an empty append is open.
+  Begin(context,
+        AppendWork{state.log.epoch, state.log.sequence, {TakeoverRecord{}}});
 }
 
 void RequestList(Context& context) {
@@ -386,7 +401,8 @@
     leadership::OnFenced(context, event.epoch_in_force);
     return;
   }
-  const bool raises_epoch = log.in_flight->records.empty();
+  const bool raises_epoch =
+      StateOf(context).leadership.phase == LeaderPhase::kFencing;
   const bool is_out_of_sequence =
       event.result == WorkAppendResult::kOutOfSequence;
   const bool may_be_duplicate =
@@ -397,14 +413,12 @@
                           event.expected_sequence == event.sequence + 1;
   if (is_out_of_sequence && !was_stored) {
     context.Log(LogLevel::kWarning, kPart,
-                "The store expects another sequence number; going on with it.",
+                "Another takeover appends in the epoch of this one.",
                 {{"epoch", log.epoch.value},
                  {"sequence", event.sequence},
                  {"expected", event.expected_sequence},
                  {"records", log.in_flight->records.size()}});
-    log.sequence = event.expected_sequence;
-    log.in_flight->sequence = event.expected_sequence;
-    Send(context);
+    leadership::OnFenced(context, event.epoch);
     return;
   }
   if (event.result == WorkAppendResult::kStored || was_stored) {
--- a/packages/core/src/submission_record.cc
+++ b/packages/core/src/submission_record.cc
@@ -51,6 +51,9 @@
   std::size_t operator()(const WorkerGoneRecord& record) const {
     return kRecordBytes + record.worker.value.size();
   }
+  std::size_t operator()(const TakeoverRecord& /*record*/) const {
+    return kRecordBytes;
+  }
 };
 
 }  // namespace
--- a/packages/core/tests/support/store_world_log.cc
+++ b/packages/core/tests/support/store_world_log.cc
@@ -22,12 +22,16 @@
   if (const auto* gone = std::get_if<WorkerGoneRecord>(&record)) {
     return "w/" + gone->worker.value;
   }
+  if (std::holds_alternative<TakeoverRecord>(record)) {
+    return "t/";
+  }
   return "p/" + std::get<ForgottenRecord>(record).id.value;
 }
 
 bool IsDrop(const WorkRecord& record) {
   return std::holds_alternative<ForgottenRecord>(record) ||
          std::holds_alternative<WorkerGoneRecord>(record) ||
+         std::holds_alternative<TakeoverRecord>(record) ||
          std::holds_alternative<SpecDroppedRecord>(record);
 }
 
--- a/packages/core/tests/takeover_answers_test.cc
+++ b/packages/core/tests/takeover_answers_test.cc
@@ -90,6 +90,58 @@
   CHECK(world.Leadership(next).epoch == epoch);
 }
 
+TEST_CASE("Orders of a leadership that was lost do not count in the next one",
+          "[leadership][takeover]") {
+  World world;
+  const int next = world.Other(world.Leader());
+  world.MoveTo(next);
+  world.run_time = seconds(3);
+  // The orders are still under way when the process leads again.
+  world.start_delay = milliseconds(400);
+  world.Submit(next, kFirst, {Tasks(6)}, kNoAdvice);
+  world.Run(milliseconds(40));
+  GroupJoined lost = world.JoinedBefore(next, world.Now());
+  world.Inject(next, lost);
+  REQUIRE(world.Leader() < 0);
+  world.start_delay = Duration::zero();
+  world.Run(seconds(10));
+  REQUIRE(world.Leader() == next);
+  CHECK(world.StatusOf(next, kFirst) == SubmissionState::kCompleted);
+  world.CheckRanOnce(6);
+}
+
+TEST_CASE("Two processes that lead at the same time have different epochs",
+          "[leadership][takeover]") {
+  World world;
+  const int former = world.Leader();
+  const int next = world.Other(former);
+  world.Fill();
+  // A worker that has seen a higher fence raises the epoch above the
+  // generation of the group.
+  WorkerPolled fenced;
+  fenced.worker = HostName{"w1"};
+  fenced.result = OrderResult::kFenced;
+  fenced.fence = world.Worker("w1").fence;
+  world.Inject(former, fenced);
+  world.Await(former, LeaderPhase::kLeading);
+  // The former leader does not notice that the group names another.
+  world.cut_from_store = {former};
+  for (int node = 0; node < 3; ++node) {
+    if (node != former) {
+      world.CutLink(former, node);
+    }
+  }
+  const std::string waiting = "00000000000000e2";
+  world.Submit(former, waiting, {Tasks(4)}, kNoAdvice);
+  world.CompleteLateJoin(next);
+  world.Await(next, LeaderPhase::kLeading);
+  CHECK(world.Leadership(next).epoch != world.Leadership(former).epoch);
+  // Calls through relays that cannot be reached are made again without them.
+  world.Run(seconds(4));
+  CHECK(world.Leadership(former).phase == LeaderPhase::kFollowing);
+  CHECK(world.violations.empty());
+}
+
 TEST_CASE("A submission that may be stored is not refused after a takeover",
           "[work-log][takeover]") {
   World world;
--- a/packages/wire/src/work_codec.cc
+++ b/packages/wire/src/work_codec.cc
@@ -22,6 +22,7 @@
 constexpr std::string_view kSpecPrefix = "s/";
 constexpr std::string_view kProgressPrefix = "p/";
 constexpr std::string_view kWorkerPrefix = "w/";
+constexpr std::string_view kTakeoverKey = "t/";
 
 Error Malformed(std::string_view key) {
   return Error{ErrorKind::kBadRequest,
@@ -131,6 +132,10 @@
   KeyedRecord operator()(const WorkerGoneRecord& record) const {
     return {KeyOf(kWorkerPrefix, record.worker), std::nullopt};
   }
+
+  KeyedRecord operator()(const TakeoverRecord& /*record*/) const {
+    return {std::string(kTakeoverKey), std::nullopt};
+  }
 };
 
 Result<WorkRecord> DecodeAccepted(const fb::AcceptedRecord& packed) {
--- a/packages/wire/tests/out_of_range_test.cc
+++ b/packages/wire/tests/out_of_range_test.cc
@@ -222,6 +222,7 @@
   check(SpecDroppedRecord{id});
   check(WorkerRecord{HostName{name}, name, 7});
   check(WorkerGoneRecord{HostName{name}});
+  check(TakeoverRecord{});
 }
 
 TEST_CASE("Times out of range are rejected", "[wire][odd]") {
