Drop answers to calls of an earlier takeover

A listing of the work log ended whatever loading was under way, also with records that were read in an earlier takeover of the process; reads of the fleet, answers to polls and to orders were handled likewise. Tasks that had ended since started again, an old poll lost the runs of a silent worker that the log names, and an old refusal freed a run that goes on.

Each of these calls names the takeover that makes it by its epoch; the reducer now drops the answer of any other one in one place, after logging and counting it.

--- a/packages/core/include/basilspread/core/store_call.h
+++ b/packages/core/include/basilspread/core/store_call.h
@@ -87,7 +87,7 @@
   /// Key after which the page starts; empty for the first page.
   std::string after;
   /// Epoch of the takeover that reads.
-  Epoch epoch;
+  Epoch epoch = {};
 };
 
 struct WorkListed {
@@ -122,13 +122,13 @@
 struct ListFleet {
   std::string after;
   /// Epoch of the leader that reads.
-  Epoch epoch;
+  Epoch epoch = {};
 };
 /// Waits for changed worker entries; the result arrives as FleetRead.
 struct FollowFleet {
   Offset from;
   /// Epoch of the leader that reads.
-  Epoch epoch;
+  Epoch epoch = {};
 };
 
 struct FleetRead {
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -210,7 +210,9 @@
   }
 
   void operator()(const WorkListed& event) const {
-    internal::outdated_answers::IsOutdated(this->context, event);
+    if (internal::outdated_answers::IsOutdated(this->context, event)) {
+      return;
+    }
     internal::work_log::OnListed(this->context, event);
   }
 
@@ -219,7 +221,9 @@
   }
 
   void operator()(const FleetRead& event) const {
-    internal::outdated_answers::IsOutdated(this->context, event);
+    if (internal::outdated_answers::IsOutdated(this->context, event)) {
+      return;
+    }
     internal::fleet::OnRead(this->context, event);
   }
 
@@ -227,7 +231,9 @@
     if (event.number != 0) {
       return internal::relay_agent::OnPolled(this->context, event);
     }
-    internal::outdated_answers::IsOutdated(this->context, event);
+    if (internal::outdated_answers::IsOutdated(this->context, event)) {
+      return;
+    }
     internal::fleet::OnPolled(this->context, event);
   }
 
@@ -235,7 +241,9 @@
     if (event.number != 0) {
       return internal::relay_agent::OnOrdered(this->context, event);
     }
-    internal::outdated_answers::IsOutdated(this->context, event);
+    if (internal::outdated_answers::IsOutdated(this->context, event)) {
+      return;
+    }
     internal::fleet::OnOrdered(this->context, event);
   }
 
--- a/packages/core/tests/takeover_answers_test.cc
+++ b/packages/core/tests/takeover_answers_test.cc
@@ -142,6 +142,78 @@
   CHECK(world.violations.empty());
 }
 
+TEST_CASE("The records of an earlier takeover are not read for those of now",
+          "[leadership][takeover]") {
+  World world;
+  const int first = world.Leader();
+  const int second = world.Other(first);
+  world.run_time = milliseconds(700);
+  world.Submit(first, kFirst, {Tasks(6)}, kNoAdvice);
+  world.Run(milliseconds(50));
+  // The second process loses the leadership while it reads the records.
+  world.list_time = milliseconds(1500);
+  world.MoveLeadership(second);
+  world.Await(second, LeaderPhase::kLoading);
+  world.list_time = milliseconds(2);
+  world.MoveTo(first);
+  // The ends are stored and acknowledged.
+  world.Run(milliseconds(500));
+  REQUIRE(world.StateOf(first).submissions.queue.empty());
+  // Its next listing is answered after the one of before.
+  world.list_time = milliseconds(1400);
+  world.MoveLeadership(second);
+  world.Run(seconds(6));
+  REQUIRE(world.Leader() == second);
+  CHECK(world.StatusOf(second, kFirst) == SubmissionState::kCompleted);
+  world.CheckRanOnce(6);
+}
+
+/// A world whose leader has taken over a silent worker that was closed, with
+/// its runs known from the work log only.
+struct ClosedWorkerWorld : World {
+  ClosedWorkerWorld() {
+    this->Fill();
+    this->former_fence = this->Worker("w1").fence;
+    this->Worker("w1").is_silent = true;
+    this->Run(milliseconds(2500));
+    this->Kill(this->Leader());
+    this->FinishRunsOn("w3");
+    this->Run(seconds(2));
+    REQUIRE(this->Leader() >= 0);
+    REQUIRE(this->Worker("w1").runs.size() == 4);
+  }
+
+  std::uint64_t former_fence = 0;
+};
+
+TEST_CASE("The answer to a poll of an earlier takeover loses no run",
+          "[leadership][takeover]") {
+  ClosedWorkerWorld world;
+  WorkerPolled polled;
+  polled.worker = HostName{"w1"};
+  polled.fence = world.former_fence;
+  polled.result = OrderResult::kDone;
+  polled.sent_at = world.Now() - seconds(4);
+  polled.incarnation = 1;
+  world.Inject(world.Leader(), polled);
+  world.Run(seconds(1));
+  world.CheckRanOnce(12);
+}
+
+TEST_CASE("The answer to an order of an earlier takeover releases no run",
+          "[leadership][takeover]") {
+  ClosedWorkerWorld world;
+  RunOrdered ordered;
+  ordered.worker = HostName{"w1"};
+  ordered.fence = world.former_fence;
+  const auto& [task, run] = *world.Worker("w1").runs.begin();
+  ordered.name = {task, run.run};
+  ordered.result = OrderResult::kRefused;
+  world.Inject(world.Leader(), ordered);
+  world.Run(seconds(1));
+  world.CheckRanOnce(12);
+}
+
 TEST_CASE("A submission that may be stored is not refused after a takeover",
           "[work-log][takeover]") {
   World world;
--- a/packages/core/tests/takeover_cost_test.cc
+++ b/packages/core/tests/takeover_cost_test.cc
@@ -160,6 +160,7 @@
     for (std::size_t at = 0; at < records.size(); at += kRecordsPerPage) {
       const std::size_t end = std::min(at + kRecordsPerPage, records.size());
       WorkListed listed;
+      listed.epoch = this->state.submissions.leadership.epoch;
       listed.ok = true;
       listed.records.assign(records.begin() + static_cast<std::ptrdiff_t>(at),
                             records.begin() + static_cast<std::ptrdiff_t>(end));
@@ -170,6 +171,7 @@
 
   void ProvideWorkers() {
     FleetRead read;
+    read.epoch = this->state.submissions.leadership.epoch;
     read.ok = true;
     read.is_listing = true;
     for (int i = 0; i < this->workers; ++i) {
