Inherit the record of a worker once

After a page of the work log failed, the list was read from the start, and the records of workers already read were inherited a second time. A worker recorded as closed then counted as one to wait for without having been added, and its answer lowered the count of others: inherited tasks of a silent worker started while they ran there.

The records are kept by the worker's name. The test failed before: the four tasks of the silent worker ran twice.

--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -232,7 +232,7 @@
   WorkLogState log;
   FleetState fleet;
   /// Workers on which earlier leaders may have started tasks.
-  std::vector<WorkerRecord> inherited_workers;
+  std::map<HostName, WorkerRecord> inherited_workers;
   std::map<SubmissionId, SubmissionPtr> all;
   /// Number of accepted submissions by route of which nothing has started.
   std::map<RouteName, std::uint32_t> waiting;
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -204,20 +204,11 @@
 /// Adds a worker that an earlier leader recorded; it counts as unlisted until
 /// the store's list has it.
 void InheritWorker(Context& context, const WorkerRecord& record) {
-  const auto [found, is_new] =
-      StateOf(context).workers.try_emplace(record.worker);
-  FleetWorker& worker = found->second;
-  worker.has_known_runs = is_new && record.is_closed;
+  FleetWorker& worker = StateOf(context).workers[record.worker];
+  worker.has_known_runs = record.is_closed;
   worker.is_recorded_closed = record.is_closed;
   worker.is_silent = record.is_closed;
-  StateOf(context).unreconciled += is_new && !record.is_closed ? 1 : 0;
-  if (!is_new) {
-    context.Log(LogLevel::kWarning, kPart,
-                "The record of a worker was read more than once.",
-                {{"worker", record.worker.value},
-                 {"is_closed", record.is_closed},
-                 {"runs", record.runs.size()}});
-  }
+  StateOf(context).unreconciled += record.is_closed ? 0 : 1;
   worker.entry.name = record.worker;
   worker.entry.address = record.address;
   worker.entry.incarnation = record.incarnation;
@@ -250,7 +241,7 @@
 
 void Start(Context& context) {
   StateOf(context) = FleetState{};
-  for (const WorkerRecord& record :
+  for (const auto& [name, record] :
        context.state.submissions.inherited_workers) {
     InheritWorker(context, record);
   }
--- a/packages/core/src/internal/submission_loading.cc
+++ b/packages/core/src/internal/submission_loading.cc
@@ -59,7 +59,7 @@
     return;
   }
   if (const auto* worker = std::get_if<WorkerRecord>(&record)) {
-    state.inherited_workers.push_back(*worker);
+    state.inherited_workers.insert_or_assign(worker->worker, *worker);
     return;
   }
   const auto* accepted = std::get_if<AcceptedRecord>(&record);
@@ -98,19 +98,19 @@
     submission_progress::UpdateWaiting(context, *submission);
     submission_progress::Advance(context, *submission, 0);
   }
-  context.Log(LogLevel::kInfo, kPart,
-              "Read the work log; unfinished submissions resume.",
-              {{"epoch", state.leadership.epoch.value},
-               {"listings", state.log.listings},
-               {"pages", state.log.pages},
-               {"submissions", state.all.size()},
-               {"live", live},
-               {"workers", state.inherited_workers.size()},
-               {"closed_workers", std::count_if(state.inherited_workers.begin(),
-                                                state.inherited_workers.end(),
-                                                [](const WorkerRecord& worker) {
-                                                  return worker.is_closed;
-                                                })}});
+  context.Log(
+      LogLevel::kInfo, kPart,
+      "Read the work log; unfinished submissions resume.",
+      {{"epoch", state.leadership.epoch.value},
+       {"listings", state.log.listings},
+       {"pages", state.log.pages},
+       {"submissions", state.all.size()},
+       {"live", live},
+       {"workers", state.inherited_workers.size()},
+       {"closed_workers",
+        std::count_if(
+            state.inherited_workers.begin(), state.inherited_workers.end(),
+            [](const auto& worker) { return worker.second.is_closed; })}});
 }
 
 }  // namespace basilspread::internal::submission_loading
--- a/packages/core/tests/takeover_answers_test.cc
+++ b/packages/core/tests/takeover_answers_test.cc
@@ -168,6 +168,28 @@
   world.CheckRanOnce(6);
 }
 
+TEST_CASE("A takeover that reads a page again waits for each silent worker",
+          "[leadership][takeover][closed]") {
+  World world;
+  world.Fill();
+  world.Worker("w1").is_silent = true;
+  // The poll times out, and the record of the closed worker is stored.
+  world.Run(milliseconds(2500));
+  world.records_per_page = 1;
+  int lost_pages = 1;
+  world.loses_page = [&lost_pages](const std::string& after) {
+    return after == "w/w1" && lost_pages-- > 0;
+  };
+  world.Kill(world.Leader());
+  world.Worker("w1").is_silent = false;
+  world.Worker("w2").is_silent = true;
+  world.FinishRunsOn("w3");
+  world.Run(seconds(4));
+  REQUIRE(world.Leader() >= 0);
+  CHECK(lost_pages < 0);
+  world.CheckRanOnce(12);
+}
+
 /// A world whose leader has taken over a silent worker that was closed, with
 /// its runs known from the work log only.
 struct ClosedWorkerWorld : World {
