Take a worker's former life by the fence of the poll

A poll of a worker's former address is answered 421 by whoever has it now, also after the worker's next life runs tasks: all of them counted as lost and started a second time. An answer of a former life likewise set the entry back to it.

A restart raises the fence of the worker, so that a poll under an earlier fence in the same epoch may have been meant for the former life: its 421 loses no run, and its birth is checked by another poll. Births are not compared by size, since the time of day may be set back.

--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -346,6 +346,12 @@
   }
   const bool has_restarted =
       event.incarnation != 0 && event.incarnation != worker->entry.incarnation;
+  if (has_restarted && event.fence != polls::FenceOf(context, *worker)) {
+    // The answer may be that of a former life; a poll under the present fence
+    // tells.
+    polls::PollNow(context, *worker);
+    return;
+  }
   if (has_restarted) {
     worker->entry.incarnation = event.incarnation;
     OnRestarted(context, *worker);
--- a/packages/core/src/internal/fleet_polls.cc
+++ b/packages/core/src/internal/fleet_polls.cc
@@ -351,7 +351,10 @@
     context.state.submissions.fleet.poll_lost_at = context.now;
     UpdateClosure(context, worker);
   }
-  if (event.result == OrderResult::kOtherIncarnation) {
+  // Under an earlier fence the poll may have gone to the address of a former
+  // life.
+  if (event.result == OrderResult::kOtherIncarnation &&
+      event.fence == FenceOf(context, worker)) {
     LoseRuns(context, worker, "another worker has its address");
     worker.leased_until.reset();
     SetReconciled(context, worker, false);
--- a/packages/core/tests/takeover_answers_test.cc
+++ b/packages/core/tests/takeover_answers_test.cc
@@ -236,6 +236,60 @@
   world.CheckRanOnce(12);
 }
 
+/// A world with a worker that restarted and runs tasks again.
+struct RestartedWorkerWorld : World {
+  RestartedWorkerWorld() {
+    this->Fill();
+    this->former = this->Worker("w1").entry;
+    this->former_fence = this->Worker("w1").fence;
+    this->RestartWorker("w1");
+    this->Run(seconds(1));
+    REQUIRE(this->Worker("w1").runs.size() == 4);
+    this->starts = this->StartsOf(12);
+  }
+
+  int StartsOf(std::uint32_t tasks) const {
+    int sum = 0;
+    for (std::uint32_t i = 0; i < tasks; ++i) {
+      sum += this->Starts(kFirst, 0, i);
+    }
+    return sum;
+  }
+
+  WorkerEntry former;
+  std::uint64_t former_fence = 0;
+  int starts = 0;
+};
+
+TEST_CASE("A poll of a worker's former address loses no run of its next life",
+          "[fleet][takeover]") {
+  RestartedWorkerWorld world;
+  world.FinishRunsOn("w3");
+  WorkerPolled polled;
+  polled.worker = HostName{"w1"};
+  polled.fence = world.former_fence;
+  polled.result = OrderResult::kOtherIncarnation;
+  polled.sent_at = world.Now() - seconds(1);
+  world.Inject(world.Leader(), polled);
+  world.Run(seconds(1));
+  CHECK(world.StartsOf(12) == world.starts);
+  CHECK(world.violations.empty());
+}
+
+TEST_CASE("A late entry of a worker's former life loses no run of its next",
+          "[fleet][takeover]") {
+  RestartedWorkerWorld world;
+  world.FinishRunsOn("w3");
+  FleetRead read;
+  read.ok = true;
+  read.epoch = world.Leadership(world.Leader()).epoch;
+  read.entries = {world.former};
+  world.Inject(world.Leader(), read);
+  world.Run(seconds(1));
+  CHECK(world.StartsOf(12) == world.starts);
+  CHECK(world.violations.empty());
+}
+
 TEST_CASE("A submission that may be stored is not refused after a takeover",
           "[work-log][takeover]") {
   World world;
