Lose a run only on the worker that missed it

Numbers of running tasks are not stored, so that after a takeover two workers can hold runs of one task with one number, one of them unknown to the leader. When that one was missing in a list, the task was taken off the other worker, where it ran, and started a second time.

The worker is now compared too. The test failed before.

--- a/packages/core/src/internal/fleet_polls.cc
+++ b/packages/core/src/internal/fleet_polls.cc
@@ -133,7 +133,7 @@
                 {{"run", ToString(name)}, {"worker", worker.entry.name.value}});
     context.Count(Metric::kRunsLost, "not on its worker");
     Release(context, worker, name);
-    submission_progress::OnLost(context, name);
+    submission_progress::OnLost(context, worker, name);
   }
 }
 
@@ -384,7 +384,7 @@
                  {"reason", reason}});
     context.Count(Metric::kRunsLost, reason);
     Release(context, worker, name);
-    submission_progress::OnLost(context, name);
+    submission_progress::OnLost(context, worker, name);
   }
 }
 
--- a/packages/core/src/internal/submission_progress.cc
+++ b/packages/core/src/internal/submission_progress.cc
@@ -379,10 +379,13 @@
   Advance(context, *submission, step);
 }
 
-void OnLost(Context& context, const RunName& name) {
+void OnLost(Context& context, const FleetWorker& worker, const RunName& name) {
   Submission* submission = Find(context, name.task.submission);
   RunState* task = FindRun(context, name);
-  if (task == nullptr || !IsOnWorker(*task, name)) {
+  // Two workers may hold runs of one number: numbers of running tasks are not
+  // stored.
+  if (task == nullptr || !IsOnWorker(*task, name) ||
+      task->worker != worker.entry.name) {
     return;
   }
   const bool was_at_work = long_running::IsAtWork(*task);
@@ -401,7 +404,8 @@
 bool MustBeListed(Context& context, const RunName& name,
                   const WorkerPolled& poll) {
   const RunState* task = FindRun(context, name);
-  if (task == nullptr || !IsOnWorker(*task, name)) {
+  if (task == nullptr || !IsOnWorker(*task, name) ||
+      task->worker != poll.worker) {
     return true;
   }
   if (task->unconfirmed_start_fence) {
--- a/packages/core/src/internal/submission_progress.h
+++ b/packages/core/src/internal/submission_progress.h
@@ -28,7 +28,7 @@
 void OnListed(Context& context, FleetWorker& worker, const ListedRun& run);
 void OnEnded(Context& context, FleetWorker& worker, const ListedEnd& end);
 /// The run is gone without a reported end.
-void OnLost(Context& context, const RunName& name);
+void OnLost(Context& context, const FleetWorker& worker, const RunName& name);
 /// Whether the answer to the poll would list the run if it existed.
 bool MustBeListed(Context& context, const RunName& name,
                   const WorkerPolled& poll);
--- a/packages/core/tests/takeover_answers_test.cc
+++ b/packages/core/tests/takeover_answers_test.cc
@@ -290,6 +290,30 @@
   CHECK(world.violations.empty());
 }
 
+TEST_CASE("A run that is missing on one worker is not lost on another",
+          "[fleet][takeover]") {
+  World world;
+  world.Fill();
+  world.FinishRunsOn("w3");
+  const int leader = world.Leader();
+  const auto& [task, run] = *world.Worker("w1").runs.begin();
+  WorkerPolled polled;
+  polled.worker = HostName{"w2"};
+  polled.fence = world.Worker("w2").fence;
+  polled.result = OrderResult::kDone;
+  polled.sent_at = world.Now();
+  polled.clock = world.Now() - world.Worker("w2").started;
+  polled.incarnation = 1;
+  for (const auto& [own, own_run] : world.Worker("w2").runs) {
+    polled.running.push_back({{own, own_run.run}, "", 10});
+  }
+  // A run of the same task and number, which an earlier leader had started.
+  polled.running.push_back({{task, run.run}, "", 10});
+  world.Inject(leader, polled);
+  world.Run(seconds(2));
+  world.CheckRanOnce(12);
+}
+
 TEST_CASE("A submission that may be stored is not refused after a takeover",
           "[work-log][takeover]") {
   World world;
