Let timers of an earlier takeover do nothing

A timer armed for the next read of the fleet's changes, for a new listing or for a new reading of the work log outlasted the takeover that armed it. Fired in the next takeover, it began a second chain of reads: of the changes from the first record on, before the listing had been read.

Whether a timer is wanted is now part of the state that a takeover begins anew. The test failed before (two reads instead of one).

--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -136,6 +136,10 @@
   bool is_listed = false;
   /// Where to go on following the changes of the list.
   Offset next;
+  /// The list is to be read again, or its changes are to be followed on; timers
+  /// of an earlier takeover do neither.
+  bool awaits_retry = false;
+  bool awaits_follow = false;
   /// Names in the listing that is being read, over all its pages so far.
   std::set<HostName> listing;
   /// When a poll of a worker that had been answering was last lost.
--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -143,6 +143,8 @@
   TimePoint last_sent;
   /// Listings of the records that this takeover began, and pages that it read.
   std::size_t listings = 0;
+  /// The list is to be read again; a timer of an earlier takeover does not.
+  bool awaits_load_retry = false;
   std::size_t pages = 0;
 
   /// Contents of the next append: records of new and of forgotten submissions,
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -268,6 +268,7 @@
     leadership::OnStoreAnswered(context);
   }
   if (!event.ok && !event.expired) {
+    fleet.awaits_retry = true;
     context.ArmIn(TimerKind::kFleetRetry, kListRetryDelay);
     return;
   }
@@ -290,19 +291,20 @@
   } else if (event.is_listing) {
     FinishListing(context);
   } else {
+    fleet.awaits_follow = true;
     context.ArmIn(TimerKind::kFleetFollow, kFollowSpacing);
   }
   step_placement::Request(context);
 }
 
 void OnFollowTimer(Context& context) {
-  if (IsLeader(context)) {
+  if (std::exchange(StateOf(context).awaits_follow, false)) {
     Follow(context);
   }
 }
 
 void OnRetryTimer(Context& context) {
-  if (IsLeader(context)) {
+  if (std::exchange(StateOf(context).awaits_retry, false)) {
     // Change records may have expired meanwhile, so the whole list is read.
     RequestList(context);
   }
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -316,6 +316,7 @@
     return;
   }
   if (!event.ok) {
+    StateOf(context).log.awaits_load_retry = true;
     context.ArmIn(TimerKind::kLoadRetry, kLoadRetryDelay);
     return;
   }
@@ -332,7 +333,7 @@
 }
 
 void OnLoadTimer(Context& context) {
-  if (StateOf(context).leadership.phase == LeaderPhase::kLoading) {
+  if (std::exchange(StateOf(context).log.awaits_load_retry, false)) {
     // Loading a record is idempotent, so the list is read from the start.
     RequestList(context);
   }
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -187,6 +187,10 @@
     this->world.PostAfter(this->node.index, kCallTime, std::move(read));
   }
 
+  void operator()(const FollowFleet& /*effect*/) const {
+    ++this->world.fleet_follows;
+  }
+
   void operator()(const PollWorker& effect) const {
     const TimePoint now = this->world.now;
     if (!this->world.ReachesWorker(this->node.index, effect.worker)) {
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -141,6 +141,8 @@
   /// Number of times that the group has appointed another leader.
   int LeaderChanges() const { return this->leader_changes; }
   TimePoint Now() const { return this->now; }
+  /// Number of times that processes began to wait for changes of the fleet.
+  int FleetFollows() const { return this->fleet_follows; }
   /// Number of appends that processes have sent.
   int Appends() const { return this->appends; }
   /// Number of calls about the submission that the process sent to its leader.
@@ -293,6 +295,7 @@
   int leader_changes = 0;
   int advice_queries = 0;
   int appends = 0;
+  int fleet_follows = 0;
   std::map<std::pair<int, SubmissionId>, int> calls_sent;
   std::map<StepTask, int> starts;
   std::set<StepTask> acknowledged_done;
--- a/packages/core/tests/takeover_answers_test.cc
+++ b/packages/core/tests/takeover_answers_test.cc
@@ -314,6 +314,27 @@
   world.CheckRanOnce(12);
 }
 
+TEST_CASE("A takeover follows the changes of the fleet once",
+          "[fleet][takeover]") {
+  World world;
+  const int leader = world.Leader();
+  // The timer for the next read of the changes is armed when the takeover
+  // begins.
+  FleetRead read;
+  read.ok = true;
+  read.epoch = world.Leadership(leader).epoch;
+  world.Inject(leader, read);
+  WorkerPolled fenced;
+  fenced.worker = HostName{"w1"};
+  fenced.result = OrderResult::kFenced;
+  fenced.fence = world.Worker("w1").fence;
+  const int before = world.FleetFollows();
+  world.Inject(leader, fenced);
+  world.Run(milliseconds(600));
+  REQUIRE(world.Leader() == leader);
+  CHECK(world.FleetFollows() == before + 1);
+}
+
 TEST_CASE("A submission that may be stored is not refused after a takeover",
           "[work-log][takeover]") {
   World world;
