--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -79,12 +79,14 @@
 /// Returns the number of a takeover's first append. It differs between
 /// takeovers, so that the store tells two that use the same epoch apart.
 std::uint64_t FirstSequence(const Context& context) {
-  constexpr unsigned kUnusedBits = 24;
+  // Leaves 40 bits: the store's answers have the numbers as JSON numbers, which
+  // are exact up to 2^53.
+  constexpr unsigned kDroppedBits = 24;
   const LeadershipState& leadership = context.state.submissions.leadership;
   const ProcessId& self = context.state.settings.self;
   return StableHash(fmt::format("{}|{}|{}", self.node.value, self.incarnation,
                                 leadership.epoch.value)) >>
-         kUnusedBits;
+         kDroppedBits;
 }
 
 /// Sends the append in flight, also as a repeat. Arms the timer that repeats it
