--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -147,6 +147,8 @@
   /// When the leases of runs that an earlier leader may have started on workers
   /// that do not answer have surely ended; unset: no such wait.
   std::optional<TimePoint> inherited_leases_end;
+  /// Inherited tasks wait; reset once the end of the wait was logged.
+  bool holds_inherited = false;
   RelaysState relays;
   /// Workers visited by events about polls, leases and stored ends; bounds the
   /// cost of an event in tests.
--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -76,6 +76,8 @@
   /// Send time of the latest join that confirmed the leadership; unset while
   /// it is unconfirmed.
   std::optional<TimePoint> confirmed_at;
+  /// Whether the loss of the confirmation was logged.
+  bool is_unconfirmed_logged = false;
   /// Epoch of this process's latest takeover, which no other takeover has: the
   /// generation at which it gained the leadership, or a higher number if that
   /// was in use.
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -226,6 +226,14 @@
 void RemoveWorker(Context& context, FleetWorker& worker) {
   FleetState& fleet = StateOf(context);
   const HostName name = worker.entry.name;
+  context.Log(LogLevel::kInfo, kPart, "Worker is removed.",
+              {{"worker", name.value},
+               {"answered", worker.is_reconciled},
+               {"runs", worker.runs.size()},
+               {"lease_left_ms", worker.leased_until
+                                     ? *worker.leased_until - context.now
+                                     : Duration::zero()},
+               {"epoch", context.state.submissions.leadership.epoch.value}});
   polls::LoseRuns(context, worker, "the worker is gone");
   polls::ForgetEnds(context, worker);
   polls::SetReconciled(context, worker, true);
@@ -436,11 +444,15 @@
 void HoldInherited(Context& context) {
   FleetState& fleet = StateOf(context);
   fleet.inherited_leases_end = context.now + polls::LongestLease(context);
+  fleet.holds_inherited = true;
   context.Log(
       LogLevel::kWarning, kPart,
       "Workers do not answer; tasks that may run there wait for the leases "
       "of the previous leader to lapse.",
-      {{"workers", CountUnreconciled(context)}});
+      {{"epoch", context.state.submissions.leadership.epoch.value},
+       {"workers", CountUnreconciled(context)},
+       {"awaited", DescribeUnreconciled(context)},
+       {"wait_ms", polls::LongestLease(context)}});
 }
 
 bool MayStartInherited(const Context& context) {
@@ -452,6 +464,21 @@
          (fleet.is_listed && CountUnreconciled(context) == 0);
 }
 
+void LogEndOfHold(Context& context) {
+  FleetState& fleet = StateOf(context);
+  if (!fleet.holds_inherited || !MayStartInherited(context)) {
+    return;
+  }
+  fleet.holds_inherited = false;
+  const LeadershipState& leadership = context.state.submissions.leadership;
+  context.Log(LogLevel::kInfo, kPart, "Inherited tasks may start.",
+              {{"epoch", leadership.epoch.value},
+               {"since_gained_ms", context.now - leadership.gained_at},
+               {"lease_left_ms", *fleet.inherited_leases_end - context.now},
+               {"unanswered", CountUnreconciled(context)},
+               {"awaited", DescribeUnreconciled(context)}});
+}
+
 FleetWorker* Find(Context& context, const HostName& name) {
   auto& workers = StateOf(context).workers;
   const auto found = workers.find(name);
--- a/packages/core/src/internal/fleet.h
+++ b/packages/core/src/internal/fleet.h
@@ -35,6 +35,8 @@
 /// have started on a worker that does not answer has surely ended.
 void HoldInherited(Context& context);
 bool MayStartInherited(const Context& context);
+/// Logs the end of the wait of inherited tasks.
+void LogEndOfHold(Context& context);
 
 FleetWorker* Find(Context& context, const HostName& name);
 /// Whether nothing is started on the worker until it answers, is listed and
--- a/packages/core/src/internal/fleet_polls.cc
+++ b/packages/core/src/internal/fleet_polls.cc
@@ -263,14 +263,7 @@
   std::size_t& unreconciled = context.state.submissions.fleet.unreconciled;
   unreconciled -= was_counted && !is_counted() ? 1 : 0;
   unreconciled += is_counted() && !was_counted ? 1 : 0;
-  const auto& inherited_end =
-      context.state.submissions.fleet.inherited_leases_end;
-  if (was_counted && unreconciled == 0 && inherited_end &&
-      context.now < *inherited_end) {
-    context.Log(LogLevel::kInfo, kPart,
-                "All workers have answered; inherited tasks may start.",
-                {{"lease_left_ms", *inherited_end - context.now}});
-  }
+  LogEndOfHold(context);
 }
 
 void ForgetEnds(Context& context, FleetWorker& worker) {
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -89,8 +89,9 @@
   LeadershipState& state = StateOf(context);
   AddHelpersToPeers(context);
   state.holds_leadership = false;
-  state.confirmed_at.reset();
   state.leader.reset();
+  const Duration confirmed = TimeSinceConfirmed(context);
+  state.confirmed_at.reset();
   if (state.phase == LeaderPhase::kFollowing) {
     return;
   }
@@ -98,6 +99,7 @@
               {{"epoch", state.epoch.value},
                {"reason", reason},
                {"led_ms", context.now - state.gained_at},
+               {"confirmed_ms", confirmed},
                {"store_heard_ms", context.now - state.store_heard_at},
                {"own_delay_ms", own_load::RecentDelay(context)},
                {"busy_share", own_load::BusyShare(context)}});
@@ -153,6 +155,29 @@
       {{"generation", state.generation}, {"leads", state.holds_leadership}});
 }
 
+/// Logs when the leadership is no longer confirmed and when it is again.
+void LogConfirmation(Context& context) {
+  LeadershipState& state = StateOf(context);
+  const bool is_unconfirmed = IsLeading(context) && !IsConfirmed(context);
+  if (is_unconfirmed == state.is_unconfirmed_logged) {
+    return;
+  }
+  state.is_unconfirmed_logged = is_unconfirmed;
+  if (!IsLeading(context)) {
+    return;
+  }
+  context.Log(is_unconfirmed ? LogLevel::kWarning : LogLevel::kInfo, kPart,
+              is_unconfirmed
+                  ? "The leadership is no longer confirmed; goes on with "
+                    "accepted work."
+                  : "The leadership is confirmed again.",
+              {{"epoch", state.epoch.value},
+               {"generation", state.generation},
+               {"confirmed_ms", TimeSinceConfirmed(context)},
+               {"store_heard_ms", context.now - state.store_heard_at},
+               {"linked_peers", state.linked_peers.size()}});
+}
+
 /// Reopens the connection to a silent leader: a device on the path may have
 /// dropped the state of the connection while it lets new ones through.
 void ReopenSilentLink(Context& context) {
@@ -259,6 +284,7 @@
     submission_calls::Report(context);
   }
   ReopenSilentLink(context);
+  LogConfirmation(context);
   CheckReconciled(context);
   const Duration interval = context.state.settings.store.join_interval;
   const Duration next = candidacy::NextCheckDelay(context, interval);
@@ -513,6 +539,11 @@
                            context.state.settings.store.member_time_to_live;
 }
 
+Duration TimeSinceConfirmed(const Context& context) {
+  const LeadershipState& state = context.state.submissions.leadership;
+  return context.now - state.confirmed_at.value_or(state.gained_at);
+}
+
 void OnEpochRaised(Context& context) {
   EnterPhase(context, LeaderPhase::kLoading);
   work_log::RequestList(context);
--- a/packages/core/src/internal/leadership.h
+++ b/packages/core/src/internal/leadership.h
@@ -59,6 +59,9 @@
 /// Whether no other process can have gained the leadership, so that a
 /// submission unknown to this process does not exist.
 bool IsConfirmed(const Context& context);
+/// Age of the latest confirmation of the leadership, or of the takeover if
+/// there was none since.
+Duration TimeSinceConfirmed(const Context& context);
 
 /// Handles that the work log's epoch was raised: reads the log.
 void OnEpochRaised(Context& context);
--- a/packages/core/src/internal/submission_service.cc
+++ b/packages/core/src/internal/submission_service.cc
@@ -371,6 +371,7 @@
     state.next_gauge_update = context.now + kGaugeInterval;
     SetGauges(context);
   }
+  fleet::LogEndOfHold(context);
   if (!leadership::IsLeading(context) ||
       context.now < state.next_expiry_check) {
     return;
