Let simulated workers keep leases and forget unseen ends as real ones do

A worker's lease never shortens, and an end that is acknowledged only after the worker's lease had lapsed does not forbid another start (the users' rule TWICE: "unless the minion's lease lapsed between the two"). The simulated worker shortened leases, and its check counted such ends.

--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -50,8 +50,12 @@
   int lost_polls = 0;
   std::uint64_t fence = 0;
   std::optional<TimePoint> leased_until;
+  /// When the lease was last found to have lapsed.
+  std::optional<TimePoint> lapsed_at;
   std::map<StepTask, Run> runs;
   std::vector<ListedEnd> ends;
+  /// When the ends happened, by their numbers.
+  std::map<std::uint64_t, TimePoint> ended_at;
   std::uint64_t acknowledged = 0;
   std::uint64_t last_end = 0;
 };
