Count leases from the latest proof of the leadership

Cause: a permission without an end. A leader renewed leases and started runs for as long as nobody told it of a later one; the next leader waited for one longest lease from its own takeover. A leader that is cut off from store and peers is told by nobody. The class: a permission that is granted by one side and has run out on the other, with no bound that both sides share.

Change: a lease ends one longest lease after the latest proof of the leadership (`leadership_proof`), so that the wait of the next leader, unchanged, covers all that a former one can have granted. Proofs come from the store or, while that is away, from all processes whose reports the leader has acknowledged. Starts need half a lease. A next leader that is no such witness finds the earlier leaders' records in the work log (`predecessors`, in place of the record that left nothing) and waits until it knows that they gain no more proofs, 30 s at most. Leases of a silent worker have lapsed only if the store has confirmed the leader since: another leader may have renewed them.

"Accepted work goes on while the store is away for all" passes as before. core_tests: 236 cases pass.

--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -6,10 +6,12 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "basilspread/core/ids.h"
 #include "basilspread/core/store_call.h"
+#include "basilspread/core/submission_message.h"
 #include "basilspread/core/time.h"
 
 namespace basilspread {
@@ -64,6 +66,42 @@
   std::optional<TimePoint> overloaded_since;
 };
 
+/// A process whose reports this leader has acknowledged, by its node. It may
+/// become the next leader; if it does, it confirms this one no more.
+struct Witness {
+  /// When its latest report arrived.
+  TimePoint heard_at;
+  /// LeaderAck::sent_at of the latest acknowledgement that it has repeated.
+  std::optional<TimePoint> confirmed_at;
+};
+
+/// What shows this leader that it may act: that no other process can have led
+/// for long enough to start what may run here.
+struct LeadershipProofState {
+  /// Latest time at which the store showed that no higher epoch is in force.
+  std::optional<TimePoint> store;
+  /// Latest time at which no witness followed a later leader.
+  std::optional<TimePoint> witnesses_confirmed_at;
+  std::map<NodeName, Witness> witnesses;
+  /// When the generation of the group changed: another process may have led
+  /// meanwhile. Set until an append that began later is stored.
+  std::optional<TimePoint> unverified_since;
+  /// Acknowledgements sent before are not counted, since this process was
+  /// suspended.
+  TimePoint acks_valid_from;
+  /// Whether it was logged that no run may be started.
+  bool is_missing_logged = false;
+};
+
+/// A leader before this one, which may go on without knowing of it.
+struct Predecessor {
+  ProcessId process;
+  Epoch epoch;
+  /// When it surely could not gain another proof of its leadership; unset while
+  /// that is not known.
+  std::optional<TimePoint> ended_at;
+};
+
 struct LeadershipState {
   LeaderPhase phase = LeaderPhase::kFollowing;
   /// Latest generation of the group that this process received.
@@ -84,6 +122,16 @@
   Epoch epoch;
   /// Highest epoch that this process knows to be in use.
   Epoch highest_epoch;
+  /// When the store was known to have `epoch` in force.
+  TimePoint epoch_raised_at;
+  LeadershipProofState proof;
+  /// Earlier leaders that may still act, by node.
+  std::map<NodeName, Predecessor> predecessors;
+  /// The latest acknowledgement of a report of this process, and its sender.
+  std::pair<ProcessId, LeaderAck> ack;
+  /// Leaders that have acknowledged reports of this process lately, with the
+  /// times at which it sent the latest of these.
+  std::map<ProcessId, TimePoint> acknowledged_by;
   TimePoint phase_began;
 
   /// The current leader; unset while it is unknown.
@@ -149,6 +197,8 @@
   bool awaits_load_retry = false;
   std::size_t pages = 0;
 
+  /// Nodes whose recorded leader has ended.
+  std::set<NodeName> ended_leaders;
   /// Contents of the next append: records of new and of forgotten submissions,
   /// changed submissions, and changed workers.
   std::vector<WorkRecord> accepted;
--- a/packages/core/include/basilspread/core/limits.h
+++ b/packages/core/include/basilspread/core/limits.h
@@ -19,6 +19,10 @@
 /// Longest uptime that a worker may report; its clock counts from its start.
 inline constexpr Duration kMaxUptime = std::chrono::hours(24 * 365 * 50);
 
+/// Highest epoch. A fence holds the epoch and 20 bits, and workers accept
+/// integers up to 2^53.
+inline constexpr std::uint64_t kMaxEpoch = (std::uint64_t{1} << 33U) - 1;
+
 /// Maximum bytes of a name, label or address.
 inline constexpr std::size_t kMaxNameBytes = 128;
 /// Maximum bytes of a checkpoint, a ticket or a submission's command.
--- a/packages/core/include/basilspread/core/submission_message.h
+++ b/packages/core/include/basilspread/core/submission_message.h
@@ -39,6 +39,24 @@
   UnsupportedFeature unsupported = UnsupportedFeature::kNone;
 };
 
+/// The leader's acknowledgement of a HelperReport. The next report repeats it,
+/// which shows the leader that at `sent_at` the helper followed no later one.
+struct LeaderAck {
+  /// Epoch of the leader's takeover; 0: no acknowledgement.
+  Epoch epoch;
+  /// On the leader's clock.
+  TimePoint sent_at;
+  /// HelperReport::sent_at of the report.
+  TimePoint report_sent_at;
+};
+
+/// A leader that has acknowledged a report of the sender.
+struct AcknowledgingLeader {
+  ProcessId process;
+  /// Time since the sender made that report.
+  Duration age{};
+};
+
 /// Offers the leader to query the advisor on its behalf, and states whether the
 /// sender can lead and can make calls to workers.
 struct HelperReport {
@@ -53,6 +71,15 @@
   bool carries_calls = false;
   /// The sender has not heard from the leader lately and requests a response.
   bool misses_leader = false;
+  /// On the sender's clock.
+  TimePoint sent_at = {};
+  /// The receiver's latest acknowledgement; without an epoch if the sender has
+  /// none, or knows of a higher epoch.
+  LeaderAck ack = {};
+  /// Highest epoch of a leader that the sender knows of.
+  Epoch highest_epoch = {};
+  /// Leaders, also former ones, that have lately counted on the sender.
+  std::vector<AcknowledgingLeader> acknowledged_by = {};
 };
 
 /// A process that may become the leader.
@@ -77,6 +104,8 @@
   /// the store. A receiver that can reach the store ends the sender's
   /// membership.
   bool releases = false;
+  /// Set only by the leader, in the answer to a report of the receiver.
+  LeaderAck ack = {};
 };
 
 /// Query to the advisor that the leader delegates to another process.
--- a/packages/core/include/basilspread/core/submission_record.h
+++ b/packages/core/include/basilspread/core/submission_record.h
@@ -72,14 +72,26 @@
   HostName worker;
 };
 
-/// Begins a takeover: raises the epoch, and leaves nothing in the log.
-struct TakeoverRecord {};
+/// A process that leads, or has led; the first record of each takeover. The
+/// next leader waits until the permissions of those that it finds have ended.
+struct LeaderRecord {
+  ProcessId process;
+  /// Address that peers connect to.
+  std::string address;
+  Epoch epoch;
+};
+
+/// The permissions of the node's recorded leader have ended.
+struct LeaderGoneRecord {
+  NodeName node;
+};
 
 /// A durable record of the work log. A newer record replaces earlier ones of
-/// the same kind and submission or worker.
-using WorkRecord = std::variant<AcceptedRecord, ProgressRecord, ForgottenRecord,
-                                SpecDroppedRecord, WorkerRecord,
-                                WorkerGoneRecord, TakeoverRecord>;
+/// the same kind and submission, worker or node.
+using WorkRecord =
+    std::variant<AcceptedRecord, ProgressRecord, ForgottenRecord,
+                 SpecDroppedRecord, WorkerRecord, WorkerGoneRecord,
+                 LeaderRecord, LeaderGoneRecord>;
 
 /// Upper bound on the record's size in the log, in bytes, with its key and
 /// framing.
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -83,6 +83,8 @@
   /// A previous leader may have started the tasks on a worker that does not
   /// answer.
   kInherited,
+  /// The leader has no recent proof that it still leads.
+  kUnproven,
   /// Startups of the tasks failed, and the next start is delayed.
   kRestartDelay,
   /// An advice query about the step is outstanding.
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -7,7 +7,9 @@
 
 #include "internal/fleet_polls.h"
 #include "internal/leadership.h"
+#include "internal/leadership_proof.h"
 #include "internal/long_running.h"
+#include "internal/predecessors.h"
 #include "internal/relays.h"
 #include "internal/step_placement.h"
 #include "internal/submission_progress.h"
@@ -214,7 +216,7 @@
   worker.entry.incarnation = record.incarnation;
   worker.unlisted = true;
   worker.is_recorded = true;
-  worker.leased_until = context.now + polls::LongestLease(context);
+  worker.leased_until = predecessors::LeasesEnd(context);
   for (const RunName& run : record.runs) {
     submission_progress::OnRecorded(context, worker, run);
   }
@@ -443,7 +445,7 @@
 
 void HoldInherited(Context& context) {
   FleetState& fleet = StateOf(context);
-  fleet.inherited_leases_end = context.now + polls::LongestLease(context);
+  fleet.inherited_leases_end = predecessors::LeasesEnd(context);
   fleet.holds_inherited = true;
   context.Log(
       LogLevel::kWarning, kPart,
@@ -452,14 +454,28 @@
       {{"epoch", context.state.submissions.leadership.epoch.value},
        {"workers", CountUnreconciled(context)},
        {"awaited", DescribeUnreconciled(context)},
-       {"wait_ms", polls::LongestLease(context)}});
+       {"wait_ms", *fleet.inherited_leases_end - context.now}});
+}
+
+void OnLeasesEndChanged(Context& context) {
+  FleetState& fleet = StateOf(context);
+  const TimePoint end = predecessors::LeasesEnd(context);
+  if (fleet.inherited_leases_end) {
+    fleet.inherited_leases_end = end;
+  }
+  for (auto& [name, worker] : fleet.workers) {
+    if (!worker.is_reconciled && worker.leased_until > end) {
+      worker.leased_until = end;
+      polls::UpdateDueTime(context, worker);
+    }
+  }
 }
 
 bool MayStartInherited(const Context& context) {
   const FleetState& fleet = context.state.submissions.fleet;
   // Ends that a worker still has to list outlast the leases.
   return !fleet.inherited_leases_end ||
-         (context.now >= *fleet.inherited_leases_end &&
+         (leadership_proof::HaveLapsed(context, *fleet.inherited_leases_end) &&
           fleet.with_unread_ends.empty()) ||
          (fleet.is_listed && CountUnreconciled(context) == 0);
 }
--- a/packages/core/src/internal/fleet.h
+++ b/packages/core/src/internal/fleet.h
@@ -34,6 +34,8 @@
 /// Keeps inherited tasks waiting until every run that an earlier leader may
 /// have started on a worker that does not answer has surely ended.
 void HoldInherited(Context& context);
+/// Handles that the leases of earlier leaders end sooner than was known.
+void OnLeasesEndChanged(Context& context);
 bool MayStartInherited(const Context& context);
 /// Logs the end of the wait of inherited tasks.
 void LogEndOfHold(Context& context);
--- a/packages/core/src/internal/fleet_polls.cc
+++ b/packages/core/src/internal/fleet_polls.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "internal/fleet.h"
+#include "internal/leadership_proof.h"
 #include "internal/long_running.h"
 #include "internal/relays.h"
 #include "internal/step_placement.h"
@@ -166,12 +167,17 @@
 }
 
 WorkerTime NextLease(Context& context, FleetWorker& worker) {
-  if (!worker.clock_read_at) {
+  const std::optional<TimePoint> proven_at =
+      leadership_proof::ProvenAt(context);
+  const Duration lease = context.state.settings.store.max_lease;
+  if (!worker.clock_read_at || !proven_at ||
+      context.now >= *proven_at + lease) {
     return WorkerTime::zero();
   }
-  worker.leased_until = context.now + LongestLease(context);
-  return worker.clock + (context.now - *worker.clock_read_at) +
-         context.state.settings.store.max_lease;
+  const TimePoint leased_until = *proven_at + LongestLease(context);
+  worker.leased_until =
+      std::max(worker.leased_until.value_or(leased_until), leased_until);
+  return worker.clock + (*proven_at - *worker.clock_read_at) + lease;
 }
 
 void StartPolling(Context& context, FleetWorker& worker) {
@@ -285,7 +291,11 @@
   }
   // A start without an answer stays in `runs` until a poll shows its outcome.
   const bool is_empty = worker.is_reconciled && worker.runs.empty();
-  return is_empty ? context.now : worker.leased_until.value_or(context.now);
+  if (is_empty || !worker.leased_until ||
+      leadership_proof::HaveLapsed(context, *worker.leased_until)) {
+    return context.now;
+  }
+  return std::max(*worker.leased_until, context.now + kRetryDelay);
 }
 
 void ApplyPoll(Context& context, FleetWorker& worker,
@@ -311,6 +321,11 @@
   if (event.may_have_more_ends && !worker.is_reconciled) {
     context.state.submissions.fleet.with_unread_ends.insert(worker.entry.name);
   }
+  if (worker.is_reconciled && worker.leased_until) {
+    // No other leader can extend a lease any more.
+    worker.leased_until =
+        std::min(*worker.leased_until, context.now + LongestLease(context));
+  }
   ApplyEnds(context, worker, event);
   ApplyRunning(context, worker, event);
   ApplyMissing(context, worker, event);
@@ -353,7 +368,8 @@
     SetReconciled(context, worker, false);
   }
   const bool has_lapsed =
-      worker.leased_until && context.now >= *worker.leased_until;
+      worker.leased_until &&
+      leadership_proof::HaveLapsed(context, *worker.leased_until);
   if (has_lapsed) {
     LoseRuns(context, worker, "its leases have lapsed");
     worker.leased_until.reset();
--- a/packages/core/src/internal/fleet_polls.h
+++ b/packages/core/src/internal/fleet_polls.h
@@ -21,8 +21,9 @@
 /// of the worker's clock and the time to kill a run.
 Duration LongestLease(const Context& context);
 
-/// End of a lease granted now, on the worker's clock. Also advances
-/// FleetWorker::leased_until. Zero while the worker's clock is not known.
+/// End of a lease granted now, on the worker's clock; counted from the latest
+/// proof of the leadership. Also advances FleetWorker::leased_until. Zero while
+/// the worker's clock is not known or the proof is too old.
 WorkerTime NextLease(Context& context, FleetWorker& worker);
 
 /// Schedules a poll at once unless one is in flight; called when a run is
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -8,7 +8,9 @@
 #include "internal/candidacy.h"
 #include "internal/fleet.h"
 #include "internal/leader_release.h"
+#include "internal/leadership_proof.h"
 #include "internal/own_load.h"
+#include "internal/predecessors.h"
 #include "internal/relay_agent.h"
 #include "internal/relays.h"
 #include "internal/step_placement.h"
@@ -79,6 +81,8 @@
   state.gained_at = context.now;
   state.leader = Self(context);
   state.leader_generation = state.generation;
+  state.predecessors.clear();
+  leadership_proof::Reset(context);
   submission_calls::DropLeaderState(context);
   EnterPhase(context, LeaderPhase::kFencing);
   work_log::RaiseEpoch(context);
@@ -105,6 +109,7 @@
                {"busy_share", own_load::BusyShare(context)}});
   state.lost_at = context.now;
   work_log::DeclineQueued(context, ErrorKind::kNotOwner);
+  leadership_proof::Reset(context);
   EnterPhase(context, LeaderPhase::kFollowing);
   submission_calls::DropLeaderState(context);
 }
@@ -285,6 +290,10 @@
   }
   ReopenSilentLink(context);
   LogConfirmation(context);
+  leadership_proof::OnTimer(context);
+  if (IsLeading(context)) {
+    predecessors::OnTimer(context);
+  }
   CheckReconciled(context);
   const Duration interval = context.state.settings.store.join_interval;
   const Duration next = candidacy::NextCheckDelay(context, interval);
@@ -328,8 +337,12 @@
     StepDown(context, "the group gave the leadership to another member");
   }
   if (event.leads) {
-    state.confirmed_at =
-        std::max(state.confirmed_at.value_or(event.sent_at), event.sent_at);
+    if (leadership_proof::OnJoined(context, event.sent_at, has_changed)) {
+      state.confirmed_at =
+          std::max(state.confirmed_at.value_or(event.sent_at), event.sent_at);
+    } else {
+      state.confirmed_at.reset();
+    }
     if (!state.holds_leadership) {
       state.holds_leadership = true;
       BeginTakeover(context);
@@ -400,7 +413,8 @@
   }
 }
 
-void OnReport(Context& context, const LeaderReport& report) {
+void OnReport(Context& context, const ProcessId& from,
+              const LeaderReport& report) {
   if (report.releases) {
     leader_release::OnReleaseRequested(context, report);
     return;
@@ -431,6 +445,9 @@
   if (leader && state.leader == *leader) {
     candidacy::OnReport(context, report);
   }
+  if (leader && leader->process == from) {
+    leadership_proof::OnAck(context, from, report.ack);
+  }
 }
 
 void OnLeaderLost(Context& context) {
@@ -463,6 +480,7 @@
               "The process was suspended; the leadership must be confirmed.",
               {{"suspended_ms", event.suspended}});
   StateOf(context).confirmed_at.reset();
+  leadership_proof::OnResumed(context);
   Join(context);
 }
 
@@ -545,11 +563,13 @@
 }
 
 void OnEpochRaised(Context& context) {
+  StateOf(context).epoch_raised_at = context.now;
   EnterPhase(context, LeaderPhase::kLoading);
   work_log::RequestList(context);
 }
 
 void OnWorkLogLoaded(Context& context) {
+  predecessors::OnLoaded(context);
   EnterPhase(context, LeaderPhase::kReconciling);
   // Only after the log was read: the answers to polls can be interpreted only
   // with the submissions known.
--- a/packages/core/src/internal/leadership.h
+++ b/packages/core/src/internal/leadership.h
@@ -15,7 +15,8 @@
 void OnJoined(Context& context, const GroupJoined& event);
 void OnLeaderRead(Context& context, const LeaderRead& event);
 /// Handles a peer's report of who leads.
-void OnReport(Context& context, const LeaderReport& report);
+void OnReport(Context& context, const ProcessId& from,
+              const LeaderReport& report);
 /// Handles that no process listens at a peer's address.
 void OnPeerRefused(Context& context, const PeerRefused& event);
 /// Notes that a message from another process arrived.
--- /dev/null
+++ b/packages/core/src/internal/predecessors.cc
@@ -0,0 +1,136 @@
+#include "internal/predecessors.h"
+
+#include <algorithm>
+#include <string_view>
+#include <vector>
+
+#include "internal/fleet.h"
+#include "internal/fleet_polls.h"
+#include "internal/leadership_proof.h"
+#include "internal/work_log.h"
+
+namespace basilspread::internal::predecessors {
+namespace {
+
+constexpr std::string_view kPart = "leadership";
+
+LeadershipState& StateOf(Context& context) {
+  return context.state.submissions.leadership;
+}
+
+/// When the leases of a predecessor have surely ended.
+TimePoint LeasesEndOf(const Context& context, const Predecessor& predecessor) {
+  const TimePoint last_proof = predecessor.ended_at.value_or(
+      context.state.submissions.leadership.epoch_raised_at +
+      leadership_proof::MaxTimeWithoutStore());
+  return last_proof + fleet::polls::LongestLease(context);
+}
+
+void End(Context& context, Predecessor& predecessor, std::string_view reason) {
+  predecessor.ended_at = context.now;
+  context.Log(LogLevel::kInfo, kPart, "An earlier leader has ended.",
+              {{"leader", predecessor.process.node.value},
+               {"epoch_of_leader", predecessor.epoch.value},
+               {"epoch", StateOf(context).epoch.value},
+               {"reason", reason}});
+}
+
+/// Whether a process that sent a report at this time was a witness of the
+/// leader that acknowledged it when this takeover began. If it follows this
+/// one since, that leader gains no further proof.
+bool WasWitness(const Context& context, TimePoint report_sent_at) {
+  return report_sent_at >=
+         context.state.submissions.leadership.epoch_raised_at -
+             leadership_proof::WitnessPeriod();
+}
+
+/// Why the report shows that the leader has ended; empty if it does not.
+std::string_view ReasonIn(const Context& context,
+                          const Predecessor& predecessor, const ProcessId& from,
+                          const HelperReport& report) {
+  if (from == predecessor.process) {
+    return "it follows this one";
+  }
+  if (from.node == predecessor.process.node) {
+    return "its node runs another process";
+  }
+  const bool was_witness =
+      std::any_of(report.acknowledged_by.begin(), report.acknowledged_by.end(),
+                  [&](const AcknowledgingLeader& leader) {
+                    // The report was sent after this process sent `ack`.
+                    return leader.process == predecessor.process &&
+                           leader.age >= Duration::zero() &&
+                           WasWitness(context, report.ack.sent_at - leader.age);
+                  });
+  return was_witness ? "its witness follows this one" : "";
+}
+
+}  // namespace
+
+void Load(Context& context, const LeaderRecord& record) {
+  // One node runs one process at a time.
+  if (record.process.node == context.state.settings.self.node) {
+    return;
+  }
+  Predecessor predecessor;
+  predecessor.process = record.process;
+  predecessor.epoch = record.epoch;
+  LeadershipState& state = StateOf(context);
+  state.predecessors[record.process.node] = predecessor;
+  if (!state.linked_peers.contains(record.process.node)) {
+    // If it still leads, it is told of this leader once the link is open.
+    context.Emit(ConnectPeer{record.process.node, record.address});
+  }
+}
+
+void OnLoaded(Context& context) {
+  LeadershipState& state = StateOf(context);
+  for (auto& [node, predecessor] : state.predecessors) {
+    const auto sent_at = state.acknowledged_by.find(predecessor.process);
+    if (sent_at != state.acknowledged_by.end() &&
+        WasWitness(context, sent_at->second)) {
+      End(context, predecessor, "this process was its witness");
+    }
+  }
+}
+
+void OnReport(Context& context, const ProcessId& from,
+              const HelperReport& report) {
+  bool has_ended = false;
+  for (auto& [node, predecessor] : StateOf(context).predecessors) {
+    const std::string_view reason =
+        predecessor.ended_at ? ""
+                             : ReasonIn(context, predecessor, from, report);
+    if (!reason.empty()) {
+      End(context, predecessor, reason);
+      has_ended = true;
+    }
+  }
+  if (has_ended) {
+    fleet::OnLeasesEndChanged(context);
+  }
+}
+
+void OnTimer(Context& context) {
+  std::vector<NodeName> ended;
+  for (const auto& [node, predecessor] : StateOf(context).predecessors) {
+    if (context.now >= LeasesEndOf(context, predecessor)) {
+      ended.push_back(node);
+    }
+  }
+  for (const NodeName& node : ended) {
+    StateOf(context).predecessors.erase(node);
+    work_log::ForgetLeader(context, node);
+  }
+}
+
+TimePoint LeasesEnd(const Context& context) {
+  const LeadershipState& state = context.state.submissions.leadership;
+  TimePoint end = state.epoch_raised_at + fleet::polls::LongestLease(context);
+  for (const auto& [node, predecessor] : state.predecessors) {
+    end = std::max(end, LeasesEndOf(context, predecessor));
+  }
+  return end;
+}
+
+}  // namespace basilspread::internal::predecessors
--- a/packages/core/src/internal/relay_agent.cc
+++ b/packages/core/src/internal/relay_agent.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "internal/candidacy.h"
+#include "internal/leadership_proof.h"
 #include "internal/own_load.h"
 
 namespace basilspread::internal::relay_agent {
@@ -83,14 +84,20 @@
 void OnOrders(Context& context, const ProcessId& from,
               const RelayOrders& message) {
   RelayAgentState& relay = StateOf(context);
-  if (message.epoch < relay.epoch) {
+  LeadershipState& leadership = context.state.submissions.leadership;
+  if (leadership_proof::IsOver(context, message.epoch)) {
     context.Log(LogLevel::kInfo, kPart,
                 "Ignores the orders of an earlier leader.",
                 {{"from", from.node.value},
                  {"epoch", message.epoch.value},
+                 {"highest_epoch", leadership.highest_epoch.value},
                  {"orders", message.orders.size()}});
+    HelperReport report = Describe(context);
+    leadership_proof::Describe(context, report);
+    context.Emit(SendToPeer{from.node, std::move(report)});
     return;
   }
+  leadership.highest_epoch = message.epoch;
   if (relay.leader != from || relay.epoch != message.epoch) {
     Reset(relay);
     relay.leader = from;
--- a/packages/core/src/internal/step_advice.cc
+++ b/packages/core/src/internal/step_advice.cc
@@ -11,6 +11,7 @@
 #include "internal/candidacy.h"
 #include "internal/fleet.h"
 #include "internal/leadership.h"
+#include "internal/leadership_proof.h"
 #include "internal/own_load.h"
 #include "internal/relays.h"
 #include "internal/step_offers.h"
@@ -337,10 +338,11 @@
   if (report.misses_leader &&
       context.state.submissions.leadership.holds_leadership) {
     AnswerMissedLeader(context, helper);
-    return;
+  } else {
+    helper.reports_missing_leader = 0;
+    ReportLeader(context, helper);
   }
-  helper.reports_missing_leader = 0;
-  ReportLeader(context, helper);
+  leadership_proof::OnReport(context, from, report);
 }
 
 void OnCall(Context& context, const ProcessId& from, const AdviceCall& call) {
--- a/packages/core/src/internal/step_placement.cc
+++ b/packages/core/src/internal/step_placement.cc
@@ -11,6 +11,7 @@
 #include "internal/fleet.h"
 #include "internal/gang_claims.h"
 #include "internal/leadership.h"
+#include "internal/leadership_proof.h"
 #include "internal/long_running.h"
 #include "internal/step_advice.h"
 #include "internal/step_offers.h"
@@ -284,6 +285,10 @@
   if (pending.step.gang_broken) {
     return true;
   }
+  if (!leadership_proof::MayStart(context)) {
+    pending.step.wait_reason = WaitReason::kUnproven;
+    return true;
+  }
   const bool needs_advice = submission.policy.advice.has_value();
   if (IsPlaceable(context, submission)) {
     Place(context, pending,
@@ -311,7 +316,8 @@
   for (std::uint32_t i = 0; i < submission.steps.size(); ++i) {
     if (submission_runs::IsReady(submission, i)) {
       waits = PlaceStep(context, submission, i) || waits;
-      if (long_running::IsLongRunning(submission, i)) {
+      if (long_running::IsLongRunning(submission, i) &&
+          leadership_proof::MayStart(context)) {
         waits = long_running::MoveOffDraining(context, submission, i) || waits;
       }
     }
@@ -405,6 +411,13 @@
   Request(context);
 }
 
+void WakeAll(Context& context) {
+  const auto queue = context.state.submissions.queue;
+  for (const auto& [rank, id] : queue) {
+    WakeById(context, id);
+  }
+}
+
 void OnCapacityFreed(Context& context, FleetWorker& worker) {
   std::erase_if(worker.waiting_submissions, [&context](const SubmissionId& id) {
     Submission* submission = submission_progress::Find(context, id);
--- a/packages/core/src/internal/step_placement.h
+++ b/packages/core/src/internal/step_placement.h
@@ -12,6 +12,8 @@
 void Request(Context& context);
 /// Makes the next pass consider the submission.
 void Wake(Context& context, Submission& submission);
+/// The next passes consider all submissions.
+void WakeAll(Context& context);
 /// Wakes the submissions that may run on the worker, which may have more free
 /// capacity now.
 void OnCapacityFreed(Context& context, FleetWorker& worker);
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -11,6 +11,7 @@
 
 #include "basilspread/core/limits.h"
 #include "internal/leadership.h"
+#include "internal/leadership_proof.h"
 #include "internal/load_shedding.h"
 #include "internal/own_load.h"
 #include "internal/queue_tables.h"
@@ -389,8 +390,9 @@
     return;
   }
   state.next_report = context.now + kReportInterval;
-  context.Emit(
-      SendToPeer{leader->process.node, relay_agent::Describe(context)});
+  HelperReport report = relay_agent::Describe(context);
+  leadership_proof::Describe(context, report);
+  context.Emit(SendToPeer{leader->process.node, std::move(report)});
 }
 
 void OnLeading(Context& context) { OnLeaderChanged(context); }
--- a/packages/core/src/internal/submission_loading.cc
+++ b/packages/core/src/internal/submission_loading.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <variant>
 
+#include "internal/predecessors.h"
 #include "internal/submission_progress.h"
 #include "internal/submission_runs.h"
 
@@ -62,6 +63,10 @@
     state.inherited_workers.insert_or_assign(worker->worker, *worker);
     return;
   }
+  if (const auto* leader = std::get_if<LeaderRecord>(&record)) {
+    predecessors::Load(context, *leader);
+    return;
+  }
   const auto* accepted = std::get_if<AcceptedRecord>(&record);
   if (accepted == nullptr) {
     return;
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -9,6 +9,7 @@
 #include "internal/fleet.h"
 #include "internal/fleet_polls.h"
 #include "internal/leadership.h"
+#include "internal/leadership_proof.h"
 #include "internal/long_running.h"
 #include "internal/own_load.h"
 #include "internal/submission_loading.h"
@@ -72,6 +73,12 @@
   return record;
 }
 
+LeaderRecord MakeLeaderRecord(const Context& context) {
+  const Settings& settings = context.state.settings;
+  return {settings.self, settings.peer_address,
+          context.state.submissions.leadership.epoch};
+}
+
 CallChannels& Channels(Context& context) {
   return StateOf(context).leadership.append_channels;
 }
@@ -228,6 +235,16 @@
   state.log.in_flight_workers = std::exchange(state.log.workers, {});
 }
 
+void AddLeaders(Context& context, Batch& batch) {
+  for (const NodeName& node :
+       std::exchange(StateOf(context).log.ended_leaders, {})) {
+    batch.Add(LeaderGoneRecord{node});
+  }
+  if (leadership_proof::NeedsAppend(context)) {
+    batch.Add(MakeLeaderRecord(context));
+  }
+}
+
 /// Marks the workers of the append as stored, except those changed since.
 void MarkWorkersStored(Context& context) {
   WorkLogState& log = StateOf(context).log;
@@ -267,6 +284,7 @@
   log.in_flight.reset();
   log.may_be_stored = false;
   ++log.sequence;
+  leadership_proof::OnAppended(context, log.in_flight_since);
   MarkEndsStored(context);
   MarkWorkersStored(context);
   const auto accepted = std::exchange(log.in_flight_accepted, {});
@@ -303,9 +321,9 @@
   state.log = WorkLogState{};
   state.log.epoch = state.leadership.epoch;
   state.log.sequence = FirstSequence(context);
-  // Not without records: whether the store numbers an empty append is open.
   Begin(context,
-        AppendWork{state.log.epoch, state.log.sequence, {TakeoverRecord{}}});
+        AppendWork{
+            state.log.epoch, state.log.sequence, {MakeLeaderRecord(context)}});
 }
 
 void RequestList(Context& context) {
@@ -362,11 +380,19 @@
   ScheduleAppend(context);
 }
 
+void RecordLeader(Context& context) { ScheduleAppend(context); }
+
+void ForgetLeader(Context& context, const NodeName& node) {
+  StateOf(context).log.ended_leaders.insert(node);
+  ScheduleAppend(context);
+}
+
 void Pump(Context& context) {
   SubmissionsState& state = StateOf(context);
   WorkLogState& log = state.log;
-  const bool is_empty =
-      log.accepted.empty() && log.changed.empty() && log.workers.empty();
+  const bool is_empty = log.accepted.empty() && log.changed.empty() &&
+                        log.workers.empty() && log.ended_leaders.empty() &&
+                        !leadership_proof::NeedsAppend(context);
   if (!leadership::IsLeading(context) || log.in_flight || is_empty) {
     return;
   }
@@ -380,6 +406,7 @@
   AddAccepted(context, batch);
   AddChanged(context, batch);
   AddWorkers(context, batch);
+  AddLeaders(context, batch);
   if (batch.append.records.empty()) {
     // All changed submissions were forgotten since. Nothing is sent, because an
     // append without records would raise the epoch.
--- a/packages/core/src/internal/work_log.h
+++ b/packages/core/src/internal/work_log.h
@@ -24,6 +24,10 @@
 void Forget(Context& context, const SubmissionId& id);
 /// Queues the record of a worker, or of its removal.
 void RecordWorker(Context& context, const HostName& worker);
+/// Queues the record of this leader, to show that its epoch is in force.
+void RecordLeader(Context& context);
+/// Queues the removal of the record of an earlier leader.
+void ForgetLeader(Context& context, const NodeName& node);
 /// Appends the queued records, unless an append is in flight.
 void Pump(Context& context);
 
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -286,7 +286,7 @@
       internal::step_advice::OnCall(this->context, this->from, message);
     }
     void operator()(const LeaderReport& message) const {
-      internal::leadership::OnReport(this->context, message);
+      internal::leadership::OnReport(this->context, this->from, message);
     }
     void operator()(const AdviceAnswer& message) const {
       internal::step_advice::OnAnswer(this->context, message);
--- a/packages/core/src/submission.cc
+++ b/packages/core/src/submission.cc
@@ -31,6 +31,8 @@
       return "acceptance";
     case WaitReason::kInherited:
       return "inherited";
+    case WaitReason::kUnproven:
+      return "unproven";
     case WaitReason::kRestartDelay:
       return "restart-delay";
     case WaitReason::kAdvice:
--- a/packages/core/src/submission_record.cc
+++ b/packages/core/src/submission_record.cc
@@ -51,8 +51,12 @@
   std::size_t operator()(const WorkerGoneRecord& record) const {
     return kRecordBytes + record.worker.value.size();
   }
-  std::size_t operator()(const TakeoverRecord& /*record*/) const {
-    return kRecordBytes;
+  std::size_t operator()(const LeaderRecord& record) const {
+    return kRecordBytes + record.process.node.value.size() +
+           record.address.size();
+  }
+  std::size_t operator()(const LeaderGoneRecord& record) const {
+    return kRecordBytes + record.node.value.size();
   }
 };
 
--- a/packages/wire/src/bounds.cc
+++ b/packages/wire/src/bounds.cc
@@ -74,6 +74,13 @@
   }
 };
 
+bool IsValid(const LeaderAck& ack) {
+  return ack.epoch.value <= limits::kMaxEpoch &&
+         limits::IsWithin(ack.sent_at.time_since_epoch(), limits::kMaxUptime) &&
+         limits::IsWithin(ack.report_sent_at.time_since_epoch(),
+                          limits::kMaxUptime);
+}
+
 /// Bounds of messages between processes.
 struct MessageBounds {
   bool operator()(const Heartbeat& message) const {
@@ -116,8 +123,21 @@
   bool operator()(const AdviceAnswer& message) const {
     return IsValid(message.given.validity);
   }
+  bool operator()(const HelperReport& message) const {
+    return message.highest_epoch.value <= limits::kMaxEpoch &&
+           IsValid(message.ack) &&
+           std::all_of(message.acknowledged_by.begin(),
+                       message.acknowledged_by.end(),
+                       [](const AcknowledgingLeader& leader) {
+                         return IsValid(leader.age);
+                       });
+  }
+  bool operator()(const LeaderReport& message) const {
+    return IsValid(message.ack);
+  }
   bool operator()(const RelayOrders& message) const {
-    return std::all_of(message.orders.begin(), message.orders.end(),
+    return message.epoch.value <= limits::kMaxEpoch &&
+           std::all_of(message.orders.begin(), message.orders.end(),
                        [](const WorkerOrder& order) {
                          return std::visit(OrderBounds{}, order);
                        });
@@ -161,6 +181,10 @@
   bool operator()(const ProgressRecord& record) const {
     return IsValidName(record.id.value);
   }
+  bool operator()(const LeaderRecord& record) const {
+    return IsValidName(record.process.node.value) &&
+           record.epoch.value <= limits::kMaxEpoch;
+  }
   bool operator()(const WorkerRecord& record) const {
     return IsValidName(record.worker.value) &&
            std::all_of(record.runs.begin(), record.runs.end(),
--- a/packages/wire/src/submission_codec.cc
+++ b/packages/wire/src/submission_codec.cc
@@ -117,6 +117,36 @@
          IsCapacity(packed.processor_share(), packed.link_mbps());
 }
 
+LeaderAck Unpack(const fb::LeaderAck* packed) {
+  if (packed == nullptr) {
+    return {};
+  }
+  return {Epoch{packed->epoch()}, TimePoint(Duration(packed->sent_at_ns())),
+          TimePoint(Duration(packed->report_sent_at_ns()))};
+}
+
+flatbuffers::Offset<fb::LeaderAck> Pack(Builder& builder,
+                                        const LeaderAck& ack) {
+  if (ack.epoch.value == 0) {
+    return {};
+  }
+  return fb::CreateLeaderAck(builder, ack.epoch.value,
+                             ack.sent_at.time_since_epoch().count(),
+                             ack.report_sent_at.time_since_epoch().count());
+}
+
+/// Whether the list is short and each leader is named; checked before the list
+/// is copied.
+bool IsSmall(const fb::HelperReport& packed) {
+  const auto* leaders = packed.acknowledged_by();
+  return leaders == nullptr ||
+         (leaders->size() <= kMaxNameCount &&
+          std::all_of(leaders->begin(), leaders->end(),
+                      [](const fb::AcknowledgingLeader* leader) {
+                        return IsShort(leader->node(), limits::kMaxNameBytes);
+                      }));
+}
+
 Result<PeerMessage> Unpack(const fb::LeaderReport& packed) {
   const auto* candidates = packed.candidates();
   const bool is_small = candidates == nullptr ||
@@ -132,6 +162,7 @@
   message.leader = packed.leader()->str();
   message.generation = packed.generation();
   message.releases = packed.releases();
+  message.ack = Unpack(packed.ack());
   if (packed.members() != nullptr) {
     for (const auto* member : *packed.members()) {
       message.members.push_back(member->str());
@@ -151,7 +182,7 @@
   const bool is_within =
       IsCapacity(packed.processor_share(), packed.link_mbps()) &&
       packed.busy_share() >= 0 && packed.busy_share() <= kMaxCapacity &&
-      IsShort(packed.zone(), limits::kMaxNameBytes);
+      IsShort(packed.zone(), limits::kMaxNameBytes) && IsSmall(packed);
   if (!is_within) {
     return TooLarge();
   }
@@ -163,6 +194,16 @@
   message.zone = ZoneName{TextOf(packed.zone())};
   message.carries_calls = packed.carries_calls();
   message.misses_leader = packed.misses_leader();
+  message.sent_at = TimePoint(Duration(packed.sent_at_ns()));
+  message.ack = Unpack(packed.ack());
+  message.highest_epoch = Epoch{packed.highest_epoch()};
+  if (packed.acknowledged_by() != nullptr) {
+    for (const auto* leader : *packed.acknowledged_by()) {
+      message.acknowledged_by.push_back(
+          {{NodeName{leader->node()->str()}, leader->incarnation()},
+           Duration(leader->age_ns())});
+    }
+  }
   return PeerMessage(std::move(message));
 }
 
@@ -237,13 +278,22 @@
 PackedBody Pack(Builder& builder, const HelperReport& message) {
   const auto address = builder.CreateString(message.address);
   const auto zone = PackText(builder, message.zone.value);
-  return {
-      fb::PeerBody::HelperReport,
-      fb::CreateHelperReport(builder, address, message.capacity.processor_share,
-                             message.capacity.link_mbps, message.is_candidate,
-                             message.busy_share, zone, message.carries_calls,
-                             message.misses_leader)
-          .Union()};
+  std::vector<flatbuffers::Offset<fb::AcknowledgingLeader>> leaders;
+  for (const AcknowledgingLeader& leader : message.acknowledged_by) {
+    const auto node = builder.CreateString(leader.process.node.value);
+    leaders.push_back(fb::CreateAcknowledgingLeader(
+        builder, node, leader.process.incarnation, leader.age.count()));
+  }
+  const auto acknowledged_by = builder.CreateVector(leaders);
+  const auto ack = Pack(builder, message.ack);
+  return {fb::PeerBody::HelperReport,
+          fb::CreateHelperReport(
+              builder, address, message.capacity.processor_share,
+              message.capacity.link_mbps, message.is_candidate,
+              message.busy_share, zone, message.carries_calls,
+              message.misses_leader, message.sent_at.time_since_epoch().count(),
+              ack, message.highest_epoch.value, acknowledged_by)
+              .Union()};
 }
 
 PackedBody Pack(Builder& builder, const LeaderReport& message) {
@@ -257,9 +307,10 @@
   const auto candidates = builder.CreateVector(packed);
   const auto members = builder.CreateVectorOfStrings(message.members);
   const auto leader = builder.CreateString(message.leader);
+  const auto ack = Pack(builder, message.ack);
   return {fb::PeerBody::LeaderReport,
           fb::CreateLeaderReport(builder, leader, members, message.generation,
-                                 message.releases, candidates)
+                                 message.releases, candidates, ack)
               .Union()};
 }
 
--- a/packages/wire/src/work_codec.cc
+++ b/packages/wire/src/work_codec.cc
@@ -22,7 +22,7 @@
 constexpr std::string_view kSpecPrefix = "s/";
 constexpr std::string_view kProgressPrefix = "p/";
 constexpr std::string_view kWorkerPrefix = "w/";
-constexpr std::string_view kTakeoverKey = "t/";
+constexpr std::string_view kLeaderPrefix = "l/";
 
 Error Malformed(std::string_view key) {
   return Error{ErrorKind::kBadRequest,
@@ -133,8 +133,19 @@
     return {KeyOf(kWorkerPrefix, record.worker), std::nullopt};
   }
 
-  KeyedRecord operator()(const TakeoverRecord& /*record*/) const {
-    return {std::string(kTakeoverKey), std::nullopt};
+  KeyedRecord operator()(const LeaderRecord& record) const {
+    Builder builder;
+    const auto address = builder.CreateString(record.address);
+    const auto body =
+        fb::CreateLeaderRecord(builder, record.process.incarnation, address,
+                               record.epoch.value)
+            .Union();
+    return {KeyOf(kLeaderPrefix, record.process.node),
+            Finish(builder, fb::WorkBody::LeaderRecord, body)};
+  }
+
+  KeyedRecord operator()(const LeaderGoneRecord& record) const {
+    return {KeyOf(kLeaderPrefix, record.node), std::nullopt};
   }
 };
 
@@ -221,6 +232,13 @@
     return DecodeWorker(HostName{std::string(key.substr(kWorkerPrefix.size()))},
                         *worker);
   }
+  const auto* leader = record.body_as_LeaderRecord();
+  if (leader != nullptr && key.starts_with(kLeaderPrefix)) {
+    const NodeName node{std::string(key.substr(kLeaderPrefix.size()))};
+    return WorkRecord(LeaderRecord{{node, leader->incarnation()},
+                                   leader->address()->str(),
+                                   Epoch{leader->epoch()}});
+  }
   return Malformed(key);
 }
 
--- a/packages/wire/tests/peer_codec_test.cc
+++ b/packages/wire/tests/peer_codec_test.cc
@@ -40,6 +40,12 @@
 TEST_CASE("Reports of helpers and leaders survive encoding", "[wire][peer]") {
   const ProcessId sender{NodeName{"glasgow-1"}, 42};
   HelperReport helper{"10.0.0.1:7000", {0.12, 10}, true, 0.75};
+  helper.sent_at = TimePoint(std::chrono::seconds(9));
+  helper.ack = {Epoch{3}, TimePoint(std::chrono::seconds(8)),
+                TimePoint(std::chrono::seconds(7))};
+  helper.highest_epoch = Epoch{4};
+  helper.acknowledged_by = {
+      {{NodeName{"dundee-1"}, 7}, std::chrono::seconds(2)}};
   const PeerFrame first =
       DecodeFrame(Body(EncodeFrame({sender, helper}).value())).value();
   const auto& report = std::get<HelperReport>(first.message);
@@ -47,6 +53,15 @@
   CHECK(report.capacity == helper.capacity);
   CHECK(report.is_candidate);
   CHECK(report.busy_share == 0.75);
+  CHECK(report.sent_at == helper.sent_at);
+  CHECK(report.ack.epoch == Epoch{3});
+  CHECK(report.ack.sent_at == helper.ack.sent_at);
+  CHECK(report.ack.report_sent_at == helper.ack.report_sent_at);
+  CHECK(report.highest_epoch == Epoch{4});
+  REQUIRE(report.acknowledged_by.size() == 1);
+  CHECK(report.acknowledged_by[0].process ==
+        ProcessId{NodeName{"dundee-1"}, 7});
+  CHECK(report.acknowledged_by[0].age == std::chrono::seconds(2));
 
   LeaderReport leader;
   leader.leader = "glasgow-1/42/10.0.0.1:7000";
@@ -54,6 +69,7 @@
   leader.candidates = {{NodeName{"glasgow-1"}, {0.5, 200}},
                        {NodeName{"dundee-1"}, {0.12, 10}}};
   leader.generation = 9;
+  leader.ack = helper.ack;
   const PeerFrame second =
       DecodeFrame(Body(EncodeFrame({sender, leader}).value())).value();
   const auto& decoded = std::get<LeaderReport>(second.message);
@@ -62,6 +78,8 @@
   CHECK(decoded.candidates[1].node == NodeName{"dundee-1"});
   CHECK(decoded.candidates[0].capacity == Capacity{0.5, 200});
   CHECK(decoded.generation == 9);
+  CHECK(decoded.ack.epoch == Epoch{3});
+  CHECK(decoded.ack.report_sent_at == helper.ack.report_sent_at);
 }
 
 TEST_CASE("Malformed frames are rejected without an exception",
