Verify the epoch when the group changes before a join confirms the leadership

A leader that was away while another process led and ended gets the leadership back with its next join, which names it as before; it goes on with its old state, confirms "unknown" by that join, renews and starts. Only its next append was refused.

Change: a join after which the group has another generation confirms nothing until an append that began later is stored; the leader appends its own record for that.

--- a/packages/core/src/internal/leadership_proof.cc
+++ b/packages/core/src/internal/leadership_proof.cc
@@ -117,7 +117,10 @@
   if (!IsEpochInForce(context)) {
     return true;
   }
-  (void)has_group_changed;
+  if (has_group_changed) {
+    state.unverified_since = context.now;
+    work_log::RecordLeader(context);
+  }
   if (state.unverified_since) {
     return false;
   }
--- a/packages/core/tests/cut_off_leader_test.cc
+++ b/packages/core/tests/cut_off_leader_test.cc
@@ -117,7 +117,7 @@
 
 TEST_CASE(
     "A leader that leads again after another one knows what that accepted",
-    "[.cut-off-leader][leadership][takeover]") {
+    "[cut-off-leader][leadership][takeover]") {
   World world;
   const int former = world.Leader();
   world.cut_from_store = {former};
