Test proofs of a leadership by witnesses, after a suspension and by relays

Placement lines tell proven_ms, and a link to an earlier leader that never opened is closed with its record.

--- a/packages/core/src/internal/leadership_proof.cc
+++ b/packages/core/src/internal/leadership_proof.cc
@@ -178,15 +178,13 @@
   if (!leadership::IsLeading(context)) {
     return;
   }
-  const std::optional<TimePoint> proven_at = ProvenAt(context);
   context.Log(
       is_missing ? LogLevel::kWarning : LogLevel::kInfo, kPart,
       is_missing
           ? "The leadership is not proven; no run is started and leases lapse."
           : "The leadership is proven again; runs are started.",
       {{"epoch", LeadershipOf(context).epoch.value},
-       {"proven_ms",
-        context.now - proven_at.value_or(LeadershipOf(context).gained_at)},
+       {"proven_ms", TimeSinceProven(context)},
        {"witnesses", state.witnesses.size()},
        {"needs_append", NeedsAppend(context)}});
   if (!is_missing) {
@@ -204,6 +202,11 @@
                                          *state.store + kMaxTimeWithoutStore));
 }
 
+Duration TimeSinceProven(const Context& context) {
+  const LeadershipState& state = context.state.submissions.leadership;
+  return context.now - ProvenAt(context).value_or(state.gained_at);
+}
+
 bool MayStart(const Context& context) {
   const std::optional<TimePoint> proven_at = ProvenAt(context);
   return proven_at &&
--- a/packages/core/src/internal/leadership_proof.h
+++ b/packages/core/src/internal/leadership_proof.h
@@ -37,6 +37,8 @@
 /// The latest time at which no later leader can have had a run started on a
 /// worker that this one reaches; unset: none is known.
 std::optional<TimePoint> ProvenAt(const Context& context);
+/// Age of the latest proof, or of the takeover if there is none.
+Duration TimeSinceProven(const Context& context);
 /// Whether runs may be started: most of a lease is left.
 bool MayStart(const Context& context);
 /// Whether leases that this leader granted until `leased_until` have lapsed. By
--- a/packages/core/src/internal/predecessors.cc
+++ b/packages/core/src/internal/predecessors.cc
@@ -120,6 +120,9 @@
   }
   for (const NodeName& node : ended) {
     StateOf(context).predecessors.erase(node);
+    if (!StateOf(context).linked_peers.contains(node)) {
+      context.Emit(DisconnectPeer{node});
+    }
     work_log::ForgetLeader(context, node);
   }
 }
--- a/packages/core/tests/cut_off_leader_test.cc
+++ b/packages/core/tests/cut_off_leader_test.cc
@@ -158,6 +158,101 @@
   world.CheckNoViolation();
 }
 
+TEST_CASE(
+    "A process that the former leader never heard waits for its last proof",
+    "[cut-off-leader][leadership][takeover]") {
+  World world;
+  const int former = world.Leader();
+  const int unheard = (former + 3) % kNodes;
+  world.Kill(unheard);
+  // The store confirms the leader for long enough to leave the process out.
+  world.Run(seconds(15));
+  world.Fill();
+  std::set<int> inside;
+  for (int node = 0; node < kNodes; ++node) {
+    if (node != unheard) {
+      inside.insert(node);
+    }
+  }
+  world.CutOff(inside, {"w1"});
+  world.Restart(unheard);
+  world.Run(seconds(3));
+  REQUIRE(world.Leadership(unheard).phase == LeaderPhase::kLeading);
+  world.FinishRunsOn("w2");
+  world.FinishRunsOn("w3");
+  // Its peers' word keeps the former leader going.
+  world.Run(seconds(17));
+  CHECK(world.Worker("w1").runs.size() == 4);
+  world.Run(seconds(25));
+  CHECK(world.Leadership(former).phase == LeaderPhase::kLeading);
+  CHECK(world.Worker("w1").runs.empty());
+  world.CheckNoViolation();
+}
+
+TEST_CASE("A leader whose relay knows of a higher epoch takes over anew",
+          "[cut-off-leader][leadership][relays]") {
+  World world;
+  world.Fill();
+  const int leader = world.Leader();
+  const Epoch before = world.Leadership(leader).epoch;
+  const Epoch higher{before.value + 50};
+  const int relay = world.Other(leader);
+  world.Inject(relay, PeerReceived{world
+                                       .StateOf((relay + 1) % kNodes == leader
+                                                    ? (relay + 2) % kNodes
+                                                    : (relay + 1) % kNodes)
+                                       .settings.self,
+                                   RelayOrders{higher, {}}});
+  world.Run(seconds(3));
+  CHECK(world.Leader() == leader);
+  CHECK(world.Leadership(leader).epoch > higher);
+  CHECK(world.Worker("w1").runs.size() == 4);
+  world.CheckNoViolation();
+}
+
+TEST_CASE(
+    "A leader acts without the store only as long as each witness confirms it",
+    "[cut-off-leader][leadership][store-outage]") {
+  World world;
+  world.Fill();
+  const int leader = world.Leader();
+  world.store_is_down = true;
+  world.Run(seconds(10));
+  REQUIRE(world.Worker("w1").runs.size() == 4);
+  world.CutLink(leader, world.Other(leader));
+  world.Run(seconds(9));
+  CHECK(world.Worker("w1").runs.empty());
+  // What lapsed does not come back by the witnesses' word.
+  world.HealLink(leader, world.Other(leader));
+  const int starts = world.Starts(kFirst, 0, 0);
+  world.Run(seconds(10));
+  CHECK(world.Starts(kFirst, 0, 0) == starts);
+  world.store_is_down = false;
+  world.Run(seconds(3));
+  CHECK(world.Starts(kFirst, 0, 0) == starts + 1);
+  world.CheckNoViolation();
+}
+
+TEST_CASE("A leader that was suspended starts nothing before a new proof",
+          "[cut-off-leader][leadership]") {
+  World world;
+  const int leader = world.Leader();
+  world.run_time = seconds(1);
+  StepSpec next = Tasks(4);
+  next.after = {0};
+  world.Submit(leader, kFirst, {Tasks(4), next}, kNoAdvice);
+  world.Run(milliseconds(500));
+  REQUIRE(world.Starts(kFirst, 0, 0) == 1);
+  world.store_is_down = true;
+  world.Inject(leader, Resumed{seconds(5)});
+  world.Run(seconds(5));
+  CHECK(world.Starts(kFirst, 1, 0) == 0);
+  world.store_is_down = false;
+  world.Run(seconds(6));
+  CHECK(world.Starts(kFirst, 1, 0) == 1);
+  world.CheckNoViolation();
+}
+
 TEST_CASE("Accepted work goes on while the store is away for all",
           "[leadership][store-outage]") {
   World world;
