Hold the links of one process alone in the soak's proxy

The proxy held a link by the address that it leads to, so a worker or a peer could be cut off from all processes or from none. The preloaded connect gives every connection its process's own address as the source, and a change of a link may name one.

--- a/tests/soak/effect.h
+++ b/tests/soak/effect.h
@@ -47,6 +47,9 @@
 struct ChangeLink {
   std::string address;
   test::LinkChange change;
+  /// The IP address of the process whose connections this concerns; empty:
+  /// all.
+  std::string source = {};
 };
 
 using Effect =
--- a/tests/soak/host.h
+++ b/tests/soak/host.h
@@ -16,6 +16,8 @@
 struct HostSettings {
   std::string name;
   std::string zone;
+  /// IP address that it calls from.
+  std::string source;
   std::string http;
   /// Where callers reach it through the proxy.
   std::string proxied;
--- a/tests/soak/link_shim.cc
+++ b/tests/soak/link_shim.cc
@@ -1,5 +1,6 @@
 // Preloaded into a process under test: its links to peers lead through the
-// proxy, while the settings state where the peer listens.
+// proxy, while the settings state where the peer listens. All its connections
+// come from its own address, by which the proxy tells the processes apart.
 #include <arpa/inet.h>
 #include <dlfcn.h>
 #include <netinet/in.h>
@@ -7,6 +8,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <cstdlib>
 #include <cstring>
 
 #include "soak/peer_address.h"
@@ -37,6 +39,24 @@
   return is_refused;
 }
 
+/// False with `errno` set. Leaves a socket alone that has an address already.
+bool BindToSource(int socket) {
+  static const char* const kSource = std::getenv("SOAK_SOURCE");
+  sockaddr_in source{};
+  source.sin_family = AF_INET;
+  if (kSource == nullptr ||
+      inet_pton(AF_INET, kSource, &source.sin_addr) != 1) {
+    return true;
+  }
+  // The port is chosen for the connection, not for the address alone.
+  const int is_on = 1;
+  setsockopt(socket, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &is_on,
+             sizeof(is_on));
+  return bind(socket, reinterpret_cast<const sockaddr*>(&source),
+              sizeof(source)) == 0 ||
+         errno == EINVAL;
+}
+
 }  // namespace
 
 extern "C" int connect(int socket, const sockaddr* address, socklen_t length) {
@@ -47,6 +67,9 @@
     return kNext(socket, address, length);
   }
   std::memcpy(&peer, address, sizeof(peer));
+  if (peer.sin_family == AF_INET && !BindToSource(socket)) {
+    return -1;
+  }
   if (!IsPeer(peer)) {
     return kNext(socket, address, length);
   }
--- a/tests/soak/processes.cc
+++ b/tests/soak/processes.cc
@@ -104,7 +104,8 @@
                                PathOf(host, ".ini")},
       log,
       std::vector<std::string>{std::string("LD_PRELOAD=") + SOAK_SHIM_LIBRARY,
-                               "SOAK_CLOCK_FILE=" + PathOf(host, ".clock")});
+                               "SOAK_CLOCK_FILE=" + PathOf(host, ".clock"),
+                               "SOAK_SOURCE=" + this->hosts[host].source});
 }
 
 void Processes::Signal(std::size_t host, int number) const {
--- a/tests/soak/run.cc
+++ b/tests/soak/run.cc
@@ -77,7 +77,8 @@
       return fmt::format("{}.{}.{}:{}", this->net, part, 1 + i, port);
     };
     this->addresses.hosts.push_back(
-        {HostName(i), fmt::format("zone-{}", i % kZones), at(1, 8080),
+        {HostName(i), fmt::format("zone-{}", i % kZones),
+         fmt::format("{}.{}.{}", this->net, kHostPart, 1 + i), at(1, 8080),
          at(4, 8080), at(kHostPart, kPeerPort), at(kProxiedPeerPart, kPeerPort),
          at(1, 8083), at(1, 8081), at(2, 7001), at(3, 7002)});
     this->proxy.Listen(at(kProxiedPeerPart, kPeerPort),
@@ -198,7 +199,7 @@
 }
 
 void Run::Carry(const ChangeLink& effect) {
-  this->proxy.Change(effect.address, effect.change);
+  this->proxy.Change(effect.address, effect.change, effect.source);
 }
 
 }  // namespace soak
--- a/tests/support/proxy.cc
+++ b/tests/support/proxy.cc
@@ -55,10 +55,11 @@
   this->thread.join();
 }
 
-void Proxy::Change(const std::string& address, const LinkChange& change) {
+void Proxy::Change(const std::string& address, const LinkChange& change,
+                   const std::string& source) {
   {
     const std::lock_guard lock(this->mutex);
-    this->changes.emplace_back(address, change);
+    this->changes.push_back({address, source, change});
   }
   this->wake_socket.Wake();
 }
@@ -104,17 +105,19 @@
 }
 
 void Proxy::TakeChanges() {
-  std::vector<std::pair<std::string, LinkChange>> taken;
+  std::vector<Order> taken;
   {
     const std::lock_guard lock(this->mutex);
     taken.swap(this->changes);
   }
-  for (const auto& [address, change] : taken) {
+  for (const auto& [address, source, change] : taken) {
     Link& link = this->links.at(address);
-    link.state = change;
+    (source.empty() ? link.state : link.of_sources[source]) = change;
     for (auto pipe = this->pipes.begin(); pipe != this->pipes.end();) {
       const PipePtr current = pipe++;
-      if (current->link != &link) {
+      const bool is_concerned = current->link == &link &&
+                                (source.empty() || source == current->source);
+      if (!is_concerned) {
         continue;
       }
       current->is_silent |= change.silences;
@@ -128,7 +131,8 @@
 void Proxy::Accept(Link& link) {
   try {
     StreamSocket caller = link.listener.acceptConnection();
-    if (link.state.refuses) {
+    const std::string source = caller.peerAddress().host().toString();
+    if (StateOf(link, source).refuses) {
       return;
     }
     StreamSocket server;
@@ -137,6 +141,7 @@
     caller.setNoDelay(true);
     const PipePtr pipe = this->pipes.emplace(this->pipes.end());
     pipe->link = &link;
+    pipe->source = source;
     pipe->streams = {Stream{caller, server, {}, false, 0},
                      Stream{server, caller, {}, false, 0}};
     this->by_socket[caller] = pipe;
@@ -148,9 +153,22 @@
   }
 }
 
+LinkChange Proxy::StateOf(const Link& link, const std::string& source) {
+  LinkChange state = link.state;
+  const auto found = link.of_sources.find(source);
+  if (found != link.of_sources.end()) {
+    state.holds_requests |= found->second.holds_requests;
+    state.holds_answers |= found->second.holds_answers;
+    state.refuses |= found->second.refuses;
+    state.delay += found->second.delay;
+  }
+  return state;
+}
+
 bool Proxy::IsHeld(const Pipe& pipe, std::size_t side) {
-  return pipe.is_silent || (side == 0 ? pipe.link->state.holds_requests
-                                      : pipe.link->state.holds_answers);
+  const LinkChange state = StateOf(*pipe.link, pipe.source);
+  return pipe.is_silent ||
+         (side == 0 ? state.holds_requests : state.holds_answers);
 }
 
 void Proxy::OnReady(PipePtr pipe, const Socket& socket, int mode) {
@@ -171,7 +189,8 @@
       if (count > 0) {
         bytes.resize(static_cast<std::size_t>(count));
         stream.chunks.push_back(
-            {Now() + pipe->link->state.delay, std::move(bytes), 0});
+            {Now() + StateOf(*pipe->link, pipe->source).delay, std::move(bytes),
+             0});
       }
     }
   } catch (const Poco::Exception&) {
--- a/tests/support/proxy.h
+++ b/tests/support/proxy.h
@@ -13,7 +13,6 @@
 #include <mutex>
 #include <string>
 #include <thread>
-#include <utility>
 #include <vector>
 
 #include "wake_socket.h"
@@ -49,8 +48,10 @@
   void Listen(const std::string& address, const std::string& target);
   void Start();
   void Stop();
-  /// From any thread.
-  void Change(const std::string& address, const LinkChange& change);
+  /// From any thread. With a `source`, an IP address, this concerns only the
+  /// connections that come from there, on top of what concerns all.
+  void Change(const std::string& address, const LinkChange& change,
+              const std::string& source = "");
 
  private:
   using TimePoint = std::chrono::steady_clock::time_point;
@@ -59,6 +60,13 @@
     std::string target;
     Poco::Net::ServerSocket listener;
     LinkChange state;
+    /// On top of it, by the IP address that a connection comes from.
+    std::map<std::string, LinkChange> of_sources;
+  };
+  struct Order {
+    std::string address;
+    std::string source;
+    LinkChange change;
   };
   struct Chunk {
     TimePoint due;
@@ -76,6 +84,8 @@
   };
   struct Pipe {
     Link* link = nullptr;
+    /// The connecting end's IP address.
+    std::string source;
     /// From the connecting end, and to it.
     std::array<Stream, 2> streams;
     /// Passes nothing any more.
@@ -90,6 +100,8 @@
   void OnReady(PipePtr pipe, const Poco::Net::Socket& socket, int mode);
   /// Passes on what is due; false when the pipe has ended.
   bool Pass(Pipe& pipe);
+  /// What concerns the connections from there: all of it taken together.
+  static LinkChange StateOf(const Link& link, const std::string& source);
   static bool IsHeld(const Pipe& pipe, std::size_t side);
   void Watch(Pipe& pipe);
   void Close(PipePtr pipe, bool resets);
@@ -102,7 +114,7 @@
   std::list<Pipe> pipes;
   std::map<Poco::Net::Socket, PipePtr> by_socket;
   std::mutex mutex;
-  std::vector<std::pair<std::string, LinkChange>> changes;
+  std::vector<Order> changes;
   bool is_stopping = false;
   std::thread thread;
 };
