Cut a leader off together with its zone or group in the soak

The soak had no such fault: its links were held for all processes or none, hosts and workers were drawn apart from each other, and urgent tasks ended long before a next leader may start what it inherits.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -95,8 +95,12 @@
 }
 
 void Callers::HandIn(const Context& context) {
-  const standin::Submission submission =
+  standin::Submission submission =
       MakeSubmission(this->random, this->tables.Routes(), this->workers);
+  // Runs without long work draw as before there was any.
+  if (this->long_share > 0 && standin::Chance(this->random, this->long_share)) {
+    Lengthen(submission);
+  }
   this->ledger.OnSubmit(submission, context.now);
   this->attempts[submission.id] = 1;
   Call call;
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -40,6 +40,8 @@
 
   /// Hands in so many submissions a second from now on.
   void SetRate(double submissions_per_second);
+  /// This share of what is handed in from now on is made long.
+  void SetLongShare(double share) { this->long_share = share; }
   /// Hands in so many at once.
   void Burst(const Context& context, std::size_t count);
   /// Asks for everything that is not known to have ended.
@@ -94,6 +96,7 @@
   const Hooks hooks;
   standin::Random random;
   double rate = 0;
+  double long_share = 0;
   double owed = 0;
   std::optional<TimePoint> advanced_at;
   TimePoint markers_at;
--- a/tests/soak/fault_kinds.cc
+++ b/tests/soak/fault_kinds.cc
@@ -28,6 +28,10 @@
 constexpr milliseconds kLong(8000);
 /// Longer than a lease and than the gang timeout.
 constexpr milliseconds kLongest(9000);
+/// Cuts last longer than the next leader waits for the leases of the former
+/// one.
+constexpr milliseconds kShortestCut(9000);
+constexpr milliseconds kLongestCut(20000);
 
 constexpr test::LinkChange kHoldsBoth{true, true};
 constexpr test::LinkChange kHoldsRequests{true, false};
@@ -258,6 +262,14 @@
   };
 }
 
+std::vector<FaultKind> CutKinds() {
+  return {
+      {"cut-zone", kShortestCut, kLongestCut, [](S& s) { s.CutLeaderZone(); }},
+      {"cut-leader-group", kShortestCut, kLongestCut,
+       [](S& s) { s.CutLeaderGroup(); }},
+  };
+}
+
 }  // namespace
 
 const std::vector<FaultKind>& FaultKinds() {
@@ -265,7 +277,7 @@
   static const std::vector<FaultKind> kKinds = [] {
     std::vector<FaultKind> all = HostKinds();
     for (const auto& more : {LinkKinds(), StoreKinds(), WorkerKinds(),
-                             PeerKinds(), GroupKinds()}) {
+                             PeerKinds(), GroupKinds(), CutKinds()}) {
       all.insert(all.end(), more.begin(), more.end());
     }
     return all;
--- a/tests/soak/generator.cc
+++ b/tests/soak/generator.cc
@@ -26,6 +26,9 @@
 constexpr milliseconds kQuoteTime(700);
 constexpr milliseconds kCheckTime(1000);
 constexpr milliseconds kPlanTime(1500);
+/// Of an urgent task that was made long: some are at work, or are started
+/// again, from the loss of a leader until the next one starts its tasks.
+constexpr milliseconds kLongQuoteTime(4000);
 
 standin::Step MakeCheck(standin::Random& random, std::size_t workers) {
   standin::Step step;
@@ -91,4 +94,12 @@
   return submission;
 }
 
+void Lengthen(standin::Submission& submission) {
+  for (standin::Step& step : submission.steps) {
+    if (step.run_time == kQuoteTime) {
+      step.run_time = kLongQuoteTime;
+    }
+  }
+}
+
 }  // namespace soak
--- a/tests/soak/generator.h
+++ b/tests/soak/generator.h
@@ -15,6 +15,9 @@
                                    const std::vector<standin::Route>& routes,
                                    std::size_t workers);
 
+/// Makes small and urgent work last for seconds; leaves the rest as it is.
+void Lengthen(standin::Submission& submission);
+
 }  // namespace soak
 
 #endif  // BASILSPREAD_TESTS_SOAK_GENERATOR_H_
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -61,7 +61,9 @@
       "only", "draws faults among these kinds, separated by commas",
       cxxopts::value<std::vector<std::string>>())(
       "rate", "submissions a second; by default in proportion to the workers",
-      cxxopts::value<double>())(
+      cxxopts::value<double>())("long",
+                                "share of the submissions that are made long",
+                                cxxopts::value<double>()->default_value("0"))(
       "broken", "plays a part wrong; its check must find it",
       cxxopts::value<std::string>()->default_value("nothing"))(
       "out", "folder of logs, settings and the picture; kept on failure",
@@ -183,6 +185,7 @@
   if (flags.count("rate") > 0) {
     options.world.rate = flags["rate"].as<double>();
   }
+  options.world.long_share = flags["long"].as<double>();
   options.processes = flags["processes"].as<std::size_t>();
   options.workers = flags["workers"].as<std::size_t>();
   options.folder = flags["out"].as<std::string>();
--- a/tests/soak/trouble.cc
+++ b/tests/soak/trouble.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "platform/bounds.h"
 #include "platform/wire/store_wire.h"
 
 namespace soak {
@@ -11,6 +12,11 @@
 
 /// The largest share of the workers that one fault concerns.
 constexpr double kFewWorkers = 0.3;
+/// The largest share of hosts, and of workers, that is cut off with the leader.
+constexpr double kGroupShare = 0.5;
+/// Silence after which the store drops an entry, in heartbeats: PROTOCOL,
+/// service discovery.
+constexpr int kSilentBeats = 3;
 /// Group of the processes, for the choice of the leader as a target.
 constexpr const char* kGroup = "basilspread";
 
@@ -49,10 +55,11 @@
 }
 
 void Scene::ChangeLink(const std::string& address,
-                       const test::LinkChange& change) {
-  this->context.effects.push_back(soak::ChangeLink{address, change});
+                       const test::LinkChange& change,
+                       const std::string& source) {
+  this->context.effects.push_back(soak::ChangeLink{address, change, source});
   if (this->lasts > Duration::zero()) {
-    this->trouble.links.emplace(address, this->end);
+    this->trouble.links.emplace(std::pair(address, source), this->end);
   }
 }
 
@@ -108,6 +115,69 @@
   }
 }
 
+void Scene::CutOff(const std::set<std::size_t>& cut_hosts,
+                   const std::set<std::size_t>& cut_workers) {
+  if (this->trouble.cut_until > this->context.now) {
+    return;
+  }
+  constexpr test::LinkChange kHeld{true, true};
+  this->Disturb(this->end);
+  this->trouble.cut_until = this->end;
+  for (std::size_t host = 0; host < this->hosts.Count(); ++host) {
+    const HostSettings& settings = this->hosts.SettingsOf(host);
+    const bool is_cut = cut_hosts.contains(host);
+    if (is_cut) {
+      this->hosts.Disturb(host, this->end);
+      this->ChangeLink(settings.store, kHeld);
+      this->ChangeLink(settings.advisor, kHeld);
+    }
+    for (std::size_t peer = 0; peer < this->hosts.Count(); ++peer) {
+      if (is_cut != cut_hosts.contains(peer)) {
+        this->ChangeLink(this->hosts.SettingsOf(peer).proxied_peer, kHeld,
+                         settings.source);
+      }
+    }
+    for (std::size_t i = 0; i < this->workers.Count(); ++i) {
+      if (is_cut != cut_workers.contains(i)) {
+        this->ChangeLink(this->worker_addresses[i], kHeld, settings.source);
+      }
+    }
+  }
+  for (const std::size_t i : cut_workers) {
+    const std::string& id = this->workers.At(i).id;
+    this->trouble.cut_workers[id] = this->end;
+    this->trouble.lapses.emplace(
+        this->context.now + kSilentBeats * standin::bounds::kHeartbeat, id);
+  }
+}
+
+void Scene::CutLeaderZone() {
+  const std::string zone = this->hosts.SettingsOf(this->Leader()).zone;
+  std::set<std::size_t> cut_hosts;
+  for (std::size_t host = 0; host < this->hosts.Count(); ++host) {
+    if (this->hosts.SettingsOf(host).zone == zone) {
+      cut_hosts.insert(host);
+    }
+  }
+  std::set<std::size_t> cut_workers;
+  for (std::size_t i = 0; i < this->workers.Count(); ++i) {
+    if (this->workers.At(i).zone == zone) {
+      cut_workers.insert(i);
+    }
+  }
+  this->CutOff(cut_hosts, cut_workers);
+}
+
+void Scene::CutLeaderGroup() {
+  const std::vector<std::size_t> some_hosts =
+      this->Some(this->hosts.Count(), kGroupShare);
+  std::set<std::size_t> cut_hosts(some_hosts.begin(), some_hosts.end());
+  cut_hosts.insert(this->Leader());
+  const std::vector<std::size_t> some_workers =
+      this->Some(this->workers.Count(), kGroupShare);
+  this->CutOff(cut_hosts, {some_workers.begin(), some_workers.end()});
+}
+
 void Scene::EachWorker(const std::function<void(std::size_t)>& action) {
   this->Disturb(this->end);
   for (const std::size_t i : this->Some(this->workers.Count(), kFewWorkers)) {
--- a/tests/soak/trouble.h
+++ b/tests/soak/trouble.h
@@ -29,8 +29,14 @@
   /// When the leadership is given to another member.
   std::multiset<TimePoint> deals;
   std::map<std::size_t, TimePoint> refuses_host;
-  /// Links that are held or delayed, by address.
-  std::multimap<std::string, TimePoint> links;
+  /// Links that are held or delayed, by address and source.
+  std::multimap<std::pair<std::string, std::string>, TimePoint> links;
+  /// Until when a part is cut off from the rest.
+  TimePoint cut_until;
+  /// Workers that do not reach the store, by id, and when it drops the entries
+  /// of those that have fallen silent.
+  std::map<std::string, TimePoint> cut_workers;
+  std::multimap<TimePoint, std::string> lapses;
   /// Hosts that are to be stopped in turn.
   std::multimap<TimePoint, std::size_t> stops;
   /// Hosts that stand still for a moment, again and again.
@@ -64,7 +70,9 @@
   /// Marks the fault: checks with a time bound rest until some time after it.
   void Disturb(TimePoint until);
   void DisturbStore(TimePoint& last);
-  void ChangeLink(const std::string& address, const test::LinkChange& change);
+  /// With a `source`, of that process only.
+  void ChangeLink(const std::string& address, const test::LinkChange& change,
+                  const std::string& source = "");
   /// Some hosts, with a fault of their links.
   void EachHost(const std::function<void(std::size_t)>& action);
   void StoreLinks(const test::LinkChange& change);
@@ -76,6 +84,16 @@
   /// What one host hears of all others, or they of it and of each other.
   void PeerLinkTo(std::size_t host, const test::LinkChange& change);
   void PeerLinksBut(std::size_t host, const test::LinkChange& change);
+  /// Leaves these hosts and workers to themselves: they reach each other, and
+  /// neither the store, the advisor nor the other hosts and workers, nor those
+  /// them. Does nothing while another part is cut off: the next leader would
+  /// be lost in the same way before it has led.
+  void CutOff(const std::set<std::size_t>& cut_hosts,
+              const std::set<std::size_t>& cut_workers);
+  /// The hosts and workers of the leader's zone.
+  void CutLeaderZone();
+  /// The leader, some of the other hosts and some workers.
+  void CutLeaderGroup();
   void EachWorker(const std::function<void(std::size_t)>& action);
   void MarkWorkers(TimePoint standin::Worker::*until);
   void WriteGarbage();
--- a/tests/soak/world.cc
+++ b/tests/soak/world.cc
@@ -107,7 +107,8 @@
   standin::Workers::Hooks hooks;
   hooks.publish = [this](const std::string& id,
                          const std::optional<standin::WorkerNotice>& notice) {
-    const bool is_away = this->trouble.down_until > this->now ||
+    const bool is_away = (notice && this->IsCutOff(id)) ||
+                         this->trouble.down_until > this->now ||
                          this->trouble.refuses_until > this->now;
     if (!is_away) {
       this->store.Write(standin::wire::kWorkersTopic, id,
@@ -239,6 +240,15 @@
     this->store.Deal();
     deals.erase(deals.begin());
   }
+  auto& lapses = this->trouble.lapses;
+  while (!lapses.empty() && lapses.begin()->first <= context.now) {
+    const std::string& id = lapses.begin()->second;
+    if (this->IsCutOff(id)) {
+      this->store.Write(standin::wire::kWorkersTopic, id, std::nullopt,
+                        context.now);
+    }
+    lapses.erase(lapses.begin());
+  }
   this->RestoreLinks(context);
   this->hosts.Advance(context);
   this->store.Advance(context);
@@ -268,10 +278,10 @@
     if (current->second > context.now) {
       continue;
     }
-    const std::string address = current->first;
+    const auto [address, source] = current->first;
     links.erase(current);
-    if (!links.contains(address)) {
-      context.effects.push_back(ChangeLink{address, {}});
+    if (!links.contains({address, source})) {
+      context.effects.push_back(ChangeLink{address, {}, source});
     }
   }
 }
@@ -289,6 +299,7 @@
         this->callers.SetRate(this->options.rate.value_or(std::min(
             kMostRate,
             kRateOfWorker * static_cast<double>(this->workers.Count()))));
+        this->callers.SetLongShare(this->options.long_share);
         this->phase = Phase::kRunning;
       }
       break;
@@ -392,6 +403,11 @@
   return treatment;
 }
 
+bool World::IsCutOff(const std::string& worker) const {
+  const auto cut = this->trouble.cut_workers.find(worker);
+  return cut != this->trouble.cut_workers.end() && cut->second > this->now;
+}
+
 bool World::IsCalm(Duration span) const {
   return this->now - span - standin::bounds::kContactWindow >
          this->trouble.disturbed;
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -55,6 +55,8 @@
   std::vector<std::size_t> kinds;
   /// Submissions a second; unset: in proportion to the workers.
   std::optional<double> rate;
+  /// Share of the submissions that are made long.
+  double long_share = 0;
   Broken broken = Broken::kNothing;
 };
 
@@ -100,6 +102,8 @@
   void Begin(const Fault& fault, const Context& context);
   void RestoreLinks(const Context& context);
   standin::StoreTreatment Treat(std::size_t host);
+  /// Whether a worker does not reach the store.
+  bool IsCutOff(const std::string& worker) const;
   bool IsCalm(Duration span) const;
   bool IsHostCalm(std::size_t host, Calm calm, Duration span) const;
   void PlayBroken(const Context& context);
