Take on a listed run of a waiting task whatever its number

Cause: numbers of runs are not stored, so a leader that does not reach a worker numbers anew. The next one reads the end of run 2 there, and then run 1, which is at work elsewhere: it was taken for a stray run with an old number, stopped, and its task started again before the stop had taken effect.

Change: a listed run of a task that waits is taken on; if it is not to go on (a gang's other number, or a submission that this leader accepted) it occupies its task until it has ended. The next number is above all that were seen.

--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -34,6 +34,9 @@
   RunPhase phase = RunPhase::kWaiting;
   /// The current run, or the last one.
   Attempt run;
+  /// Highest number of a run so far, by any leader; the next run has a higher
+  /// one.
+  Attempt highest_run;
   /// Runs that failed. A gang keeps them at its first member only.
   std::set<Attempt> failed_runs;
   /// Set from the start of a run until its end is known.
--- a/packages/core/src/internal/step_placement.cc
+++ b/packages/core/src/internal/step_placement.cc
@@ -50,14 +50,16 @@
 
 Attempt NextRun(const PendingStep& pending, const RunState& task) {
   if (!pending.spec.gang) {
-    return Attempt{task.run.value + 1};
+    return Attempt{task.highest_run.value + 1};
   }
   // All members of a gang share one run number, also those that start later.
+  Attempt current;
   Attempt highest;
   for (const RunState& member : pending.step.tasks) {
-    highest = std::max(highest, member.run);
+    current = std::max(current, member.run);
+    highest = std::max(highest, member.highest_run);
   }
-  return pending.step.gang_started_at ? highest : Attempt{highest.value + 1};
+  return pending.step.gang_started_at ? current : Attempt{highest.value + 1};
 }
 
 void StartTask(Context& context, PendingStep& pending, FleetWorker& worker,
@@ -218,7 +220,7 @@
     const Attempt run = pending.spec.gang
                             ? gang_run
                             : NextRun(pending, pending.step.tasks[index]);
-    restarts += pending.step.tasks[index].run.value > 0 ? 1 : 0;
+    restarts += pending.step.tasks[index].highest_run.value > 0 ? 1 : 0;
     StartTask(context, pending, worker, index, run);
   }
   RecordPlaced(context, pending, waiting.size() - left.size(), left.size(),
--- a/packages/core/src/internal/submission_loading.cc
+++ b/packages/core/src/internal/submission_loading.cc
@@ -42,6 +42,7 @@
     StepState& step = submission.steps[progress.step];
     RunState& task = step.tasks[progress.index];
     task.run = progress.run;
+    task.highest_run = progress.run;
     task.failed_runs.insert(progress.failed_runs.begin(),
                             progress.failed_runs.end());
     if (progress.succeeded) {
--- a/packages/core/src/internal/submission_progress.cc
+++ b/packages/core/src/internal/submission_progress.cc
@@ -149,6 +149,30 @@
   ClearRun(task);
 }
 
+/// Takes on a run of a task that waits. Its number may be lower than that of a
+/// run that has ended, since numbers are not stored: the next leader begins
+/// anew while it does not reach a worker.
+void AdoptListed(Context& context, Submission& submission, FleetWorker& worker,
+                 const ListedRun& run) {
+  const std::uint32_t index = run.name.task.step;
+  StepState& step = submission.steps[index];
+  RunState& task = step.tasks[run.name.task.index];
+  const bool fits_gang =
+      !IsGang(submission, index) || run.name.run >= task.highest_run;
+  step.gang_broken = step.gang_broken || !fits_gang;
+  submission_runs::BeginRun(submission, run.name, worker.entry.name);
+  step.gang_started_at = context.now;
+  task.checkpoint = run.checkpoint;
+  // A run that is not to go on occupies its task until it has ended. A broken
+  // gang restarts only once its last member has ended.
+  task.stopping = step.gang_broken || !submission.inherited;
+  fleet::Adopt(context, worker, run.name, submission.spec->steps[index].demand);
+  OnStarted(context, run.name);
+  if (worker.entry.draining) {
+    long_running::OnDraining(context, worker);
+  }
+}
+
 }  // namespace
 
 void Advance(Context& context, Submission& submission, std::uint32_t step) {
@@ -307,21 +331,8 @@
     }
     return;
   }
-  const bool is_free =
-      is_wanted && task->worker.value.empty() && run.name.run >= task->run;
-  if (is_free && submission->inherited) {
-    const StepSpec& spec = submission->spec->steps[run.name.task.step];
-    StepState& step = submission->steps[run.name.task.step];
-    submission_runs::BeginRun(*submission, run.name, worker.entry.name);
-    step.gang_started_at = context.now;
-    task->checkpoint = run.checkpoint;
-    // A broken gang restarts only once its last member has ended.
-    task->stopping = step.gang_broken;
-    fleet::Adopt(context, worker, run.name, spec.demand);
-    OnStarted(context, run.name);
-    if (worker.entry.draining) {
-      long_running::OnDraining(context, worker);
-    }
+  if (is_wanted && task->worker.value.empty()) {
+    AdoptListed(context, *submission, worker, run);
     return;
   }
   fleet::StopOrphan(context, worker, run.name);
@@ -341,7 +352,7 @@
       IsOnWorker(*task, end.name) && task->worker == worker.entry.name;
   if (task->worker.value.empty()) {
     // A run that an earlier leader started.
-    task->run = std::max(task->run, end.name.run);
+    task->highest_run = std::max(task->highest_run, end.name.run);
   }
   if (!end.checkpoint.empty() && task->phase != RunPhase::kSucceeded) {
     task->checkpoint = end.checkpoint;
--- a/packages/core/src/internal/submission_runs.cc
+++ b/packages/core/src/internal/submission_runs.cc
@@ -55,6 +55,7 @@
   RunState& task = submission.steps[name.task.step].tasks[name.task.index];
   task.phase = RunPhase::kStarting;
   task.run = name.run;
+  task.highest_run = std::max(task.highest_run, name.run);
   task.worker = worker;
   task.start_confirmed_at.reset();
   task.unconfirmed_start_fence.reset();
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -58,15 +58,15 @@
       const RunState& task = tasks[index];
       const bool succeeded = task.phase == RunPhase::kSucceeded;
       // Of long-running tasks, only the numbering of the runs is stored.
-      const bool is_numbered =
-          task.run.value > 0 && long_running::IsLongRunning(submission, step);
+      const bool is_numbered = task.highest_run.value > 0 &&
+                               long_running::IsLongRunning(submission, step);
       if (succeeded || !task.failed_runs.empty() || is_numbered) {
         record.tasks.push_back(
             {step,
              index,
              succeeded,
              {task.failed_runs.begin(), task.failed_runs.end()},
-             task.run});
+             task.highest_run});
       }
     }
   }
--- a/packages/core/tests/takeover_answers_test.cc
+++ b/packages/core/tests/takeover_answers_test.cc
@@ -314,6 +314,30 @@
   world.CheckRanOnce(12);
 }
 
+TEST_CASE(
+    "A task is not started beside its run with a lower number than one that "
+    "has ended",
+    "[fleet][takeover]") {
+  World world;
+  world.Fill();
+  const int next = world.Other(world.Leader());
+  const StepTask task = world.Worker("w2").runs.begin()->first;
+  // Room for another start.
+  world.FinishRunsOn("w3");
+  world.MoveLeadership(next);
+  world.Await(next, LeaderPhase::kFencing);
+  // An earlier leader, which the last one had not reached, ran the task here.
+  FakeWorker& worker = world.Worker("w1");
+  worker.ends.push_back(
+      {++worker.last_end, {task, Attempt{7}}, RunEnd::kLeaseLapsed, ""});
+  // A run that is to be stopped goes on for a while.
+  world.Worker("w2").ignores_stops = true;
+  world.Await(next, LeaderPhase::kLeading);
+  world.Run(seconds(2));
+  CHECK(world.Worker("w2").runs.contains(task));
+  world.CheckRanOnce(12);
+}
+
 TEST_CASE("A takeover follows the changes of the fleet once",
           "[fleet][takeover]") {
   World world;
