Allow for the drift of a worker's clock since it was read

Cause: the end of a lease is computed from the last reading of the worker's clock, and an idle worker is not polled, so that the reading may be minutes old. With a clock 2% slow, a lease that counts from a proof 3 s old outlasts the next leader's wait by up to 2.6 s; the worker's own limit of 6 s from its receipt hid that as long as leases counted from their grant.

Change: the drift since the reading is taken off, and idle workers are polled once a minute.

--- a/packages/core/src/internal/fleet_polls.cc
+++ b/packages/core/src/internal/fleet_polls.cc
@@ -40,6 +40,9 @@
 constexpr std::uint32_t kMaxInitialPolls = 4;
 /// A worker without runs learns within this that its ends are stored.
 constexpr Duration kAcknowledgeDelay = std::chrono::milliseconds(400);
+/// Interval of the polls of an idle worker, so that the reading of its clock
+/// allows a lease of several seconds.
+constexpr Duration kIdlePollInterval = std::chrono::seconds(60);
 /// Maximum number of polls in flight: one long poll and one without a wait.
 constexpr std::uint32_t kMaxPolls = 2;
 /// The steady clock of a worker may be slow by the inverse of this.
@@ -177,7 +180,12 @@
   const TimePoint leased_until = *proven_at + LongestLease(context);
   worker.leased_until =
       std::max(worker.leased_until.value_or(leased_until), leased_until);
-  return worker.clock + (*proven_at - *worker.clock_read_at) + lease;
+  // The reading of a worker that was idle may be old and its clock slow.
+  const Duration since_read = *proven_at - *worker.clock_read_at;
+  const Duration drift =
+      std::max(since_read, Duration::zero()) / kClockDriftDivisor;
+  return std::max(worker.clock + since_read - drift + lease,
+                  WorkerTime::zero());
 }
 
 void StartPolling(Context& context, FleetWorker& worker) {
@@ -335,6 +343,8 @@
   } else if (HasUnacknowledgedEnds(worker) ||
              worker.seen_end > worker.stored_end) {
     Schedule(context, worker, context.now + kAcknowledgeDelay);
+  } else {
+    Schedule(context, worker, context.now + kIdlePollInterval);
   }
   if (!was_usable) {
     step_placement::OnCapacityFreed(context, worker);
