--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -132,8 +132,10 @@
   /// Workers that answer, but have not listed all ends to this leader: a task
   /// that looks as if it had to start may have succeeded there.
   std::set<HostName> with_unread_ends;
-  /// The store's list was read to its end at least once.
+  /// The store's list was read to its end at least once, and when it was first:
+  /// the workers that only the list names were polled then.
   bool is_listed = false;
+  TimePoint listed_at;
   /// Where to go on following the changes of the list.
   Offset next;
   /// The list is to be read again, or its changes are to be followed on; timers
--- a/packages/core/include/basilspread/core/leadership.h
+++ b/packages/core/include/basilspread/core/leadership.h
@@ -69,6 +69,7 @@
 /// A process whose reports this leader has acknowledged, by its node. It may
 /// become the next leader; if it does, it confirms this one no more.
 struct Witness {
+  ProcessId process;
   /// When its latest report arrived.
   TimePoint heard_at;
   /// LeaderAck::sent_at of the latest acknowledgement that it has repeated.
@@ -83,12 +84,15 @@
   /// Latest time at which no witness followed a later leader.
   std::optional<TimePoint> witnesses_confirmed_at;
   std::map<NodeName, Witness> witnesses;
+  /// When another process was last found on a witness's node. The former one
+  /// may have turned to a later leader: the witnesses prove nothing until the
+  /// store has confirmed this leader.
+  std::optional<TimePoint> witness_replaced_at;
   /// When the generation of the group changed: another process may have led
   /// meanwhile. Set until an append that began later is stored.
   std::optional<TimePoint> unverified_since;
-  /// Acknowledgements sent before are not counted, since this process was
-  /// suspended.
-  TimePoint acks_valid_from;
+  /// What was sent before is not counted, since this process was suspended.
+  TimePoint valid_from;
   /// Whether it was logged that no run may be started.
   bool is_missing_logged = false;
 };
@@ -116,6 +120,8 @@
   std::optional<TimePoint> confirmed_at;
   /// Whether the loss of the confirmation was logged.
   bool is_unconfirmed_logged = false;
+  /// Send time of the latest join by which this process held the leadership.
+  TimePoint held_at;
   /// Epoch of this process's latest takeover, which no other takeover has: the
   /// generation at which it gained the leadership, or a higher number if that
   /// was in use.
@@ -199,6 +205,7 @@
 
   /// Nodes whose recorded leader has ended.
   std::set<NodeName> ended_leaders;
+  std::set<NodeName> in_flight_ended_leaders;
   /// Contents of the next append: records of new and of forgotten submissions,
   /// changed submissions, and changed workers.
   std::vector<WorkRecord> accepted;
--- a/packages/core/include/basilspread/core/submission_message.h
+++ b/packages/core/include/basilspread/core/submission_message.h
@@ -76,6 +76,8 @@
   /// The receiver's latest acknowledgement; without an epoch if the sender has
   /// none, or knows of a higher epoch.
   LeaderAck ack = {};
+  /// The sender stops: it neither leads any more nor vouches for a leader.
+  bool is_stopping = false;
   /// Highest epoch of a leader that the sender knows of.
   Epoch highest_epoch = {};
   /// Leaders, also former ones, that have lately counted on the sender.
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -129,6 +129,7 @@
     Unlist(context, name);
   }
   fleet.listing.clear();
+  fleet.listed_at = fleet.is_listed ? fleet.listed_at : context.now;
   fleet.is_listed = true;
   Follow(context);
   leadership::CheckReconciled(context);
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -337,6 +337,7 @@
     StepDown(context, "the group gave the leadership to another member");
   }
   if (event.leads) {
+    state.held_at = std::max(state.held_at, event.sent_at);
     if (leadership_proof::OnJoined(context, event.sent_at, has_changed)) {
       state.confirmed_at =
           std::max(state.confirmed_at.value_or(event.sent_at), event.sent_at);
@@ -564,6 +565,7 @@
 
 void OnEpochRaised(Context& context) {
   StateOf(context).epoch_raised_at = context.now;
+  Join(context);
   EnterPhase(context, LeaderPhase::kLoading);
   work_log::RequestList(context);
 }
@@ -583,9 +585,15 @@
   }
   const std::size_t unknown = fleet::CountUnreconciled(context);
   const bool is_complete = fleet::IsListed(context) && unknown == 0;
-  if (!is_complete &&
-      own_load::CaughtUpTo(context) < state.phase_began + kReconcileTimeout +
-                                          relays::MaxExtraCallTime(context)) {
+  if (state.held_at < state.epoch_raised_at) {
+    // The epoch may have been raised late, when another process led again.
+    return;
+  }
+  if (!is_complete && own_load::CaughtUpTo(context) <
+                          std::max(state.phase_began,
+                                   context.state.submissions.fleet.listed_at) +
+                              kReconcileTimeout +
+                              relays::MaxExtraCallTime(context)) {
     return;
   }
   if (!is_complete) {
--- a/packages/core/src/internal/leadership_proof.cc
+++ b/packages/core/src/internal/leadership_proof.cc
@@ -16,6 +16,8 @@
 /// The next leader waits for this long if it cannot tell that the former one's
 /// witnesses have turned to it.
 constexpr Duration kMaxTimeWithoutStore = std::chrono::seconds(30);
+/// Clocks of both leaders may be off by one in fifty.
+constexpr std::int64_t kDriftDivisor = 25;
 constexpr Duration kWitnessPeriod = std::chrono::seconds(10);
 /// Longer than kWitnessPeriod by more than clocks drift in that time.
 constexpr Duration kWitnessRetention = std::chrono::seconds(12);
@@ -73,9 +75,10 @@
 void AdvanceWitnessProof(Context& context) {
   LeadershipProofState& state = StateOf(context);
   const std::optional<TimePoint> at = EarliestConfirmation(state);
-  // A witness may have led and ended since: its successors on the same node
-  // know nothing of that.
-  if (at && !HasLapsed(context)) {
+  const bool is_replaced =
+      state.witness_replaced_at && state.store <= state.witness_replaced_at;
+  // A witness may have led and ended since.
+  if (at && !is_replaced && !HasLapsed(context)) {
     state.witnesses_confirmed_at =
         std::max(state.witnesses_confirmed_at.value_or(*at), *at);
   }
@@ -84,12 +87,14 @@
 bool IsCurrent(const Context& context, const LeaderAck& ack) {
   const LeadershipState& state = context.state.submissions.leadership;
   return ack.epoch == state.epoch && ack.sent_at <= context.now &&
-         ack.sent_at >= state.proof.acks_valid_from;
+         ack.sent_at >= state.proof.valid_from;
 }
 
 }  // namespace
 
-Duration MaxTimeWithoutStore() { return kMaxTimeWithoutStore; }
+Duration LongestTimeWithoutStore() {
+  return kMaxTimeWithoutStore + kMaxTimeWithoutStore / kDriftDivisor;
+}
 Duration WitnessPeriod() { return kWitnessPeriod; }
 
 void Reset(Context& context) {
@@ -106,6 +111,9 @@
 
 void OnAppended(Context& context, TimePoint began) {
   LeadershipProofState& state = StateOf(context);
+  if (began < state.valid_from) {
+    return;
+  }
   if (state.unverified_since && began >= *state.unverified_since) {
     state.unverified_since.reset();
   }
@@ -114,7 +122,8 @@
 
 bool OnJoined(Context& context, TimePoint sent_at, bool has_group_changed) {
   LeadershipProofState& state = StateOf(context);
-  if (!IsEpochInForce(context)) {
+  if (LeadershipOf(context).phase == LeaderPhase::kFollowing) {
+    // The takeover begins with this answer.
     return true;
   }
   if (has_group_changed) {
@@ -124,7 +133,9 @@
   if (state.unverified_since) {
     return false;
   }
-  AdvanceStoreProof(context, sent_at);
+  if (IsEpochInForce(context) && sent_at >= state.valid_from) {
+    AdvanceStoreProof(context, sent_at);
+  }
   return true;
 }
 
@@ -138,7 +149,19 @@
     leadership::OnFenced(context, report.highest_epoch);
     return;
   }
-  Witness& witness = StateOf(context).witnesses[from.node];
+  LeadershipProofState& state = StateOf(context);
+  if (report.is_stopping) {
+    // It does not lead any more.
+    state.witnesses.erase(from.node);
+    return;
+  }
+  const auto [found, is_new] =
+      state.witnesses.try_emplace(from.node, Witness{from, {}, {}});
+  Witness& witness = found->second;
+  if (witness.process != from) {
+    witness.process = from;
+    state.witness_replaced_at = context.now;
+  }
   witness.heard_at = context.now;
   if (IsCurrent(context, report.ack)) {
     witness.confirmed_at = std::max(
@@ -159,7 +182,7 @@
   Reset(context);
   // The clock stood still: no time from before can be compared with the
   // present.
-  leadership.proof.acks_valid_from = context.now;
+  leadership.proof.valid_from = context.now;
   leadership.ack = {};
   leadership.acknowledged_by.clear();
   if (IsEpochInForce(context)) {
@@ -227,12 +250,14 @@
 void OnAck(Context& context, const ProcessId& from, const LeaderAck& ack) {
   LeadershipState& state = LeadershipOf(context);
   if (ack.epoch.value == 0 || ack.epoch < state.highest_epoch ||
-      ack.report_sent_at > context.now) {
+      ack.report_sent_at > context.now ||
+      ack.report_sent_at < state.proof.valid_from) {
     return;
   }
   state.highest_epoch = ack.epoch;
   state.ack = {from, ack};
-  state.acknowledged_by[from] = ack.report_sent_at;
+  TimePoint& sent_at = state.acknowledged_by[from];
+  sent_at = std::max(sent_at, ack.report_sent_at);
   std::erase_if(state.acknowledged_by, [&context](const auto& leader) {
     return context.now > leader.second + kWitnessPeriod;
   });
@@ -242,6 +267,10 @@
   const LeadershipState& state = context.state.submissions.leadership;
   report.sent_at = context.now;
   report.highest_epoch = state.highest_epoch;
+  report.is_stopping = context.state.stopping;
+  if (report.is_stopping) {
+    return;
+  }
   for (const auto& [process, sent_at] : state.acknowledged_by) {
     report.acknowledged_by.push_back({process, context.now - sent_at});
   }
--- a/packages/core/src/internal/leadership_proof.h
+++ b/packages/core/src/internal/leadership_proof.h
@@ -12,9 +12,9 @@
 /// cannot prove its leadership lets them lapse while the next one waits.
 namespace basilspread::internal::leadership_proof {
 
-/// How long a leader goes on by its peers' word alone, while the store does not
-/// answer.
-Duration MaxTimeWithoutStore();
+/// How long another leader may go on by its peers' word alone, while the store
+/// does not answer, by the clock of this process.
+Duration LongestTimeWithoutStore();
 /// A process that made a report within this time before a takeover was still a
 /// witness of the leader that acknowledged the report.
 Duration WitnessPeriod();
@@ -50,7 +50,7 @@
 
 /// For a helper: handles the leader's acknowledgement of a report.
 void OnAck(Context& context, const ProcessId& from, const LeaderAck& ack);
-/// Adds to a report to the leader what it can rely on.
+/// Adds to a report what a leader can rely on.
 void Describe(const Context& context, HelperReport& report);
 /// Whether a leader with a higher epoch than this is known.
 bool IsOver(const Context& context, Epoch epoch);
--- a/packages/core/src/internal/predecessors.cc
+++ b/packages/core/src/internal/predecessors.cc
@@ -22,7 +22,7 @@
 TimePoint LeasesEndOf(const Context& context, const Predecessor& predecessor) {
   const TimePoint last_proof = predecessor.ended_at.value_or(
       context.state.submissions.leadership.epoch_raised_at +
-      leadership_proof::MaxTimeWithoutStore());
+      leadership_proof::LongestTimeWithoutStore());
   return last_proof + fleet::polls::LongestLease(context);
 }
 
--- a/packages/core/src/internal/relay_agent.cc
+++ b/packages/core/src/internal/relay_agent.cc
@@ -78,6 +78,7 @@
   HelperReport report = candidacy::DescribeSelf(context);
   report.zone = context.state.settings.zone;
   report.carries_calls = CanRelay(context);
+  leadership_proof::Describe(context, report);
   return report;
 }
 
@@ -92,9 +93,7 @@
                  {"epoch", message.epoch.value},
                  {"highest_epoch", leadership.highest_epoch.value},
                  {"orders", message.orders.size()}});
-    HelperReport report = Describe(context);
-    leadership_proof::Describe(context, report);
-    context.Emit(SendToPeer{from.node, std::move(report)});
+    context.Emit(SendToPeer{from.node, Describe(context)});
     return;
   }
   leadership.highest_epoch = message.epoch;
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -11,7 +11,6 @@
 
 #include "basilspread/core/limits.h"
 #include "internal/leadership.h"
-#include "internal/leadership_proof.h"
 #include "internal/load_shedding.h"
 #include "internal/own_load.h"
 #include "internal/queue_tables.h"
@@ -390,9 +389,8 @@
     return;
   }
   state.next_report = context.now + kReportInterval;
-  HelperReport report = relay_agent::Describe(context);
-  leadership_proof::Describe(context, report);
-  context.Emit(SendToPeer{leader->process.node, std::move(report)});
+  context.Emit(
+      SendToPeer{leader->process.node, relay_agent::Describe(context)});
 }
 
 void OnLeading(Context& context) { OnLeaderChanged(context); }
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -236,10 +236,11 @@
 }
 
 void AddLeaders(Context& context, Batch& batch) {
-  for (const NodeName& node :
-       std::exchange(StateOf(context).log.ended_leaders, {})) {
+  WorkLogState& log = StateOf(context).log;
+  for (const NodeName& node : log.ended_leaders) {
     batch.Add(LeaderGoneRecord{node});
   }
+  log.in_flight_ended_leaders = std::exchange(log.ended_leaders, {});
   if (leadership_proof::NeedsAppend(context)) {
     batch.Add(MakeLeaderRecord(context));
   }
@@ -284,6 +285,7 @@
   log.in_flight.reset();
   log.may_be_stored = false;
   ++log.sequence;
+  log.in_flight_ended_leaders.clear();
   leadership_proof::OnAppended(context, log.in_flight_since);
   MarkEndsStored(context);
   MarkWorkersStored(context);
@@ -305,6 +307,7 @@
   log.in_flight.reset();
   log.in_flight_ends.clear();
   log.workers.merge(std::exchange(log.in_flight_workers, {}));
+  log.ended_leaders.merge(std::exchange(log.in_flight_ended_leaders, {}));
   for (const auto& [id, state] : std::exchange(log.in_flight_changed, {})) {
     log.changed.insert(id);
   }
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -31,6 +31,8 @@
 
   WorkerEntry entry;
   TimePoint started;
+  /// Speed of its clock. A slower one also shortens leases to the longest.
+  double clock_rate = 1;
   /// Neither responds nor is listed.
   bool is_gone = false;
   /// Does not respond.
@@ -103,6 +105,8 @@
                   const std::string& id);
   /// Delivers any event to the process.
   void Inject(int node, EventBody body);
+  /// Delivers an event before all that a frozen process has not handled.
+  void InjectNow(int node, EventBody body);
   /// Unset while the call is outstanding.
   std::optional<SubmissionAnswer> AnswerTo(CallId call) const;
   /// Result of a status call after one second; unset without a successful
--- a/packages/core/tests/support/store_world_loop.cc
+++ b/packages/core/tests/support/store_world_loop.cc
@@ -34,6 +34,11 @@
   this->nodes.at(static_cast<std::size_t>(node))->is_frozen = true;
 }
 
+void StoreWorld::InjectNow(int node, EventBody body) {
+  Node& target = *this->nodes.at(static_cast<std::size_t>(node));
+  this->Handle(target, std::move(body), this->loads[node]);
+}
+
 void StoreWorld::Thaw(int node) {
   Node& thawed = *this->nodes.at(static_cast<std::size_t>(node));
   thawed.is_frozen = false;
--- a/packages/core/tests/support/store_world_workers.cc
+++ b/packages/core/tests/support/store_world_workers.cc
@@ -27,9 +27,24 @@
   return static_cast<std::uint32_t>(std::min<std::int64_t>(percent, kPercent));
 }
 
+WorkerTime ClockOf(const FakeWorker& worker, TimePoint now) {
+  return std::chrono::duration_cast<Duration>((now - worker.started) *
+                                              worker.clock_rate);
+}
+
+/// The time at which the worker's clock shows `until`.
+TimePoint TimeOf(const FakeWorker& worker, WorkerTime until) {
+  return worker.started +
+         std::chrono::duration_cast<Duration>(until / worker.clock_rate);
+}
+
 /// A lease never shortens.
-void ExtendLease(FakeWorker& worker, WorkerTime until) {
-  const TimePoint end = worker.started + until;
+void ExtendLease(FakeWorker& worker, WorkerTime until, TimePoint now) {
+  constexpr Duration kMaxHold = std::chrono::seconds(6);
+  if (worker.clock_rate != 1) {
+    until = std::min<WorkerTime>(until, ClockOf(worker, now) + kMaxHold);
+  }
+  const TimePoint end = TimeOf(worker, until);
   worker.leased_until = std::max(worker.leased_until.value_or(end), end);
 }
 
@@ -230,7 +245,7 @@
     return OrderResult::kFenced;
   }
   worker.fence = effect.fence;
-  if (worker.started + effect.lease_until <= this->now) {
+  if (TimeOf(worker, effect.lease_until) <= this->now) {
     return OrderResult::kLate;
   }
   // A relay knows the command only, not the steps.
@@ -240,7 +255,7 @@
                           : effect.spec->steps;
   const Resources demand = steps.at(task.step).demand;
   this->CheckStart(worker, effect.name, demand);
-  ExtendLease(worker, effect.lease_until);
+  ExtendLease(worker, effect.lease_until, this->now);
   worker.runs[effect.name.task] = {effect.name.run, this->now,
                                    this->now + this->run_time, demand,
                                    this->IsLongRunning(task)};
@@ -296,7 +311,7 @@
   worker.acknowledged = std::max(
       worker.acknowledged, std::min(effect.acknowledged, worker.last_end));
   if (effect.lease_until > WorkerTime::zero()) {
-    ExtendLease(worker, effect.lease_until);
+    ExtendLease(worker, effect.lease_until, this->now);
   }
   ListEnds(worker, this->max_listed_ends, polled);
   for (const ListedEnd& end : worker.ends) {
@@ -329,7 +344,7 @@
         {{task, run.run}, "", PercentOf(worker, run, this->now)});
   }
   polled.result = OrderResult::kDone;
-  polled.clock = this->now - worker.started;
+  polled.clock = ClockOf(worker, this->now);
   polled.incarnation = worker.entry.incarnation;
   this->PostAfter(node, kCallTime, std::move(polled));
 }
--- a/packages/wire/src/submission_codec.cc
+++ b/packages/wire/src/submission_codec.cc
@@ -197,6 +197,7 @@
   message.sent_at = TimePoint(Duration(packed.sent_at_ns()));
   message.ack = Unpack(packed.ack());
   message.highest_epoch = Epoch{packed.highest_epoch()};
+  message.is_stopping = packed.is_stopping();
   if (packed.acknowledged_by() != nullptr) {
     for (const auto* leader : *packed.acknowledged_by()) {
       message.acknowledged_by.push_back(
@@ -286,14 +287,15 @@
   }
   const auto acknowledged_by = builder.CreateVector(leaders);
   const auto ack = Pack(builder, message.ack);
-  return {fb::PeerBody::HelperReport,
-          fb::CreateHelperReport(
-              builder, address, message.capacity.processor_share,
-              message.capacity.link_mbps, message.is_candidate,
-              message.busy_share, zone, message.carries_calls,
-              message.misses_leader, message.sent_at.time_since_epoch().count(),
-              ack, message.highest_epoch.value, acknowledged_by)
-              .Union()};
+  return {
+      fb::PeerBody::HelperReport,
+      fb::CreateHelperReport(
+          builder, address, message.capacity.processor_share,
+          message.capacity.link_mbps, message.is_candidate, message.busy_share,
+          zone, message.carries_calls, message.misses_leader,
+          message.sent_at.time_since_epoch().count(), ack,
+          message.highest_epoch.value, acknowledged_by, message.is_stopping)
+          .Union()};
 }
 
 PackedBody Pack(Builder& builder, const LeaderReport& message) {
--- a/packages/wire/tests/fuzz_test.cc
+++ b/packages/wire/tests/fuzz_test.cc
@@ -128,6 +128,7 @@
                    false,
                    TimePoint(seconds(9)),
                    {Epoch{3}, TimePoint(seconds(8)), TimePoint(seconds(7))},
+                   true,
                    Epoch{3},
                    {{kSender, seconds(2)}}},
       AdviceCall{{7, spec->id, 1, {HostName{"i-1"}, HostName{"i-2"}}}},
--- a/packages/wire/tests/peer_codec_test.cc
+++ b/packages/wire/tests/peer_codec_test.cc
@@ -44,6 +44,7 @@
   helper.ack = {Epoch{3}, TimePoint(std::chrono::seconds(8)),
                 TimePoint(std::chrono::seconds(7))};
   helper.highest_epoch = Epoch{4};
+  helper.is_stopping = true;
   helper.acknowledged_by = {
       {{NodeName{"dundee-1"}, 7}, std::chrono::seconds(2)}};
   const PeerFrame first =
@@ -58,6 +59,7 @@
   CHECK(report.ack.sent_at == helper.ack.sent_at);
   CHECK(report.ack.report_sent_at == helper.ack.report_sent_at);
   CHECK(report.highest_epoch == Epoch{4});
+  CHECK(report.is_stopping);
   REQUIRE(report.acknowledged_by.size() == 1);
   CHECK(report.acknowledged_by[0].process ==
         ProcessId{NodeName{"dundee-1"}, 7});
