--- a/packages/wire/tests/out_of_range_test.cc
+++ b/packages/wire/tests/out_of_range_test.cc
@@ -145,6 +145,25 @@
   }
 }
 
+TEST_CASE("An epoch that no fence can hold is rejected", "[wire][odd]") {
+  const Epoch highest{limits::kMaxEpoch};
+  for (const Epoch epoch : {highest, Epoch{limits::kMaxEpoch + 1}}) {
+    const bool fits = epoch == highest;
+    HelperReport helper;
+    helper.address = "1.1.1.1:1";
+    helper.highest_epoch = epoch;
+    CHECK(IsAccepted(PeerMessage(helper)) == fits);
+    helper.highest_epoch = highest;
+    helper.ack.epoch = epoch;
+    CHECK(IsAccepted(PeerMessage(helper)) == fits);
+    LeaderReport leader;
+    leader.ack.epoch = epoch;
+    CHECK(IsAccepted(PeerMessage(leader)) == fits);
+    CHECK(IsAccepted(PeerMessage(RelayOrders{epoch, {}})) == fits);
+    CHECK(IsAccepted(WorkRecord(LeaderRecord{kSender, "1:1", epoch})) == fits);
+  }
+}
+
 TEST_CASE("A work record has the key of its submission or worker",
           "[wire][odd]") {
   CHECK(IsAccepted(WorkRecord(WorkerRecord{HostName{"i-1"}, "1.1.1.1:1", 1})));
