--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -504,6 +504,49 @@
   return check.Broken() > 0 ? 1 : 0;
 }
 
+// A server that is idle is cut off from the store, crashes and starts again.
+// Then a task is started there, and one look gets no answer and is carried out late.
+int PlayAcknowledged(World& world) {
+  TwiceCheck check(world.record);
+  world.AddWorkers(5, check.Watch(true));
+  if (!world.StartEntries(3)) {
+    return 2;
+  }
+  // The server's ends reach number 3 and are taken note of.
+  for (int i = 0; i < 3; ++i) {
+    if (!world.Submit("00000000000000c" + std::to_string(i),
+                      Body("300 done", Step(1, 4000, 1024, 400, "")))) {
+      return 2;
+    }
+    std::this_thread::sleep_for(Millis(1500));
+  }
+  Worker& server = *world.workers.front();
+  if (server.Acknowledged() < 3) {
+    return 2;
+  }
+  if (HasTrouble()) {
+    server.is_store_cut = true;
+    server.Crash(Worker::Kind{}, Millis(400));
+    world.record.Write(server.Id() +
+                       " is cut off from the store, crashes and starts again");
+    server.holds_to_delay = 1;
+  }
+  if (!world.Submit("00000000000000c3",
+                    Body("600 done", Step(1, 4000, 1024, 700, "")))) {
+    return 2;
+  }
+  std::this_thread::sleep_for(Millis(3500));
+  server.is_store_cut = false;
+  if (HasTrouble()) {
+    world.record.Write("the cut has healed");
+  }
+  std::this_thread::sleep_for(Millis(4000));
+  world.State("00000000000000c3");
+  world.record.Write("TWICE broken " + std::to_string(check.Broken()) +
+                     " times");
+  return check.Broken() > 0 ? 1 : 0;
+}
+
 }  // namespace
 }  // namespace review
 
@@ -518,6 +561,8 @@
   auto& world = *new review::World(words[2], words[3]);
   if (name == "many-runs") {
     status = review::PlayManyRuns(world);
+  } else if (name == "acknowledged") {
+    status = review::PlayAcknowledged(world);
   } else if (name == "reborn") {
     status = review::PlayReborn(world);
   }
--- a/review/standin-2/worker.hpp
+++ b/review/standin-2/worker.hpp
@@ -94,9 +94,8 @@
 
   // Cut off from the store: beats don't arrive.
   std::atomic<bool> is_store_cut{false};
-  // The next calls of hold that have this effect are carried out and not
-  // answered.
-  std::atomic<int> holds_to_mute{0};
+  // So many of the next calls of hold get no answer and are carried out late.
+  std::atomic<int> holds_to_delay{0};
 
   std::string Id() const { return this->id; }
   std::string Address() const { return this->server.Address(); }
@@ -112,7 +111,12 @@
     const std::lock_guard lock(this->mutex);
     return this->born;
   }
-  // Whether this life has answered a look.
+  // The highest end of this life that was taken note of.
+  std::uint64_t Acknowledged() {
+    const std::lock_guard lock(this->mutex);
+    return this->acknowledged;
+  }
+  // How often this life has answered a look.
   std::uint64_t LooksAnswered() {
     const std::lock_guard lock(this->mutex);
     return this->looks;
@@ -130,6 +134,13 @@
                               (this->ends_at - this->began));
     }
   };
+  struct LateHold {
+    Clock::time_point at;
+    std::uint64_t fence;
+    std::uint64_t noted;
+    std::uint64_t life;
+    bool is_over = false;
+  };
   struct End {
     std::uint64_t number;
     std::string task;
@@ -148,6 +159,7 @@
     this->ended.clear();
     this->ends.clear();
     this->last_end = 0;
+    this->acknowledged = 0;
     this->looks = 0;
     this->sequence = 0;
     this->next_beat = Clock::now();
@@ -200,6 +212,7 @@
       for (const auto& [task, how] : due) {
         this->EndRun(task, how);
       }
+      this->CarryOutLate();
       this->Beat(now);
     }
   }
@@ -271,6 +284,20 @@
     if (order_fence < this->fence) {
       return this->Refuse("fence");
     }
+    if (request.path == "/v1/hold" && this->holds_to_delay > 0) {
+      --this->holds_to_delay;
+      const std::uint64_t noted = body.HasMember("ackedThrough")
+                                      ? body["ackedThrough"].GetUint64()
+                                      : 0;
+      this->record.Write(this->id + " leaves a hold unanswered (ackedThrough " +
+                         std::to_string(noted) +
+                         ") and carries it out 3 s later");
+      this->late.push_back({Clock::now() + Millis(3000), order_fence, noted,
+                            this->life});
+      HttpResponse none;
+      none.silent = true;
+      return none;
+    }
     this->fence = order_fence;
     if (request.path == "/v1/hold") {
       return this->Hold(body, lock);
@@ -336,32 +363,48 @@
     return this->Done();
   }
 
-  HttpResponse Hold(const rapidjson::Document& body,
-                    std::unique_lock<std::mutex>& lock) {
-    this->Extend(body);
-    const std::uint64_t noted = body.HasMember("ackedThrough")
-                                    ? body["ackedThrough"].GetUint64()
-                                    : 0;
+  void Note(std::uint64_t noted) {
     while (!this->ends.empty() && this->ends.front().number <= noted) {
       const End end = this->ends.front();
       this->ends.pop_front();
+      this->acknowledged = end.number;
       if (end.may_be_noted) {
         this->watch.on_noted(this->id, end.task, end.run, end.how);
       }
     }
+  }
+
+  void CarryOutLate() {
+    for (LateHold& late : this->late) {
+      if (late.at > Clock::now() || late.is_over) {
+        continue;
+      }
+      late.is_over = true;
+      const bool is_obeyed =
+          late.fence >= this->fence && late.life == this->life;
+      this->record.Write(this->id + (is_obeyed
+                                         ? " carries out the late hold"
+                                         : " refuses the late hold (fence)"));
+      if (is_obeyed) {
+        this->fence = late.fence;
+        this->Note(late.noted);
+      }
+    }
+  }
+
+  HttpResponse Hold(const rapidjson::Document& body,
+                    std::unique_lock<std::mutex>& lock) {
+    const std::uint64_t noted = body.HasMember("ackedThrough")
+                                    ? body["ackedThrough"].GetUint64()
+                                    : 0;
+    this->Extend(body);
+    this->Note(noted);
     const std::uint64_t began_life = this->life;
     if (body.HasMember("waitMs")) {
       this->changed.wait_for(
           lock, Millis(body["waitMs"].GetInt64()),
           [&] { return !this->ends.empty() || this->life != began_life; });
     }
-    if (this->holds_to_mute > 0) {
-      --this->holds_to_mute;
-      this->record.Write(this->id + " carries out a hold and doesn't answer");
-      HttpResponse none;
-      none.silent = true;
-      return none;
-    }
     ++this->looks;
     std::string running;
     for (const auto& [task, run] : this->runs) {
@@ -402,7 +445,9 @@
   std::map<std::string, Run> runs;
   std::map<std::string, std::uint64_t> ended;
   std::deque<End> ends;
+  std::vector<LateHold> late;
   std::uint64_t last_end = 0;
+  std::uint64_t acknowledged = 0;
   std::uint64_t looks = 0;
   std::uint64_t sequence = 0;
   bool is_listed = false;
