--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -54,7 +54,7 @@
     this->settings = folder / (this->node + ".ini");
     this->log = folder / (this->node + ".log");
     std::ofstream file(this->settings);
-    file << "[node]\nname = " << this->node << "\nzone = z1\n\n[listen]\nhttp = "
+    file << "[node]\nname = " << this->node << "\nzone = z1\n" << "\n[listen]\nhttp = "
          << this->http << "\npeer = " << address() << "\nadmin = " << address()
          << "\n\n[host]\nprocessor_share = 0.25\nlink_mbps = 1000.0\n\n"
             "[store]\naddress = "
@@ -124,11 +124,13 @@
             "\"idleTimeoutMs\":15000}}");
   }
 
-  void AddWorkers(int count, const RunWatch& watch) {
+  void AddWorkers(int count, const RunWatch& watch,
+                  const std::function<Worker::Kind(int)>& kind_of =
+                      [](int) { return Worker::Kind{}; }) {
     for (int i = 0; i < count; ++i) {
       this->workers.push_back(std::make_unique<Worker>(
           "i-000" + std::to_string(i + 1), this->store, this->record, watch,
-          kService));
+          kService, kind_of(i)));
     }
   }
 
@@ -547,6 +549,190 @@
   return check.Broken() > 0 ? 1 : 0;
 }
 
+// BUDGET: a start after maxAttempts runs of the task have ended failed.
+class BudgetCheck {
+ public:
+  BudgetCheck(Record& its_record, std::string its_prefix, int attempts)
+      : record(its_record),
+        prefix(std::move(its_prefix)),
+        max_attempts(attempts) {}
+
+  RunWatch Watch() {
+    RunWatch watch;
+    watch.on_start = [this](const auto& server, const auto& task,
+                            std::uint64_t run) {
+      if (!task.starts_with(this->prefix)) {
+        return;
+      }
+      const std::lock_guard lock(this->mutex);
+      Task& state = this->tasks[task];
+      this->record.Write("start " + task + "#" + std::to_string(run) + " on " +
+                         server + ", after " + std::to_string(state.failed) +
+                         " failed runs");
+      ++state.starts;
+      state.server = server;
+      if (state.failed >= this->max_attempts) {
+        ++state.late_starts;
+        this->record.Write("  BUDGET: a start after " +
+                           std::to_string(this->max_attempts) +
+                           " failed runs");
+      }
+    };
+    watch.on_end = [this](const auto& server, const auto& task,
+                          std::uint64_t run, const auto& how) {
+      if (!task.starts_with(this->prefix)) {
+        return;
+      }
+      const std::lock_guard lock(this->mutex);
+      this->tasks[task].failed += how == "failed" ? 1 : 0;
+      this->record.Write("end   " + task + "#" + std::to_string(run) + " on " +
+                         server + ": " + how);
+    };
+    watch.on_noted = [this](const auto& server, const auto& task,
+                            std::uint64_t run, const auto& how) {
+      if (!task.starts_with(this->prefix)) {
+        return;
+      }
+      const std::lock_guard lock(this->mutex);
+      this->tasks[task].noted += how == "failed" ? 1 : 0;
+      this->record.Write("noted " + task + "#" + std::to_string(run) + " on " +
+                         server + ": " + how);
+    };
+    return watch;
+  }
+
+  // How many tasks were started at least so often.
+  std::size_t Started(int times) {
+    const std::lock_guard lock(this->mutex);
+    return static_cast<std::size_t>(
+        std::count_if(this->tasks.begin(), this->tasks.end(),
+                      [times](const auto& task) {
+                        return task.second.starts >= times;
+                      }));
+  }
+  std::string FirstServer() {
+    const std::lock_guard lock(this->mutex);
+    return this->tasks.empty() ? "" : this->tasks.begin()->second.server;
+  }
+  // Starts count once all failed ends of the task have been taken note of.
+  int Broken() {
+    const std::lock_guard lock(this->mutex);
+    int broken = 0;
+    for (const auto& [name, task] : this->tasks) {
+      broken += task.noted >= task.failed ? task.late_starts : 0;
+    }
+    return broken;
+  }
+
+ private:
+  struct Task {
+    std::string server;
+    int starts = 0;
+    int failed = 0;
+    int noted = 0;
+    int late_starts = 0;
+  };
+
+  Record& record;
+  const std::string prefix;
+  const int max_attempts;
+  std::mutex mutex;
+  std::map<std::string, Task> tasks;
+};
+
+// Submissions whose tasks always fail. Their first server leaves most calls
+// unanswered for a while; the store is slow, and the leader's process is stopped
+// and started again.
+int PlayAttempts(World& world) {
+  const std::string prefix = "00000000000000d";
+  constexpr std::size_t kSubmissions = 4;
+  constexpr int kAttempts = 2;
+  world.WriteTables(kAttempts);
+  BudgetCheck check(world.record, prefix, kAttempts);
+  // The last server is the smallest, and is used first.
+  world.AddWorkers(7, check.Watch(), [](int index) {
+    Worker::Kind kind;
+    kind.cpu = index == 6 ? 60000 : 64000;
+    return kind;
+  });
+  if (!world.StartEntries(3)) {
+    return 2;
+  }
+  Entry* leader = world.Leader();
+  if (leader == nullptr) {
+    return 2;
+  }
+  world.record.Write("the leader is " + leader->node);
+  bool is_played = true;
+  for (std::size_t i = 0; i < kSubmissions; ++i) {
+    is_played = is_played &&
+                world.Submit(prefix + std::to_string(i),
+                             Body("1950 failed", Step(1, 4000, 1024, 2000, "")));
+  }
+  is_played = is_played && world.WaitFor(Millis(1000), [&] {
+                return check.Started(1) == kSubmissions;
+              });
+  if (!is_played) {
+    return 2;
+  }
+  const auto began = Clock::now();
+  Worker* first = nullptr;
+  for (const auto& worker : world.workers) {
+    first = worker->Id() == check.FirstServer() ? worker.get() : first;
+  }
+  if (HasTrouble()) {
+    first->is_mute = true;
+    first->answers_left = 1;
+    world.record.Write(first->Id() + " leaves calls unanswered, but for one");
+  }
+  // Other clients go on all the while.
+  std::atomic<bool> is_over{false};
+  std::thread others([&] {
+    for (int i = 0; !is_over; ++i) {
+      char other[17];
+      std::snprintf(other, sizeof(other), "%016x", 0xe0000 + i);
+      const std::string body = Body("200 done", Step(1, 500, 256, 300, ""));
+      const std::string address =
+          world.entries[static_cast<std::size_t>(i) % 3].http;
+      std::thread([address, path = kPrefix + std::string(other), body] {
+        Call(address, "POST", path, kHost, body, Millis(3000));
+      }).detach();
+      std::this_thread::sleep_for(Millis(40));
+    }
+  });
+  std::this_thread::sleep_until(began + Millis(1920));
+  if (HasTrouble()) {
+    world.store.slowness = 236;
+    world.record.Write("the store answers after 240 ms");
+  }
+  is_played = world.WaitFor(
+      Millis(2500), [&] { return check.Started(2) == kSubmissions; });
+  std::this_thread::sleep_for(Millis(10));
+  // Planned work, with and without the disruption.
+  world.record.Write("SIGTERM to " + leader->node);
+  leader->Signal(SIGTERM);
+  std::this_thread::sleep_until(began + Millis(4400));
+  world.store.slowness = 0;
+  first->is_mute = false;
+  if (HasTrouble()) {
+    world.record.Write("the store is as fast as before, and " + first->Id() +
+                       " answers");
+  }
+  std::this_thread::sleep_for(Millis(4000));
+  leader->End();
+  leader->Start();
+  world.record.Write(leader->node + " is started again");
+  std::this_thread::sleep_for(Millis(5000));
+  is_over = true;
+  others.join();
+  for (std::size_t i = 0; i < kSubmissions; ++i) {
+    world.State(prefix + std::to_string(i));
+  }
+  world.record.Write("BUDGET broken " + std::to_string(check.Broken()) +
+                     " times");
+  return !is_played ? 2 : check.Broken() > 0 ? 1 : 0;
+}
+
 }  // namespace
 }  // namespace review
 
@@ -563,6 +749,8 @@
     status = review::PlayManyRuns(world);
   } else if (name == "acknowledged") {
     status = review::PlayAcknowledged(world);
+  } else if (name == "attempts") {
+    status = review::PlayAttempts(world);
   } else if (name == "reborn") {
     status = review::PlayReborn(world);
   }
--- a/review/standin-2/store.hpp
+++ b/review/standin-2/store.hpp
@@ -77,9 +77,8 @@
     return "";
   }
 
-  // Answers to appends with this status instead, for all or for none (0).
-  std::atomic<int> appends_refused{0};
-  std::atomic<bool> is_down{false};
+  // Answers come this many milliseconds later.
+  std::atomic<int> slowness{0};
 
  private:
   static constexpr std::size_t kParts = 16;
@@ -138,9 +137,12 @@
   }
 
   HttpResponse Handle(const HttpRequest& request) {
-    if (this->is_down) {
-      return {503, "{}"};
-    }
+    HttpResponse response = this->CarryOut(request);
+    std::this_thread::sleep_for(Millis(this->slowness));
+    return response;
+  }
+
+  HttpResponse CarryOut(const HttpRequest& request) {
     if (request.path == "/v1/log-append") {
       return this->Append(request);
     }
@@ -169,9 +171,6 @@
 
   HttpResponse Append(const HttpRequest& request) {
     std::this_thread::sleep_for(Millis(3));
-    if (this->appends_refused != 0) {
-      return {this->appends_refused, "{}"};
-    }
     std::vector<std::string> records;
     std::size_t at = 0;
     const std::string& body = request.body;
--- a/review/standin-2/worker.hpp
+++ b/review/standin-2/worker.hpp
@@ -61,19 +61,22 @@
     std::int64_t cpu = 64000;
     std::int64_t memory = 262144;
     std::string label = "a";
+    // In another zone than the entry processes: 0.9 ms one way.
+    bool is_far = false;
   };
 
   Worker(std::string worker_id, Store& its_store, Record& its_record,
-         RunWatch run_watch, std::string its_service)
+         RunWatch run_watch, std::string its_service, const Kind& its_kind)
       : id(std::move(worker_id)),
         store(its_store),
         record(its_record),
         watch(std::move(run_watch)),
         service(std::move(its_service)),
+        is_far(its_kind.is_far),
         server([this](const HttpRequest& request) {
           return this->Handle(request);
         }) {
-    this->Begin(Kind{});
+    this->Begin(its_kind);
     std::thread([this] { this->Tick(); }).detach();
   }
 
@@ -94,6 +97,10 @@
 
   // Cut off from the store: beats don't arrive.
   std::atomic<bool> is_store_cut{false};
+  // Leaves calls unanswered, and does nothing for them; `answers_left` calls of
+  // hold are answered all the same once an end is to be told.
+  std::atomic<bool> is_mute{false};
+  std::atomic<int> answers_left{0};
   // So many of the next calls of hold get no answer and are carried out late.
   std::atomic<int> holds_to_delay{0};
 
@@ -197,7 +204,7 @@
         continue;
       }
       const auto now = Clock::now();
-      if (!this->runs.empty() && this->ClockMs() >= this->deadline) {
+      if (this->ClockMs() >= this->deadline) {
         this->EndAll("lapsed");
         for (End& end : this->ends) {
           end.may_be_noted = false;
@@ -238,7 +245,7 @@
         "keyed.servers", this->id,
         "{\"service\":" + Quote(this->service) + ",\"address\":\"" +
             this->Address() +
-            "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,"
+            "\",\"zone\":\"" + (this->is_far ? "z2" : "z1") + "\",\"version\":\"v1\",\"slots\":8,"
             "\"state\":\"ready\",\"coldRemainingMs\":0,\"machine\":\"m-" +
             this->id + "\",\"capacity\":{\"cpu\":" +
             std::to_string(this->kind.cpu) + ",\"memoryRequestMb\":" +
@@ -249,6 +256,12 @@
             std::to_string(++this->sequence) + "}");
   }
 
+  static HttpResponse Silence() {
+    HttpResponse none;
+    none.silent = true;
+    return none;
+  }
+
   HttpResponse Refuse(const std::string& reason) const {
     return {409, "{\"clockMs\":" + std::to_string(this->ClockMs()) +
                      ",\"reason\":\"" + reason + "\",\"born\":" +
@@ -263,12 +276,21 @@
     if (request.path == "/health") {
       return {200, ""};
     }
+    if (this->is_far) {
+      std::this_thread::sleep_for(std::chrono::microseconds(1800));
+    }
     std::unique_lock lock(this->mutex);
     if (this->is_dead) {
       HttpResponse none;
       none.closes = true;
       return none;
     }
+    const bool is_excepted = request.path == "/v1/hold" &&
+                             this->answers_left > 0 && !this->ends.empty();
+    if (this->is_mute && !is_excepted) {
+      return Silence();
+    }
+    this->answers_left -= this->is_mute ? 1 : 0;
     const auto expected = request.headers.find("expect-instance");
     if (expected != request.headers.end() && expected->second != this->id) {
       return {421, "{}"};
@@ -294,13 +316,11 @@
                          ") and carries it out 3 s later");
       this->late.push_back({Clock::now() + Millis(3000), order_fence, noted,
                             this->life});
-      HttpResponse none;
-      none.silent = true;
-      return none;
+      return Silence();
     }
     this->fence = order_fence;
     if (request.path == "/v1/hold") {
-      return this->Hold(body, lock);
+      return this->Hold(body, is_excepted, lock);
     }
     const std::string task = body["task"].GetString();
     const std::uint64_t run = body["run"].GetUint64();
@@ -392,7 +412,7 @@
     }
   }
 
-  HttpResponse Hold(const rapidjson::Document& body,
+  HttpResponse Hold(const rapidjson::Document& body, bool is_excepted,
                     std::unique_lock<std::mutex>& lock) {
     const std::uint64_t noted = body.HasMember("ackedThrough")
                                     ? body["ackedThrough"].GetUint64()
@@ -405,6 +425,9 @@
           lock, Millis(body["waitMs"].GetInt64()),
           [&] { return !this->ends.empty() || this->life != began_life; });
     }
+    if (this->is_mute && !is_excepted) {
+      return Silence();
+    }
     ++this->looks;
     std::string running;
     for (const auto& [task, run] : this->runs) {
@@ -433,6 +456,7 @@
   Record& record;
   const RunWatch watch;
   const std::string service;
+  const bool is_far;
   std::mutex mutex;
   std::condition_variable changed;
   Kind kind;
