--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -393,6 +393,77 @@
   return check.Broken() > 0 ? 1 : 0;
 }
 
+// Many small tasks on one server, which drains. Meanwhile clients cancel other
+// submissions.
+int PlayLongRecord(World& world) {
+  TwiceCheck check(world.record);
+  world.AddWorkers(5, check.Watch(false));
+  if (!world.StartEntries(3)) {
+    return 2;
+  }
+  constexpr int kSubmissions = 4;
+  constexpr int kTasks = 1550;
+  for (int i = 0; i < kSubmissions; ++i) {
+    if (!world.Submit("00000000000000a" + std::to_string(i),
+                      Body("60000 done", Step(kTasks, 10, 16, 60000, "")))) {
+      return 2;
+    }
+  }
+  const bool is_running = world.WaitFor(Millis(30000), [&world] {
+    return world.workers[0]->Running() == kSubmissions * kTasks;
+  });
+  constexpr int kCancels = 4;
+  for (int i = 0; i < kCancels; ++i) {
+    if (!is_running ||
+        !world.Submit("00000000000000f" + std::to_string(i),
+                      Body("60000 done", Step(1, 4000, 1024, 60000, "")))) {
+      return 2;
+    }
+  }
+  for (const auto& worker : world.workers) {
+    world.record.Write(worker->Id() + " runs " +
+                       std::to_string(worker->Running()) + " tasks");
+  }
+  std::this_thread::sleep_for(Millis(1000));
+  if (HasTrouble()) {
+    world.record.Write(world.workers[0]->Id() + " drains");
+    world.workers[0]->Drain();
+  }
+  std::this_thread::sleep_for(Millis(1000));
+  // Each cancel is repeated until it is acknowledged, for ackTimeoutMs.
+  int unanswered = 0;
+  std::vector<std::thread> clients;
+  std::mutex mutex;
+  for (int i = 0; i < kCancels; ++i) {
+    clients.emplace_back([&, i] {
+      const auto until = Clock::now() + Millis(4000);
+      bool is_done = false;
+      for (int attempt = 0; !is_done && Clock::now() < until; ++attempt) {
+        const Entry& entry = world.entries[static_cast<std::size_t>(i + attempt) % 3];
+        const HttpAnswer answer =
+            Call(entry.http, "DELETE", kPrefix + ("00000000000000f" + std::to_string(i)),
+                 kHost, "", Millis(3000));
+        is_done = (answer.status >= 200 && answer.status < 300) ||
+                  answer.status == 410;
+        world.record.Write("DELETE 00000000000000f" + std::to_string(i) +
+                           " at " + entry.node + " -> " +
+                           std::to_string(answer.status));
+        std::this_thread::sleep_for(Millis(100));
+      }
+      const std::lock_guard lock(mutex);
+      unanswered += is_done ? 0 : 1;
+    });
+  }
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  world.Submit("00000000000000f9", Body("100 done", Step(1, 10, 16, 100, "")));
+  world.record.Write("cancels without an answer after 4 s: " +
+                     std::to_string(unanswered) + " of " +
+                     std::to_string(kCancels));
+  return unanswered >= 3 ? 1 : 0;
+}
+
 // ROUTE and LIMIT for tasks that need the label "a": a start on a server of
 // another kind, or beyond what the server has.
 class KindCheck {
@@ -751,6 +822,8 @@
     status = review::PlayAcknowledged(world);
   } else if (name == "attempts") {
     status = review::PlayAttempts(world);
+  } else if (name == "long-record") {
+    status = review::PlayLongRecord(world);
   } else if (name == "reborn") {
     status = review::PlayReborn(world);
   }
