--- a/review/standin-2/worker.hpp
+++ b/review/standin-2/worker.hpp
@@ -249,7 +249,7 @@
         "keyed.servers", this->id,
         "{\"service\":" + Quote(this->service) + ",\"address\":\"" +
             this->Address() +
-            "\",\"zone\":z1\",\"version\":\"v1\",\"slots\":8,"
+            "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,"
             "\"state\":\"" +
             this->state + "\",\"coldRemainingMs\":0,\"machine\":\"m-" +
             this->id + "\",\"capacity\":{\"cpu\":" +
