Acknowledge no ends to a restarted worker by the numbers of its earlier life

Cause: a worker numbers its ends anew when it starts again under its name, and nothing in a poll names the incarnation that it is meant for. The leader sent the acknowledged number of the incarnation that it knew to the next one, which discarded the end of a run that the leader had not seen. Once the leader learned of the restart, the run was neither listed nor ended and counted as lost.

The line about a restart now has the acknowledged number and both the number of starts in doubt and the new incarnation.

Fix: a poll acknowledges ends only while each start that was sent is known to have been carried out by the incarnation that answers polls: its answer states that worker's clock, which a later incarnation cannot have reached; or the run is listed; or the start was answered before an answered poll was sent, or is below that poll's fence. A start that follows an acknowledgement whose outcome is open raises the fence, so that the acknowledgement, carried out late, is refused. What a worker has discarded is read off its lists in place of what was sent. A poll that lost a race with a start under a higher fence is repeated and does not count as a failure of the worker. A leader that has used up the fences of its epoch takes over anew.

Tests: 'A task that ended on a restarted worker is not started again' and 'A late acknowledgement discards no end of a restarted worker' fail on the earlier leader (two starts in place of one). The other new tests pass on both or concern new code.

Not covered: a start whose answer is lost, which the next incarnation carries out late, is a run of its own that no call can prevent.

--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -34,6 +34,14 @@
   Resources free;
 };
 
+/// A start that the incarnation which answers polls is not known to have
+/// carried out.
+struct UnattributedStart {
+  std::uint64_t fence = 0;
+  /// Unset while it has no answer.
+  std::optional<TimePoint> answered_at;
+};
+
 /// The leader's view of a worker. Only the leader places tasks on workers.
 struct FleetWorker {
   WorkerEntry entry;
@@ -99,10 +107,21 @@
   /// started on the worker until they have ended.
   std::set<RunName> orphans;
   /// Highest ListedEnd::number that was received, that is stored in the work
-  /// log, and that the worker was told to be stored.
+  /// log, and that the worker has discarded.
   std::uint64_t seen_end = 0;
   std::uint64_t stored_end = 0;
   std::uint64_t acknowledged_end = 0;
+  /// When the latest poll that this incarnation answered was sent.
+  std::optional<TimePoint> alive_at;
+  /// Starts that the next incarnation may have carried out, which numbers its
+  /// ends and counts its time anew. Meanwhile no end is acknowledged and no
+  /// lease is renewed.
+  std::map<RunName, UnattributedStart> unattributed_starts;
+  /// A poll that acknowledges ends was sent under the current fence and may
+  /// still be carried out.
+  bool has_open_acknowledgement = false;
+  /// A poll was lost since; it may be that one.
+  bool may_have_lost_acknowledgement = false;
   /// Submissions whose runs failed there since the last success.
   std::set<SubmissionId> failed_for;
   /// Starts that it refused since the last success.
--- a/packages/core/include/basilspread/core/fleet_call.h
+++ b/packages/core/include/basilspread/core/fleet_call.h
@@ -43,7 +43,8 @@
   HostName worker;
   std::string address;
   std::uint64_t fence = 0;
-  /// Ends up to this number are stored, and the worker may discard them.
+  /// Ends up to this number are stored, and the worker may discard them. Zero
+  /// acknowledges none.
   std::uint64_t acknowledged = 0;
   /// New end of the leases of all runs there; zero: leases stay as they are.
   WorkerTime lease_until{};
@@ -158,6 +159,8 @@
   OrderResult result = OrderResult::kUnknown;
   /// StartRun::number or StopRun::number.
   std::uint64_t number = 0;
+  /// The worker's clock as its answer states it; zero without such an answer.
+  WorkerTime clock{};
 };
 
 /// A worker that may run a step, with the ticket that proves it.
--- a/packages/core/include/basilspread/core/relay_message.h
+++ b/packages/core/include/basilspread/core/relay_message.h
@@ -28,8 +28,9 @@
   OrderResult result = OrderResult::kUnknown;
   /// Time from the arrival of the order at the relay to the end of the call.
   Duration took{};
-  /// The members below are set only for a poll with the result kDone.
+  /// WorkerPolled::clock or RunOrdered::clock.
   WorkerTime clock{};
+  /// The members below are set only for a poll with the result kDone.
   std::uint64_t incarnation = 0;
   std::vector<ListedRun> running;
   std::vector<ListedEnd> ended;
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -41,19 +41,20 @@
   work_log::RecordWorker(context, worker.entry.name);
 }
 
-void RaiseFence(FleetWorker& worker) { ++worker.fence_step; }
-
 /// The worker has restarted, and its earlier runs are gone.
 void OnRestarted(Context& context, FleetWorker& worker) {
-  context.Log(
-      LogLevel::kWarning, kPart, "Worker restarted; its runs are lost.",
-      {{"worker", worker.entry.name.value}, {"runs_lost", worker.runs.size()}});
+  context.Log(LogLevel::kWarning, kPart, "Worker restarted; its runs are lost.",
+              {{"worker", worker.entry.name.value},
+               {"runs_lost", worker.runs.size()},
+               {"unattributed_starts", worker.unattributed_starts.size()},
+               {"acknowledged", worker.acknowledged_end},
+               {"incarnation", worker.entry.incarnation}});
   polls::SetReconciled(context, worker, false);
   worker.clock_read_at.reset();
   polls::ForgetEnds(context, worker);
   // A poll of the former life that arrives late would acknowledge ends of this
   // one, whose numbers begin anew.
-  RaiseFence(worker);
+  polls::RaiseFence(worker);
   RecordWorker(context, worker);
   polls::PollNow(context, worker);
 }
@@ -248,6 +249,17 @@
   work_log::RecordWorker(context, name);
 }
 
+void OnPollFenced(Context& context, FleetWorker& worker,
+                  const WorkerPolled& event) {
+  if (event.fence == polls::FenceOf(context, worker)) {
+    leadership::OnFenced(context, polls::EpochOf(event.fence));
+    return;
+  }
+  // A start under a higher fence of this leader may have overtaken the poll,
+  // which is no fault of the worker. A poll under the present fence tells.
+  polls::PollNow(context, worker);
+}
+
 }  // namespace
 
 void Start(Context& context) {
@@ -333,6 +345,9 @@
     const auto removal_time = polls::RemovalTime(context, worker);
     if (removal_time && context.now >= *removal_time) {
       RemoveWorker(context, worker);
+    } else if (polls::AreFencesUsedUp(worker)) {
+      leadership::OnFencesUsedUp(context);
+      return;
     } else {
       polls::UpdateDueTime(context, worker);
     }
@@ -347,10 +362,8 @@
     return;
   }
   worker->polls -= worker->polls > 0 ? 1 : 0;
-  // The poll may also have lost a race with a higher fence of this leader.
-  if (event.result == OrderResult::kFenced &&
-      event.fence == polls::FenceOf(context, *worker)) {
-    leadership::OnFenced(context, polls::EpochOf(event.fence));
+  if (event.result == OrderResult::kFenced) {
+    OnPollFenced(context, *worker, event);
     return;
   }
   if (event.result != OrderResult::kDone) {
@@ -386,6 +399,7 @@
     return;
   }
   worker->lost_poll_excused = worker->lost_poll_excused || was_sent;
+  worker->may_have_lost_acknowledgement = worker->has_open_acknowledgement;
   polls::PollNow(context, *worker);
 }
 
@@ -407,6 +421,7 @@
     return;
   }
   if (event.result == OrderResult::kDone) {
+    polls::OnStartAnswered(context, *worker, event);
     submission_progress::OnStarted(context, event.name);
     return;
   }
@@ -415,7 +430,7 @@
     // prevents that, and tells whether the run exists.
     submission_progress::OnStartLost(context, event.name, event.fence);
     if (event.fence == polls::FenceOf(context, *worker)) {
-      RaiseFence(*worker);
+      polls::RaiseFence(*worker);
     }
     polls::PollNow(context, *worker);
     return;
@@ -530,6 +545,7 @@
   worker.runs[order.name] = order.demand;
   worker.reserved += order.demand;
   worker_room::Update(context, worker);
+  polls::BeforeStart(context, worker, order.name);
   const WorkerTime lease_until = polls::NextLease(context, worker);
   relays::Send(context, worker,
                StartRun{worker.entry.name, worker.entry.address,
@@ -568,6 +584,7 @@
     return;
   }
   worker.orphans.erase(name);
+  worker.unattributed_starts.erase(name);
   worker.reserved -= found->second;
   worker.runs.erase(found);
   if (worker.is_recorded_closed) {
--- a/packages/core/src/internal/fleet_polls.h
+++ b/packages/core/src/internal/fleet_polls.h
@@ -16,6 +16,11 @@
 /// a number that rises whenever the answer to a start was lost.
 std::uint64_t FenceOf(const Context& context, const FleetWorker& worker);
 Epoch EpochOf(std::uint64_t fence);
+/// Calls under the fences so far have no effect on a worker that was called
+/// under the new one.
+void RaiseFence(FleetWorker& worker);
+/// Whether the epoch has hardly any fences left for the worker.
+bool AreFencesUsedUp(const FleetWorker& worker);
 
 /// Time after which a lease granted now has surely ended, including the drift
 /// of the worker's clock and the time to kill a run.
@@ -44,6 +49,13 @@
 /// Discards the numbers of the worker's ends, for example after its restart.
 void ForgetEnds(Context& context, FleetWorker& worker);
 
+/// To be called before a run is started on the worker.
+void BeforeStart(const Context& context, FleetWorker& worker,
+                 const RunName& name);
+/// Handles that the worker has carried out a start.
+void OnStartAnswered(Context& context, FleetWorker& worker,
+                     const RunOrdered& event);
+
 /// When a worker that the store no longer lists can be forgotten, since nothing
 /// runs there any more; unset for a listed worker.
 std::optional<TimePoint> RemovalTime(const Context& context,
--- a/packages/core/src/internal/leadership.cc
+++ b/packages/core/src/internal/leadership.cc
@@ -202,6 +202,18 @@
   context.Emit(ReopenLink{state.leader->process.node});
 }
 
+/// Gives the leadership up. If the group still names this process, it takes
+/// over again with an epoch higher than the one in force.
+void GiveUpEpoch(Context& context, Epoch in_force, std::string_view reason) {
+  LeadershipState& state = StateOf(context);
+  const bool held = state.holds_leadership;
+  StepDown(context, reason);
+  state.highest_epoch = std::max(state.highest_epoch, in_force);
+  if (held) {
+    Join(context);
+  }
+}
+
 }  // namespace
 
 void OnPeerMessage(Context& context, const ProcessId& from) {
@@ -536,15 +548,12 @@
 }
 
 void OnFenced(Context& context, Epoch in_force) {
-  LeadershipState& state = StateOf(context);
-  const bool held = state.holds_leadership;
-  StepDown(context, "a higher epoch is in force");
-  // If the group still names this process, it takes over again with an epoch
-  // higher than the one in force.
-  state.highest_epoch = std::max(state.highest_epoch, in_force);
-  if (held) {
-    Join(context);
-  }
+  GiveUpEpoch(context, in_force, "a higher epoch is in force");
+}
+
+void OnFencesUsedUp(Context& context) {
+  GiveUpEpoch(context, StateOf(context).epoch,
+              "the fences of its epoch are used up");
 }
 
 bool IsLeading(const Context& context) {
--- a/packages/core/src/internal/leadership.h
+++ b/packages/core/src/internal/leadership.h
@@ -54,6 +54,8 @@
 
 /// Handles that a higher epoch is in force at the store or at a worker.
 void OnFenced(Context& context, Epoch in_force);
+/// Takes over anew, since the epoch has no fences left for a worker.
+void OnFencesUsedUp(Context& context);
 
 /// Whether this process is the active leader, which places tasks on workers.
 bool IsLeading(const Context& context);
--- a/packages/core/src/internal/relay_agent.cc
+++ b/packages/core/src/internal/relay_agent.cc
@@ -114,6 +114,7 @@
 
 void OnOrdered(Context& context, const RunOrdered& event) {
   if (auto report = Finish(context, event.number, event.result)) {
+    report->clock = event.clock;
     QueueReport(context, *std::move(report));
   }
 }
--- a/packages/core/src/internal/relays.cc
+++ b/packages/core/src/internal/relays.cc
@@ -257,8 +257,10 @@
     }
   }
   if (call->run) {
-    fleet::OnOrdered(context, RunOrdered{call->worker, call->fence, *call->run,
-                                         call->is_stop, report.result});
+    RunOrdered ordered{call->worker, call->fence, *call->run, call->is_stop,
+                       report.result};
+    ordered.clock = report.clock;
+    fleet::OnOrdered(context, ordered);
     return;
   }
   WorkerPolled polled = MakePollResult(*call, report.result);
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -181,7 +181,7 @@
     read.is_listing = true;
     for (const auto& [name, worker] : this->world.workers) {
       if (!worker.is_gone && !worker.is_unlisted) {
-        read.entries.push_back(worker.entry);
+        read.entries.push_back(worker.stored_entry.value_or(worker.entry));
       }
     }
     this->world.PostAfter(this->node.index, kCallTime, std::move(read));
@@ -225,6 +225,9 @@
       return;
     }
     ordered.result = target->Start(this->node.index, effect);
+    if (ordered.result == OrderResult::kDone) {
+      ordered.clock = target->ClockOfWorker(effect.worker);
+    }
     const bool is_lost = ordered.result == OrderResult::kUnknown;
     target->PostAfter(this->node.index, is_lost ? kOrderTimeout : kCallTime,
                       ordered);
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -30,6 +30,8 @@
   };
 
   WorkerEntry entry;
+  /// The entry that the store has, while it is one of an earlier life.
+  std::optional<WorkerEntry> stored_entry;
   TimePoint started;
   /// Speed of its clock. A slower one also shortens leases to the longest.
   double clock_rate = 1;
@@ -50,6 +52,8 @@
   Duration end_delay{};
   /// Number of upcoming polls that are neither carried out nor answered.
   int lost_polls = 0;
+  /// Number of upcoming polls that are carried out late and not answered.
+  int late_polls = 0;
   std::uint64_t fence = 0;
   std::optional<TimePoint> leased_until;
   /// When the lease was last found to have lapsed.
@@ -89,6 +93,10 @@
   void RemoveWorker(const std::string& name);
   /// The worker loses its runs and starts again under its name.
   void RestartWorker(const std::string& name);
+  /// Likewise, but the store keeps the entry of the earlier life until Relist.
+  void RestartWorkerUnlisted(const std::string& name);
+  /// The leader has used up the fences of its epoch for the worker.
+  void UseUpFences(const std::string& name);
   /// Publishes that the worker drains.
   void DrainWorker(const std::string& name);
   /// Ends the run of a task, wherever it runs.
@@ -206,6 +214,8 @@
   std::size_t largest_append = 0;
   /// If not zero, starts are carried out after this delay and not answered.
   Duration start_delay{};
+  /// Delay of polls that are carried out late.
+  Duration late_poll_delay = std::chrono::seconds(2);
   /// Result of a run, and its duration.
   std::function<RunEnd(const RunName&)> end_of;
   Duration run_time = std::chrono::milliseconds(200);
@@ -255,8 +265,11 @@
   void PostToAll(FleetRead read);
   void AdvanceWorkers();
   void End(FakeWorker& worker, const StepTask& task, RunEnd end);
+  WorkerTime ClockOfWorker(const HostName& name) const;
   OrderResult Start(int node, const StartRun& effect);
   OrderResult Stop(int node, const StopRun& effect);
+  /// Applies what a poll orders; returns false if its fence is too low.
+  bool CarryOutPoll(FakeWorker& worker, const PollWorker& effect);
   void Poll(int node, const PollWorker& effect, TimePoint sent,
             TimePoint until);
   void Append(int node, const AppendWork& effect);
--- a/packages/core/tests/support/store_world_workers.cc
+++ b/packages/core/tests/support/store_world_workers.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "support/store_world.h"
+#include "support/store_world_node.h"
 #include "support/store_world_times.h"
 
 namespace basilspread::test {
@@ -41,9 +42,7 @@
 /// A lease never shortens.
 void ExtendLease(FakeWorker& worker, WorkerTime until, TimePoint now) {
   constexpr Duration kMaxHold = std::chrono::seconds(6);
-  if (worker.clock_rate != 1) {
-    until = std::min<WorkerTime>(until, ClockOf(worker, now) + kMaxHold);
-  }
+  until = std::min<WorkerTime>(until, ClockOf(worker, now) + kMaxHold);
   const TimePoint end = TimeOf(worker, until);
   worker.leased_until = std::max(worker.leased_until.value_or(end), end);
 }
@@ -96,6 +95,7 @@
 void StoreWorld::Relist(const std::string& name) {
   FakeWorker& worker = this->Worker(name);
   worker.is_unlisted = false;
+  worker.stored_entry.reset();
   FleetRead read;
   read.ok = true;
   read.entries = {worker.entry};
@@ -113,7 +113,15 @@
 }
 
 void StoreWorld::RestartWorker(const std::string& name) {
+  this->RestartWorkerUnlisted(name);
+  this->Relist(name);
+}
+
+void StoreWorld::RestartWorkerUnlisted(const std::string& name) {
   FakeWorker& worker = this->Worker(name);
+  if (!worker.stored_entry) {
+    worker.stored_entry = worker.entry;
+  }
   worker.runs.clear();
   worker.ends.clear();
   worker.leased_until.reset();
@@ -124,10 +132,13 @@
   worker.fence = 0;
   worker.started = this->now;
   ++worker.entry.incarnation;
-  FleetRead read;
-  read.ok = true;
-  read.entries = {worker.entry};
-  this->PostToAll(read);
+}
+
+void StoreWorld::UseUpFences(const std::string& name) {
+  constexpr std::uint32_t kFences = 1U << 20U;
+  Node& leader = *this->nodes.at(static_cast<std::size_t>(this->Leader()));
+  leader.state.submissions.fleet.workers.at(HostName{name}).fence_step =
+      kFences - 1;
 }
 
 void StoreWorld::DrainWorker(const std::string& name) {
@@ -235,6 +246,10 @@
   }
 }
 
+WorkerTime StoreWorld::ClockOfWorker(const HostName& name) const {
+  return ClockOf(this->workers.at(name), this->now);
+}
+
 OrderResult StoreWorld::Start(int node, const StartRun& effect) {
   FakeWorker& worker = this->workers.at(effect.worker);
   if (!this->ReachesWorker(node, effect.worker) || worker.is_gone ||
@@ -287,6 +302,27 @@
   return OrderResult::kDone;
 }
 
+bool StoreWorld::CarryOutPoll(FakeWorker& worker, const PollWorker& effect) {
+  if (effect.fence < worker.fence) {
+    return false;
+  }
+  worker.fence = effect.fence;
+  // A worker may also discard ends to come up to this number.
+  worker.acknowledged = std::max(worker.acknowledged, effect.acknowledged);
+  if (effect.lease_until > WorkerTime::zero()) {
+    ExtendLease(worker, effect.lease_until, this->now);
+  }
+  for (const ListedEnd& end : worker.ends) {
+    // A task whose run ended unseen may start again once the lease has lapsed.
+    const bool has_lapsed = worker.lapsed_at >= worker.ended_at[end.number];
+    if (end.number <= worker.acknowledged && end.end == RunEnd::kSucceeded &&
+        !has_lapsed && !this->IsLongRunning(end.name.task)) {
+      this->acknowledged_done.insert(end.name.task);
+    }
+  }
+  return true;
+}
+
 void StoreWorld::Poll(int node, const PollWorker& effect, TimePoint sent,
                       TimePoint until) {
   FakeWorker& worker = this->workers.at(effect.worker);
@@ -295,33 +331,25 @@
   polled.fence = effect.fence;
   polled.sent_at = sent;
   polled.number = effect.number;
-  const bool is_lost = worker.lost_polls > 0;
-  worker.lost_polls -= is_lost ? 1 : 0;
+  const bool is_late = worker.late_polls > 0;
+  worker.late_polls -= is_late ? 1 : 0;
+  if (is_late) {
+    this->ScheduleAction(this->late_poll_delay, [this, effect] {
+      this->CarryOutPoll(this->workers.at(effect.worker), effect);
+    });
+  }
+  const bool is_lost = is_late || worker.lost_polls > 0;
+  worker.lost_polls -= worker.lost_polls > 0 ? 1 : 0;
   if (is_lost || worker.is_gone || worker.is_silent) {
     this->PostAfter(node, (until - sent) + kPollTimeout, std::move(polled));
     return;
   }
-  if (effect.fence < worker.fence) {
+  if (!this->CarryOutPoll(worker, effect)) {
     polled.result = OrderResult::kFenced;
     this->PostAfter(node, kCallTime, std::move(polled));
     return;
   }
-  worker.fence = effect.fence;
-  // Only ends that exist can be forgotten.
-  worker.acknowledged = std::max(
-      worker.acknowledged, std::min(effect.acknowledged, worker.last_end));
-  if (effect.lease_until > WorkerTime::zero()) {
-    ExtendLease(worker, effect.lease_until, this->now);
-  }
   ListEnds(worker, this->max_listed_ends, polled);
-  for (const ListedEnd& end : worker.ends) {
-    // A task whose run ended unseen may start again once the lease has lapsed.
-    const bool has_lapsed = worker.lapsed_at >= worker.ended_at[end.number];
-    if (end.number <= worker.acknowledged && end.end == RunEnd::kSucceeded &&
-        !has_lapsed && !this->IsLongRunning(end.name.task)) {
-      this->acknowledged_done.insert(end.name.task);
-    }
-  }
   if (polled.ended.empty() && this->now < until) {
     const std::uint64_t life = worker.entry.incarnation;
     this->ScheduleAction(kTick, [this, node, effect, sent, until, life] {
--- /dev/null
+++ b/packages/core/tests/worker_restart_test.cc
@@ -0,0 +1,110 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+#include "support/store_world.h"
+
+// A worker may start again under its name, and the leader learns of it only
+// from a later answer or from the store. Numbers that it got from the earlier
+// incarnation must do no harm to the new one until then.
+
+namespace basilspread::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kEarlier = "00000000000000f1";
+const std::string kLater = "00000000000000f2";
+
+struct World : StoreWorld {
+  World() : StoreWorld(2, {"w1"}) { REQUIRE(this->Leader() >= 0); }
+
+  const FleetWorker& Known() const {
+    return this->StateOf(this->Leader())
+        .submissions.fleet.workers.at(HostName{"w1"});
+  }
+
+  /// Runs three tasks whose ends are stored.
+  void RunThreeTasks() {
+    this->Submit(0, kEarlier, {Tasks(3)});
+    while (this->Known().stored_end < 3) {
+      this->Run(milliseconds(1));
+    }
+  }
+
+  /// Runs until the worker has started the later task.
+  void StartLaterTask() {
+    this->Submit(0, kLater, {Tasks(1)});
+    while (this->Starts(kLater) == 0) {
+      this->Run(milliseconds(1));
+    }
+  }
+
+  /// Checks that the later task ran once.
+  void CheckLaterTask() {
+    this->Run(seconds(10));
+    CHECK(this->StatusOf(this->Leader(), kLater) ==
+          SubmissionState::kCompleted);
+    CHECK(this->Starts(kLater) == 1);
+    CHECK(this->violations.empty());
+  }
+};
+
+// The poll after the start was lost, so that the next one was the first that
+// the new incarnation got. It acknowledged ends of the earlier one, and the
+// worker discarded the end of a task that had succeeded.
+TEST_CASE("A task that ended on a restarted worker is not started again",
+          "[fleet][restart]") {
+  World world;
+  world.RunThreeTasks();
+  world.Run(seconds(2));
+  REQUIRE(world.Known().acknowledged_end == 3);
+  world.RestartWorkerUnlisted("w1");
+  world.Worker("w1").lost_polls = 1;
+  world.StartLaterTask();
+  world.CheckLaterTask();
+}
+
+TEST_CASE("A late acknowledgement discards no end of a restarted worker",
+          "[fleet][restart]") {
+  World world;
+  world.RunThreeTasks();
+  // The poll that acknowledges the ends is carried out after the restart.
+  world.Worker("w1").late_polls = 1;
+  world.Run(milliseconds(1500));
+  REQUIRE(world.Worker("w1").late_polls == 0);
+  REQUIRE(world.Known().is_reconciled);
+  world.RestartWorkerUnlisted("w1");
+  world.Worker("w1").lost_polls = 20;
+  world.StartLaterTask();
+  world.Run(seconds(1));
+  world.Worker("w1").lost_polls = 0;
+  world.CheckLaterTask();
+}
+
+TEST_CASE("A leader that has used up its fences takes over anew",
+          "[fleet][restart]") {
+  World world;
+  world.RunThreeTasks();
+  const Epoch before =
+      world.StateOf(world.Leader()).submissions.leadership.epoch;
+  world.UseUpFences("w1");
+  world.StartLaterTask();
+  world.CheckLaterTask();
+  CHECK(world.StateOf(world.Leader()).submissions.leadership.epoch > before);
+}
+
+TEST_CASE("Ends are acknowledged while runs are started on a worker",
+          "[fleet][restart]") {
+  World world;
+  world.Submit(0, kEarlier, {Tasks(60)});
+  world.Run(seconds(2));
+  REQUIRE(world.Known().seen_end > 20);
+  REQUIRE(!world.Known().runs.empty());
+  // At most the ends of the last round of runs.
+  CHECK(world.Worker("w1").acknowledged + 8 >= world.Known().seen_end);
+}
+
+}  // namespace
+}  // namespace basilspread::test
