Renew no leases by the clock of a worker's earlier life

Cause: a poll's lease ends at a time on the worker's clock, which begins anew with each incarnation. A poll that the next one carries out late, seconds after it was sent, renews leases by the longest one from then on, while the leader and its successor count from when it was sent. Fix: no poll renews leases while a start may be that of the next incarnation. Starts carry a lease of their own, and become known within milliseconds. Test: 'A late poll renews no lease of a restarted worker' fails before (a task runs on two workers at once).

--- a/packages/core/src/internal/fleet_polls.cc
+++ b/packages/core/src/internal/fleet_polls.cc
@@ -90,8 +90,10 @@
   poll.address = worker.entry.address;
   poll.fence = FenceOf(context, worker);
   poll.acknowledged = AcknowledgedEnd(worker);
-  poll.lease_until =
-      worker.is_silent ? WorkerTime::zero() : NextLease(context, worker);
+  // A poll that the next incarnation carries out late would renew leases by a
+  // clock that has begun anew.
+  const bool renews = !worker.is_silent && worker.unattributed_starts.empty();
+  poll.lease_until = renews ? NextLease(context, worker) : WorkerTime::zero();
   poll.wait = wait;
   worker.has_open_acknowledgement =
       worker.has_open_acknowledgement || poll.acknowledged > 0;
--- a/packages/core/tests/worker_restart_test.cc
+++ b/packages/core/tests/worker_restart_test.cc
@@ -83,6 +83,26 @@
   world.CheckLaterTask();
 }
 
+// The new incarnation shortened the lease to the longest from when it carried
+// the poll out, seconds after the leader had sent it.
+TEST_CASE("A late poll renews no lease of a restarted worker",
+          "[fleet][restart]") {
+  World world;
+  world.RunThreeTasks();
+  world.Run(seconds(2));
+  world.run_time = seconds(20);
+  world.RestartWorkerUnlisted("w1");
+  world.late_poll_delay = seconds(5);
+  world.Worker("w1").late_polls = 1;
+  world.StartLaterTask();
+  world.Worker("w1").lost_polls = 1000;
+  world.AddWorker("w2");
+  world.Relist("w2");
+  world.Run(seconds(15));
+  CHECK(world.Worker("w2").runs.size() == 1);
+  CHECK(world.violations.empty());
+}
+
 TEST_CASE("A leader that has used up its fences takes over anew",
           "[fleet][restart]") {
   World world;
