Close workers only with records that can be read, and hold what cannot be

Cause: the record of a closed worker names all that may run there. The writer set no bound; the decoder rejected more than 4,096 runs, which is the bound of the tasks of one submission, and the store takes 256 KiB. The next leader skipped a record that it could not decode, so that what it stood for counted as nothing: the worker was not known, and its tasks started elsewhere at once. A record over 256 KiB was rejected with the whole append, and sent again unchanged.

Fix: FitsLog is the one bound of a worker's record, in runs and in bytes, for the writer, the decoder and the tests. A worker with more runs stays recorded as open, so that the next leader waits until it answers or its leases have lapsed, and is recorded as closed once its runs are few enough. A record under a key of ours that cannot be decoded is no longer skipped: the worker may run anything, the leader may still lead, and of the submission nothing is started while it stays known. It is logged and counted. Records of workers fill an append no further than other records do, and come after the changes that ended runs have caused.

Ruled out: a larger bound in the decoder alone, which moves the fault to the store's bound.

New with the code: the round trip of worker records at 0, 1, one below, at and above the bound and with 20,000 runs.

--- a/packages/core/include/basilspread/core/limits.h
+++ b/packages/core/include/basilspread/core/limits.h
@@ -35,6 +35,11 @@
 inline constexpr Resources kMaxResources{1'000'000'000, 1'000'000'000,
                                          1'000'000};
 
+/// Maximum bytes of a record of the work log, with its key.
+inline constexpr std::size_t kMaxRecordBytes = std::size_t{256} * 1024;
+/// Maximum number of runs in a worker's record.
+inline constexpr std::size_t kMaxRecordedRuns = 4096;
+
 /// Maximum number of steps of a submission.
 inline constexpr std::size_t kMaxSteps = 64;
 /// Maximum number of tasks in all steps of a submission. Their progress record
--- a/packages/core/include/basilspread/core/metric.h
+++ b/packages/core/include/basilspread/core/metric.h
@@ -18,6 +18,7 @@
   kRunsStarted,
   kRunsEnded,
   kRunsLost,
+  kUnreadableRecords,
   kPreemptions,
   kWastedWork,
   kUnavailableTime,
--- a/packages/core/include/basilspread/core/store_call.h
+++ b/packages/core/include/basilspread/core/store_call.h
@@ -93,6 +93,9 @@
 struct WorkListed {
   bool ok = false;
   std::vector<WorkRecord> records;
+  /// Subjects of the records that cannot be decoded, for example since a later
+  /// version wrote them.
+  std::vector<RecordSubject> unreadable;
   /// `after` of the next page; empty when this is the last one.
   std::string next;
   /// ListWork::epoch.
--- a/packages/core/include/basilspread/core/submission_record.h
+++ b/packages/core/include/basilspread/core/submission_record.h
@@ -62,7 +62,8 @@
   /// Distinguishes restarts of a worker under one name.
   std::uint64_t incarnation = 0;
   /// Nothing is started there any more, and `runs` lists all that may run
-  /// there. A record without this comes before the next start.
+  /// there. A record without this comes before the next start. Unset also for
+  /// a worker with more runs than a record holds.
   bool is_closed = false;
   std::vector<RunName> runs = {};
 };
@@ -93,10 +94,16 @@
                  SpecDroppedRecord, WorkerRecord, WorkerGoneRecord,
                  LeaderRecord, LeaderGoneRecord>;
 
+/// What a record is about, as its key tells.
+using RecordSubject = std::variant<SubmissionId, HostName, NodeName>;
+
 /// Upper bound on the record's size in the log, in bytes, with its key and
 /// framing.
 std::size_t MaxEncodedBytes(const WorkRecord& record);
 
+/// Whether the log takes the worker's record and its readers accept it.
+bool FitsLog(const WorkerRecord& record);
+
 }  // namespace basilspread
 
 #endif  // BASILSPREAD_CORE_SUBMISSION_RECORD_H_
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -238,6 +238,9 @@
   FleetState fleet;
   /// Workers on which earlier leaders may have started tasks.
   std::map<HostName, WorkerRecord> inherited_workers;
+  /// Submissions with a record that cannot be read; only while the work log is
+  /// loaded.
+  std::set<SubmissionId> unreadable;
   std::map<SubmissionId, SubmissionPtr> all;
   /// Number of accepted submissions by route of which nothing has started.
   std::map<RouteName, std::uint32_t> waiting;
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "basilspread/core/limits.h"
 #include "internal/fleet_polls.h"
 #include "internal/leadership.h"
 #include "internal/leadership_proof.h"
@@ -222,6 +223,12 @@
   for (const RunName& run : record.runs) {
     submission_progress::OnRecorded(context, worker, run);
   }
+  if (worker.entry.address.empty()) {
+    // Its record cannot be read. It is polled once the store lists it.
+    worker.is_silent = true;
+    polls::UpdateDueTime(context, worker);
+    return;
+  }
   polls::PollNow(context, worker);
 }
 
@@ -587,7 +594,10 @@
   worker.unattributed_starts.erase(name);
   worker.reserved -= found->second;
   worker.runs.erase(found);
-  if (worker.is_recorded_closed) {
+  // A closed worker that had too many runs for its record may have few enough.
+  const bool may_close =
+      IsClosed(worker) && worker.runs.size() <= limits::kMaxRecordedRuns;
+  if (worker.is_recorded_closed || may_close) {
     work_log::RecordWorker(context, worker.entry.name);
   }
   worker_room::Update(context, worker);
--- a/packages/core/src/internal/predecessors.cc
+++ b/packages/core/src/internal/predecessors.cc
@@ -77,7 +77,8 @@
   predecessor.epoch = record.epoch;
   LeadershipState& state = StateOf(context);
   state.predecessors[record.process.node] = predecessor;
-  if (!state.linked_peers.contains(record.process.node)) {
+  const bool is_known = !record.address.empty();
+  if (is_known && !state.linked_peers.contains(record.process.node)) {
     // If it still leads, it is told of this leader once the link is open.
     context.Emit(ConnectPeer{record.process.node, record.address});
   }
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -410,6 +410,7 @@
   }
   state.fleet = FleetState{};
   state.inherited_workers.clear();
+  state.unreadable.clear();
   state.log = WorkLogState{};
 }
 
--- a/packages/core/src/internal/submission_loading.cc
+++ b/packages/core/src/internal/submission_loading.cc
@@ -52,8 +52,56 @@
   submission.loaded_progress.clear();
 }
 
+/// Takes the worker as one that may run anything until it has answered or its
+/// leases have lapsed.
+void LoadUnreadable(Context& context, const HostName& worker) {
+  context.state.submissions.inherited_workers.insert_or_assign(
+      worker, WorkerRecord{worker, ""});
+}
+
+/// Takes the leader as one that still leads, as far as this process can tell.
+void LoadUnreadable(Context& context, const NodeName& node) {
+  predecessors::Load(context, LeaderRecord{{node, 0}, "", Epoch{}});
+}
+
+void LoadUnreadable(Context& context, const SubmissionId& id) {
+  context.state.submissions.unreadable.insert(id);
+}
+
+/// Keeps a submission known and starts nothing of it, since what has run is
+/// not known.
+void Hold(Context& context, const SubmissionId& id) {
+  SubmissionPtr& submission = context.state.submissions.all[id];
+  if (!submission) {
+    submission.reset(new Submission);
+    submission->id = id;
+    submission->arrived = context.now;
+  }
+  if (HasEnded(submission->state)) {
+    return;
+  }
+  submission->accepted = true;
+  submission->is_stored = true;
+  submission->spec.reset();
+  submission->steps.clear();
+  submission->loaded_progress.clear();
+}
+
 }  // namespace
 
+void LoadUnreadable(Context& context, const RecordSubject& subject) {
+  const std::string name =
+      std::visit([](const auto& of) { return of.value; }, subject);
+  context.Log(LogLevel::kError, kPart,
+              "A record of the work log cannot be read; what it stands for is "
+              "held.",
+              {{"subject", name},
+               {"epoch", context.state.submissions.leadership.epoch.value}});
+  context.Count(Metric::kUnreadableRecords, "");
+  std::visit([&context](const auto& of) { LoadUnreadable(context, of); },
+             subject);
+}
+
 void Load(Context& context, const WorkRecord& record) {
   SubmissionsState& state = context.state.submissions;
   if (const auto* progress = std::get_if<ProgressRecord>(&record)) {
@@ -90,7 +138,10 @@
 }
 
 void FinishLoading(Context& context) {
-  const SubmissionsState& state = context.state.submissions;
+  SubmissionsState& state = context.state.submissions;
+  for (const SubmissionId& id : std::exchange(state.unreadable, {})) {
+    Hold(context, id);
+  }
   std::size_t live = 0;
   for (const auto& [id, submission] : state.all) {
     if (HasEnded(submission->state) || !submission->spec) {
--- a/packages/core/src/internal/submission_loading.h
+++ b/packages/core/src/internal/submission_loading.h
@@ -10,6 +10,8 @@
 /// Applies a record of the work log. Records of one submission may come in any
 /// order.
 void Load(Context& context, const WorkRecord& record);
+/// Handles a record that cannot be read: what it stands for counts as unknown.
+void LoadUnreadable(Context& context, const RecordSubject& subject);
 /// Resumes the unfinished submissions once all records have been read.
 void FinishLoading(Context& context);
 
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -211,28 +211,42 @@
   state.log.changed.erase(state.log.changed.begin(), next);
 }
 
-void AddWorkers(Context& context, Batch& batch) {
+WorkRecord MakeWorkerRecord(Context& context, const HostName& name) {
   SubmissionsState& state = StateOf(context);
-  for (const HostName& name : state.log.workers) {
-    const auto found = state.fleet.workers.find(name);
-    if (found == state.fleet.workers.end()) {
-      batch.Add(WorkerGoneRecord{name});
-      continue;
-    }
-    FleetWorker& worker = found->second;
-    WorkerRecord record{name, worker.entry.address, worker.entry.incarnation};
-    // Until this leader has an answer, it may not know all that runs there.
-    record.is_closed = fleet::IsClosed(worker) &&
-                       (worker.is_reconciled || worker.has_known_runs);
-    worker.is_recorded_closed = record.is_closed;
-    if (record.is_closed) {
-      for (const auto& [run, demand] : worker.runs) {
-        record.runs.push_back(run);
-      }
+  const auto found = state.fleet.workers.find(name);
+  if (found == state.fleet.workers.end()) {
+    return WorkerGoneRecord{name};
+  }
+  FleetWorker& worker = found->second;
+  const WorkerRecord open{name, worker.entry.address, worker.entry.incarnation};
+  WorkerRecord closed = open;
+  closed.is_closed = true;
+  // Until this leader has an answer, it may not know all that runs there.
+  if (fleet::IsClosed(worker) &&
+      (worker.is_reconciled || worker.has_known_runs)) {
+    for (const auto& [run, demand] : worker.runs) {
+      closed.runs.push_back(run);
     }
-    batch.Add(std::move(record));
+    worker.is_recorded_closed = FitsLog(closed);
+  } else {
+    worker.is_recorded_closed = false;
+  }
+  return worker.is_recorded_closed ? closed : open;
+}
+
+/// Adds the records of workers. A closed worker's record names no run that has
+/// ended, so that it must not precede the changes that the ends have caused.
+void AddWorkers(Context& context, Batch& batch) {
+  WorkLogState& log = StateOf(context).log;
+  if (!log.changed.empty()) {
+    return;
+  }
+  auto next = log.workers.begin();
+  for (; next != log.workers.end() && !batch.IsFull(); ++next) {
+    batch.Add(MakeWorkerRecord(context, *next));
+    log.in_flight_workers.insert(*next);
   }
-  state.log.in_flight_workers = std::exchange(state.log.workers, {});
+  log.workers.erase(log.workers.begin(), next);
 }
 
 void AddLeaders(Context& context, Batch& batch) {
@@ -347,6 +361,9 @@
   for (const WorkRecord& record : event.records) {
     submission_loading::Load(context, record);
   }
+  for (const RecordSubject& subject : event.unreadable) {
+    submission_loading::LoadUnreadable(context, subject);
+  }
   if (!event.next.empty()) {
     context.Emit(ListWork{event.next, event.epoch});
     return;
--- a/packages/core/src/submission_record.cc
+++ b/packages/core/src/submission_record.cc
@@ -1,5 +1,7 @@
 #include "basilspread/core/submission_record.h"
 
+#include "basilspread/core/limits.h"
+
 namespace basilspread {
 namespace {
 
@@ -8,7 +10,8 @@
 constexpr std::size_t kRecordBytes = 256;
 constexpr std::size_t kStepBytes = 256;
 constexpr std::size_t kTaskBytes = 48;
-constexpr std::size_t kRunBytes = 80;
+/// Without the submission's name.
+constexpr std::size_t kRunBytes = 44;
 /// Size of a step index or run number in a list.
 constexpr std::size_t kNumberBytes = 4;
 
@@ -45,8 +48,12 @@
     return kRecordBytes + record.id.value.size();
   }
   std::size_t operator()(const WorkerRecord& record) const {
-    return kRecordBytes + record.worker.value.size() + record.address.size() +
-           record.runs.size() * kRunBytes;
+    std::size_t bytes =
+        kRecordBytes + record.worker.value.size() + record.address.size();
+    for (const RunName& run : record.runs) {
+      bytes += kRunBytes + run.task.submission.value.size();
+    }
+    return bytes;
   }
   std::size_t operator()(const WorkerGoneRecord& record) const {
     return kRecordBytes + record.worker.value.size();
@@ -66,4 +73,9 @@
   return std::visit(EncodedSize{}, record);
 }
 
+bool FitsLog(const WorkerRecord& record) {
+  return record.runs.size() <= limits::kMaxRecordedRuns &&
+         MaxEncodedBytes(record) <= limits::kMaxRecordBytes;
+}
+
 }  // namespace basilspread
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "basilspread/core/hooks.h"
+#include "support/store_world_log.h"
 #include "support/store_world_node.h"
 #include "support/store_world_times.h"
 
@@ -160,7 +161,13 @@
         break;
       }
       last = record->first;
-      listed.records.push_back(record->second);
+      const bool is_readable = IsReadable(record->second) &&
+                               !store.unreadable_keys.contains(record->first);
+      if (is_readable) {
+        listed.records.push_back(record->second);
+      } else {
+        listed.unreadable.push_back(SubjectOf(record->first));
+      }
     }
     this->world.PostAfter(this->node.index,
                           listed.ok ? store.list_time : kTimeout,
--- a/packages/core/tests/support/store_world.h
+++ b/packages/core/tests/support/store_world.h
@@ -210,6 +210,8 @@
   std::size_t records_per_page = std::numeric_limits<std::size_t>::max();
   /// Whether the page after this key is not answered; unset: none.
   std::function<bool(const std::string& after)> loses_page;
+  /// Keys of work records that processes cannot decode.
+  std::set<std::string> unreadable_keys;
   /// Size of the largest append so far, in bytes.
   std::size_t largest_append = 0;
   /// If not zero, starts are carried out after this delay and not answered.
--- a/packages/core/tests/support/store_world_log.cc
+++ b/packages/core/tests/support/store_world_log.cc
@@ -1,7 +1,9 @@
 #include "support/store_world_log.h"
 
+#include <algorithm>
 #include <variant>
 
+#include "basilspread/core/limits.h"
 #include "support/store_world.h"
 
 namespace basilspread::test {
@@ -38,6 +40,31 @@
          std::holds_alternative<SpecDroppedRecord>(record);
 }
 
+RecordSubject SubjectOf(const std::string& key) {
+  const std::string name = key.substr(2);
+  switch (key.front()) {
+    case 'w':
+      return HostName{name};
+    case 'l':
+      return NodeName{name};
+    default:
+      return SubmissionId{name};
+  }
+}
+
+bool IsTaken(const AppendWork& append) {
+  return std::all_of(append.records.begin(), append.records.end(),
+                     [](const WorkRecord& record) {
+                       return MaxEncodedBytes(record) <=
+                              limits::kMaxRecordBytes;
+                     });
+}
+
+bool IsReadable(const WorkRecord& record) {
+  const auto* worker = std::get_if<WorkerRecord>(&record);
+  return worker == nullptr || worker->runs.size() <= limits::kMaxRecordedRuns;
+}
+
 std::size_t BytesOf(const AppendWork& append) {
   std::size_t bytes = 0;
   for (const WorkRecord& record : append.records) {
--- a/packages/core/tests/support/store_world_log.h
+++ b/packages/core/tests/support/store_world_log.h
@@ -15,6 +15,14 @@
 /// Whether the record removes its key.
 bool IsDrop(const WorkRecord& record);
 
+/// What the record under the key is about.
+RecordSubject SubjectOf(const std::string& key);
+
+/// Whether the store takes all records of the append.
+bool IsTaken(const AppendWork& append);
+/// Whether processes can decode the record.
+bool IsReadable(const WorkRecord& record);
+
 /// Upper bound on the append's size in the log, in bytes.
 std::size_t BytesOf(const AppendWork& append);
 
--- a/packages/core/tests/support/store_world_store.cc
+++ b/packages/core/tests/support/store_world_store.cc
@@ -30,7 +30,7 @@
     this->PostAfter(node, kTimeout, appended);
     return;
   }
-  if (this->appends_are_refused) {
+  if (this->appends_are_refused || !IsTaken(effect)) {
     appended.result = WorkAppendResult::kRefused;
     this->PostAfter(node, this->store_time, appended);
     return;
--- a/packages/wire/include/basilspread/wire/work_codec.h
+++ b/packages/wire/include/basilspread/wire/work_codec.h
@@ -26,6 +26,9 @@
 /// value of another version.
 Result<WorkRecord> DecodeWork(std::string_view key, std::string_view value);
 
+/// What the record under the key is about; unset if the key is of another form.
+std::optional<RecordSubject> SubjectOf(std::string_view key);
+
 }  // namespace basilspread::wire
 
 #endif  // BASILSPREAD_WIRE_WORK_CODEC_H_
--- a/packages/wire/src/work_codec.cc
+++ b/packages/wire/src/work_codec.cc
@@ -193,7 +193,8 @@
 }
 
 bool IsSmall(const fb::WorkerRecord& packed) {
-  return packed.runs() == nullptr || packed.runs()->size() <= limits::kMaxTasks;
+  return packed.runs() == nullptr ||
+         packed.runs()->size() <= limits::kMaxRecordedRuns;
 }
 
 WorkRecord DecodeWorker(HostName name, const fb::WorkerRecord& packed) {
@@ -267,4 +268,22 @@
   return WorkRecord(std::move(body));
 }
 
+std::optional<RecordSubject> SubjectOf(std::string_view key) {
+  const std::string_view prefix = key.substr(0, kSpecPrefix.size());
+  std::string name(key.substr(prefix.size()));
+  if (name.empty() || name.size() > limits::kMaxNameBytes) {
+    return std::nullopt;
+  }
+  if (prefix == kSpecPrefix || prefix == kProgressPrefix) {
+    return SubmissionId{std::move(name)};
+  }
+  if (prefix == kWorkerPrefix) {
+    return HostName{std::move(name)};
+  }
+  if (prefix == kLeaderPrefix) {
+    return NodeName{std::move(name)};
+  }
+  return std::nullopt;
+}
+
 }  // namespace basilspread::wire
--- a/packages/wire/tests/out_of_range_test.cc
+++ b/packages/wire/tests/out_of_range_test.cc
@@ -197,6 +197,58 @@
   CHECK_FALSE(IsAccepted(WorkRecord(record)));
 }
 
+TEST_CASE("A worker's record that fits the log is read as it was written",
+          "[wire][odd]") {
+  const auto make = [](std::size_t runs, std::size_t name_bytes) {
+    WorkerRecord record{HostName{"i-1"}, "1.1.1.1:1", 1};
+    record.is_closed = true;
+    const SubmissionId id{std::string(name_bytes, 'x')};
+    for (std::uint32_t i = 0; i < runs; ++i) {
+      record.runs.push_back({{id, i, i}, Attempt{i}});
+    }
+    return record;
+  };
+  std::size_t fitting = 0;
+  for (const std::size_t name_bytes :
+       {std::size_t{1}, std::size_t{16}, limits::kMaxNameBytes}) {
+    for (const std::size_t runs :
+         {std::size_t{0}, std::size_t{1}, limits::kMaxRecordedRuns - 1,
+          limits::kMaxRecordedRuns, limits::kMaxRecordedRuns + 1,
+          std::size_t{20'000}}) {
+      INFO(runs << " runs, names of " << name_bytes << " bytes");
+      const WorkerRecord record = make(runs, name_bytes);
+      const KeyedRecord keyed = EncodeWork(record);
+      if (!FitsLog(record)) {
+        CHECK(runs > 1);
+        continue;
+      }
+      ++fitting;
+      CHECK(keyed.key.size() + keyed.value->size() <= limits::kMaxRecordBytes);
+      const auto read = DecodeWork(keyed.key, *keyed.value);
+      REQUIRE(read);
+      const auto& worker = std::get<WorkerRecord>(read.value());
+      CHECK(worker.is_closed);
+      CHECK(worker.runs == record.runs);
+    }
+  }
+  // All up to the bound with short names; the bytes bind with longer ones.
+  CHECK(fitting >= 4 + 2 + 2);
+  CHECK(FitsLog(make(limits::kMaxRecordedRuns, 16)));
+  CHECK_FALSE(FitsLog(make(limits::kMaxRecordedRuns + 1, 16)));
+}
+
+TEST_CASE("A key tells what its record is about", "[wire]") {
+  CHECK(SubjectOf("s/a") == RecordSubject(SubmissionId{"a"}));
+  CHECK(SubjectOf("p/a") == RecordSubject(SubmissionId{"a"}));
+  CHECK(SubjectOf("w/i-1") == RecordSubject(HostName{"i-1"}));
+  CHECK(SubjectOf("l/front-1") == RecordSubject(NodeName{"front-1"}));
+  for (const std::string& key :
+       {std::string(), std::string("w"), std::string("w/"), std::string("x/a"),
+        "w/" + std::string(limits::kMaxNameBytes + 1, 'x')}) {
+    CHECK_FALSE(SubjectOf(key));
+  }
+}
+
 TEST_CASE("A record takes no more bytes than its upper bound", "[wire][odd]") {
   const auto check = [](const WorkRecord& record) {
     const KeyedRecord keyed = EncodeWork(record);
@@ -236,6 +288,12 @@
       task.failed_runs.resize(count, Attempt{1});
     }
     check(progress);
+    WorkerRecord worker{HostName{name}, name, 7};
+    worker.is_closed = true;
+    worker.runs.resize(count * 64, RunName{{id, 1, 1}, Attempt{1}});
+    check(worker);
+    worker.runs.assign(count * 64, RunName{{SubmissionId{"a"}, 1, 1}, {}});
+    check(worker);
   }
   check(ForgottenRecord{id});
   check(SpecDroppedRecord{id});
