Place tasks on a restarted worker only once its own entry is read

Cause: when an answer showed that a worker had started again, the leader wrote the new incarnation into the entry that it had read of the former one, so that labels, capacity, zone and rack of the former one passed for those of the new one. During an outage of the store nothing else could tell, and the worker was used as soon as it answered.

Fix: the incarnation that is known is kept apart from the entry. A worker is placed on only while the entry in the store is of the incarnation that answers; it keeps what it runs, and gets new runs once its entry is read. The record for the next leader names the known incarnation, so that this holds over a takeover. Of two incarnations the higher is the later one, except that an answer under a fence raised since is later in any case (a host whose clock was set back). An entry older than the answers changes nothing but brings a poll.

Tests, failing before: 'A restarted worker gets no task by what it offered before' (same leader, after a takeover, the former entry read again), 'A restarted worker gets tasks again once its entry is read', 'A restarted worker with less room is not filled beyond it'. 'A restarted worker with a lower number is used again' holds the liveness. The simulated world now checks labels.

Price: a worker that crashes in an outage gets no new work until the store is back and its entry is written, a heartbeat later.

--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -44,7 +44,10 @@
 
 /// The leader's view of a worker. Only the leader places tasks on workers.
 struct FleetWorker {
+  /// The newest entry in the store. It may describe an earlier incarnation.
   WorkerEntry entry;
+  /// The latest incarnation that is known, from an entry or an answer.
+  std::uint64_t incarnation = 0;
   /// Unique during one term of leadership; breaks ties in FreeCpuKey.
   std::uint32_t number = 0;
   /// Its key in FleetState::free_by_pool; unset while it has no entry there.
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -42,14 +42,23 @@
   work_log::RecordWorker(context, worker.entry.name);
 }
 
+/// Whether the store's entry is of the incarnation that answers. What an
+/// earlier one offered tells nothing of this one, which may be of another kind.
+bool IsDescribed(const FleetWorker& worker) {
+  return worker.entry.incarnation == worker.incarnation;
+}
+
 /// The worker has restarted, and its earlier runs are gone.
-void OnRestarted(Context& context, FleetWorker& worker) {
+void OnRestarted(Context& context, FleetWorker& worker,
+                 std::uint64_t incarnation) {
+  worker.incarnation = incarnation;
   context.Log(LogLevel::kWarning, kPart, "Worker restarted; its runs are lost.",
               {{"worker", worker.entry.name.value},
                {"runs_lost", worker.runs.size()},
                {"unattributed_starts", worker.unattributed_starts.size()},
                {"acknowledged", worker.acknowledged_end},
-               {"incarnation", worker.entry.incarnation}});
+               {"incarnation", incarnation},
+               {"incarnation_of_entry", worker.entry.incarnation}});
   polls::SetReconciled(context, worker, false);
   worker.clock_read_at.reset();
   polls::ForgetEnds(context, worker);
@@ -64,8 +73,9 @@
   FleetState& fleet = StateOf(context);
   const auto [found, is_new] = fleet.workers.try_emplace(entry.name);
   FleetWorker& worker = found->second;
-  const bool has_restarted =
-      !is_new && worker.entry.incarnation != entry.incarnation;
+  worker.incarnation = is_new ? entry.incarnation : worker.incarnation;
+  const bool has_restarted = entry.incarnation > worker.incarnation;
+  const bool was_described = IsDescribed(worker);
   const bool has_moved = !is_new && worker.entry.address != entry.address;
   const bool was_draining = worker.entry.draining;
   const bool was_closed = IsClosed(worker);
@@ -86,7 +96,17 @@
   if (is_new) {
     polls::PollNow(context, worker);
   } else if (has_restarted) {
-    OnRestarted(context, worker);
+    OnRestarted(context, worker, entry.incarnation);
+  } else if (!IsDescribed(worker)) {
+    // The entry is older than an answer of the worker, unless the clock that
+    // numbers its incarnations was set back. A poll tells.
+    polls::PollNow(context, worker);
+  } else if (!was_described) {
+    context.Log(
+        LogLevel::kInfo, kPart,
+        "The entry of a restarted worker is read; it gets new runs.",
+        {{"worker", entry.name.value}, {"incarnation", entry.incarnation}});
+    step_placement::OnCapacityFreed(context, worker);
   }
   if (entry.draining != was_draining) {
     context.Log(LogLevel::kInfo, kPart, "Worker changed its draining state.",
@@ -217,6 +237,7 @@
   worker.entry.name = record.worker;
   worker.entry.address = record.address;
   worker.entry.incarnation = record.incarnation;
+  worker.incarnation = record.incarnation;
   worker.unlisted = true;
   worker.is_recorded = true;
   worker.leased_until = predecessors::LeasesEnd(context);
@@ -377,17 +398,19 @@
     polls::OnPollFailed(context, *worker, event);
     return;
   }
-  const bool has_restarted =
-      event.incarnation != 0 && event.incarnation != worker->entry.incarnation;
-  if (has_restarted && event.fence != polls::FenceOf(context, *worker)) {
-    // The answer may be that of a former life; a poll under the present fence
-    // tells.
+  const bool is_other =
+      event.incarnation != 0 && event.incarnation != worker->incarnation;
+  const bool is_under_present_fence =
+      event.fence == polls::FenceOf(context, *worker);
+  if (is_other && !is_under_present_fence &&
+      event.incarnation < worker->incarnation) {
+    // An earlier incarnation answered before the worker was known to have
+    // restarted.
     polls::PollNow(context, *worker);
     return;
   }
-  if (has_restarted) {
-    worker->entry.incarnation = event.incarnation;
-    OnRestarted(context, *worker);
+  if (is_other) {
+    OnRestarted(context, *worker, event.incarnation);
     return;
   }
   polls::ApplyPoll(context, *worker, event);
@@ -539,7 +562,8 @@
 
 bool IsUsable(const Context& context, const FleetWorker& worker) {
   return worker.is_reconciled && worker.is_recorded && worker.orphans.empty() &&
-         !IsClosed(worker) && worker_ejection::AllowsStart(context, worker);
+         !IsClosed(worker) && IsDescribed(worker) &&
+         worker_ejection::AllowsStart(context, worker);
 }
 
 bool HasRoom(const Context& context, const FleetWorker& worker,
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -218,7 +218,7 @@
     return WorkerGoneRecord{name};
   }
   FleetWorker& worker = found->second;
-  const WorkerRecord open{name, worker.entry.address, worker.entry.incarnation};
+  const WorkerRecord open{name, worker.entry.address, worker.incarnation};
   WorkerRecord closed = open;
   closed.is_closed = true;
   // Until this leader has an answer, it may not know all that runs there.
--- a/packages/core/tests/support/store_world_workers.cc
+++ b/packages/core/tests/support/store_world_workers.cc
@@ -240,6 +240,16 @@
       this->violations.push_back("runs twice: " + Describe(name.task));
     }
   }
+  const auto steps = this->submitted.find(name.task.submission);
+  const std::string label =
+      steps == this->submitted.end()
+          ? ""
+          : steps->second.at(name.task.step).required_label;
+  const auto& labels = worker.entry.labels;
+  if (!label.empty() &&
+      std::find(labels.begin(), labels.end(), label) == labels.end()) {
+    this->violations.push_back("lacks the label: " + worker.entry.name.value);
+  }
   if (this->acknowledged_done.contains(name.task)) {
     this->violations.push_back("started after its success was acknowledged: " +
                                Describe(name.task));
--- a/packages/core/tests/worker_restart_test.cc
+++ b/packages/core/tests/worker_restart_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 #include "support/store_world.h"
@@ -126,5 +127,109 @@
   CHECK(world.Worker("w1").acknowledged + 8 >= world.Known().seen_end);
 }
 
+/// Two workers of two kinds, each with a long run, and the first starts again
+/// as another kind while the store keeps its former entry.
+struct KindsWorld : StoreWorld {
+  KindsWorld() : StoreWorld(3, {"w1", "w2"}) {
+    REQUIRE(this->Leader() >= 0);
+    this->Worker("w1").entry.labels = {"a"};
+    this->Worker("w2").entry.labels = {"b"};
+    this->Relist("w1");
+    this->Relist("w2");
+    this->run_time = seconds(60);
+    this->SubmitFor("a", kEarlier, 1);
+    this->Run(milliseconds(500));
+    this->run_time = milliseconds(200);
+    this->RestartWorkerUnlisted("w1");
+  }
+
+  void SubmitFor(const std::string& label, const std::string& id,
+                 std::uint32_t tasks) {
+    StepSpec step = Tasks(tasks);
+    step.required_label = label;
+    this->Submit(0, id, {step});
+  }
+
+  /// Runs until the leader knows that the worker has restarted.
+  void AwaitAnswer() { this->Run(seconds(3)); }
+};
+
+// The labels of the entry that the leader had read were those of the earlier
+// incarnation, and it started tasks that the worker could not run.
+TEST_CASE("A restarted worker gets no task by what it offered before",
+          "[fleet][restart]") {
+  KindsWorld world;
+  world.Worker("w1").entry.labels = {"b"};
+  world.AwaitAnswer();
+  SECTION("under the same leader") {}
+  SECTION("after a takeover") {
+    world.Kill(world.Leader());
+    world.Run(seconds(3));
+    REQUIRE(world.Leader() >= 0);
+  }
+  SECTION("though the former entry is read again") {
+    FleetRead read;
+    read.ok = true;
+    read.entries = {*world.Worker("w1").stored_entry};
+    read.epoch = world.StateOf(world.Leader()).submissions.leadership.epoch;
+    world.Inject(world.Leader(), read);
+  }
+  world.SubmitFor("a", kLater, 2);
+  world.Run(seconds(2));
+  CHECK(world.Starts(kLater) == 0);
+  CHECK(world.violations.empty());
+}
+
+TEST_CASE("A restarted worker gets tasks again once its entry is read",
+          "[fleet][restart]") {
+  KindsWorld world;
+  world.Worker("w1").entry.labels = {"c"};
+  world.Worker("w1").entry.capacity = {2000, 4096, 0};
+  world.AwaitAnswer();
+  world.SubmitFor("c", kLater, 3);
+  world.Run(seconds(1));
+  CHECK(world.Starts(kLater) == 0);
+  world.Relist("w1");
+  world.Run(seconds(1));
+  CHECK(world.StatusOf(world.Leader(), kLater) == SubmissionState::kCompleted);
+  CHECK(world.violations.empty());
+}
+
+TEST_CASE("A restarted worker with less room is not filled beyond it",
+          "[fleet][restart]") {
+  KindsWorld world;
+  world.Worker("w1").entry.capacity = {1000, 256, 0};
+  world.AwaitAnswer();
+  world.run_time = seconds(60);
+  world.SubmitFor("a", kLater, 4);
+  world.Run(seconds(2));
+  CHECK(world.violations.empty());
+  world.Relist("w1");
+  world.Run(seconds(2));
+  CHECK(world.Worker("w1").runs.size() == 1);
+  CHECK(world.violations.empty());
+}
+
+// The clock of its host was set back before the restart.
+TEST_CASE("A restarted worker with a lower number is used again",
+          "[fleet][restart]") {
+  KindsWorld world;
+  const bool is_answer_first = GENERATE(true, false);
+  world.RestartWorker("w2");
+  world.Run(seconds(2));
+  world.Worker("w2").runs.clear();
+  world.Worker("w2").fence = 0;
+  world.Worker("w2").entry.incarnation = 1;
+  if (is_answer_first) {
+    world.Run(seconds(2));
+  }
+  world.Relist("w2");
+  world.Run(seconds(2));
+  world.SubmitFor("b", kLater, 1);
+  world.Run(seconds(2));
+  CHECK(world.StatusOf(world.Leader(), kLater) == SubmissionState::kCompleted);
+  CHECK(world.violations.empty());
+}
+
 }  // namespace
 }  // namespace basilspread::test
