--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "basilspread/core/limits.h"
+#include "internal/fleet_attribution.h"
 #include "internal/fleet_polls.h"
 #include "internal/leadership.h"
 #include "internal/leadership_proof.h"
@@ -429,7 +430,7 @@
     return;
   }
   worker->lost_poll_excused = worker->lost_poll_excused || was_sent;
-  worker->may_have_lost_acknowledgement = worker->has_open_acknowledgement;
+  attribution::OnPollLost(*worker);
   polls::PollNow(context, *worker);
 }
 
@@ -451,7 +452,7 @@
     return;
   }
   if (event.result == OrderResult::kDone) {
-    polls::OnStartAnswered(context, *worker, event);
+    attribution::OnStartAnswered(context, *worker, event);
     submission_progress::OnStarted(context, event.name);
     return;
   }
@@ -576,7 +577,7 @@
   worker.runs[order.name] = order.demand;
   worker.reserved += order.demand;
   worker_room::Update(context, worker);
-  polls::BeforeStart(context, worker, order.name);
+  attribution::BeforeStart(context, worker, order.name);
   const WorkerTime lease_until = polls::NextLease(context, worker);
   relays::Send(context, worker,
                StartRun{worker.entry.name, worker.entry.address,
--- a/packages/core/src/internal/fleet_polls.cc
+++ b/packages/core/src/internal/fleet_polls.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "internal/fleet.h"
+#include "internal/fleet_attribution.h"
 #include "internal/leadership_proof.h"
 #include "internal/long_running.h"
 #include "internal/relays.h"
@@ -45,12 +46,8 @@
 constexpr Duration kIdlePollInterval = std::chrono::seconds(60);
 /// Maximum number of polls in flight: one long poll and one without a wait.
 constexpr std::uint32_t kMaxPolls = 2;
-/// Workers state their clocks in whole milliseconds.
-constexpr Duration kClockResolution = std::chrono::milliseconds(1);
 /// Number of fences of an epoch that are left when the leader begins a new one.
 constexpr std::uint64_t kReservedFences = 1024;
-/// The steady clock of a worker may be slow by the inverse of this.
-constexpr std::int64_t kClockDriftDivisor = 50;
 /// Added to every wait for a lease to lapse: the time to kill a run.
 constexpr Duration kLapseMargin = std::chrono::milliseconds(500);
 
@@ -71,32 +68,16 @@
           (inherited_end && context.now < *inherited_end));
 }
 
-bool HasUnacknowledgedEnds(const FleetWorker& worker) {
-  return worker.stored_end > worker.acknowledged_end;
-}
-
-/// Number of the last end that the next poll acknowledges; zero for none. The
-/// incarnation that gets the poll may not be the one that listed the ends. That
-/// is harmless only while no run is known that may have started on a later one.
-std::uint64_t AcknowledgedEnd(const FleetWorker& worker) {
-  return HasUnacknowledgedEnds(worker) && worker.unattributed_starts.empty()
-             ? worker.stored_end
-             : 0;
-}
-
 void Poll(Context& context, FleetWorker& worker, Duration wait) {
   PollWorker poll;
   poll.worker = worker.entry.name;
   poll.address = worker.entry.address;
   poll.fence = FenceOf(context, worker);
-  poll.acknowledged = AcknowledgedEnd(worker);
-  // A poll that the next incarnation carries out late would renew leases by a
-  // clock that has begun anew.
-  const bool renews = !worker.is_silent && worker.unattributed_starts.empty();
+  poll.acknowledged = attribution::AcknowledgedEnd(worker);
+  const bool renews = !worker.is_silent && attribution::MayRenew(worker);
   poll.lease_until = renews ? NextLease(context, worker) : WorkerTime::zero();
   poll.wait = wait;
-  worker.has_open_acknowledgement =
-      worker.has_open_acknowledgement || poll.acknowledged > 0;
+  attribution::OnPollSent(worker, poll);
   worker.next_poll.reset();
   relays::Send(context, worker, std::move(poll));
   ++worker.polls;
@@ -170,51 +151,6 @@
              : kPollWait;
 }
 
-/// Updates what the worker has discarded: it lists all other ends.
-void UpdateAcknowledgedEnd(FleetWorker& worker, const WorkerPolled& event) {
-  const std::uint64_t discarded =
-      event.ended.empty() ? worker.stored_end : event.ended.front().number - 1;
-  worker.acknowledged_end = std::min(worker.stored_end, discarded);
-  if (worker.polls == 0 && !worker.may_have_lost_acknowledgement) {
-    worker.has_open_acknowledgement = false;
-  }
-}
-
-/// Removes the starts that the incarnation which answers the poll has carried
-/// out or never will: those it lists, those that were answered before the poll
-/// was sent, and those under a lower fence.
-void AttributeStarts(FleetWorker& worker, const WorkerPolled& event) {
-  worker.alive_at =
-      std::max(worker.alive_at.value_or(event.sent_at), event.sent_at);
-  if (worker.unattributed_starts.empty()) {
-    return;
-  }
-  for (const ListedRun& run : event.running) {
-    worker.unattributed_starts.erase(run.name);
-  }
-  for (const ListedEnd& end : event.ended) {
-    worker.unattributed_starts.erase(end.name);
-  }
-  std::erase_if(worker.unattributed_starts, [&event](const auto& start) {
-    const auto& [fence, answered_at] = start.second;
-    return fence < event.fence || (answered_at && *answered_at < event.sent_at);
-  });
-}
-
-/// Whether the clock in an answer is that of the incarnation that has answered
-/// polls. A later one started after the latest of these polls was sent, and its
-/// clock counts from there.
-bool IsClockOfKnownIncarnation(const Context& context,
-                               const FleetWorker& worker, WorkerTime clock) {
-  const TimePoint valid_from =
-      context.state.submissions.leadership.proof.valid_from;
-  if (!worker.alive_at || *worker.alive_at < valid_from) {
-    return false;
-  }
-  const Duration since = context.now - *worker.alive_at;
-  return clock > since + since / kClockDriftDivisor + kClockResolution;
-}
-
 }  // namespace
 
 std::uint64_t FenceOf(const Context& context, const FleetWorker& worker) {
@@ -226,8 +162,7 @@
 
 void RaiseFence(FleetWorker& worker) {
   ++worker.fence_step;
-  worker.has_open_acknowledgement = false;
-  worker.may_have_lost_acknowledgement = false;
+  attribution::OnFenceRaised(worker);
 }
 
 bool AreFencesUsedUp(const FleetWorker& worker) {
@@ -363,29 +298,6 @@
   context.state.submissions.fleet.with_unstored_ends.erase(worker.entry.name);
 }
 
-void BeforeStart(const Context& context, FleetWorker& worker,
-                 const RunName& name) {
-  // An acknowledgement that is carried out late, by the next incarnation, would
-  // discard the end of this run there.
-  if (worker.has_open_acknowledgement) {
-    RaiseFence(worker);
-  }
-  worker.unattributed_starts[name] = {FenceOf(context, worker), std::nullopt};
-}
-
-void OnStartAnswered(Context& context, FleetWorker& worker,
-                     const RunOrdered& event) {
-  const auto start = worker.unattributed_starts.find(event.name);
-  if (start == worker.unattributed_starts.end()) {
-    return;
-  }
-  if (IsClockOfKnownIncarnation(context, worker, event.clock)) {
-    worker.unattributed_starts.erase(start);
-  } else {
-    start->second.answered_at = context.now;
-  }
-}
-
 std::optional<TimePoint> RemovalTime(const Context& context,
                                      const FleetWorker& worker) {
   if (!worker.unlisted) {
@@ -404,8 +316,7 @@
                const WorkerPolled& event) {
   const bool is_current = event.fence == FenceOf(context, worker);
   UpdateClock(context, worker, event);
-  UpdateAcknowledgedEnd(worker, event);
-  AttributeStarts(worker, event);
+  attribution::OnPollAnswered(worker, event);
   if (worker.is_silent) {
     context.Log(LogLevel::kInfo, kPart, "Worker answers again.",
                 {{"worker", worker.entry.name.value},
@@ -436,7 +347,7 @@
   if (!worker.runs.empty()) {
     Schedule(context, worker,
              event.ended.empty() ? context.now : context.now + kPollSpacing);
-  } else if (HasUnacknowledgedEnds(worker) ||
+  } else if (attribution::HasUnacknowledgedEnds(worker) ||
              worker.seen_end > worker.stored_end) {
     Schedule(context, worker, context.now + kAcknowledgeDelay);
   } else {
@@ -450,7 +361,7 @@
 
 void OnPollFailed(Context& context, FleetWorker& worker,
                   const WorkerPolled& event) {
-  worker.may_have_lost_acknowledgement = worker.has_open_acknowledgement;
+  attribution::OnPollLost(worker);
   if (!worker.is_silent) {
     context.Log(
         LogLevel::kWarning, kPart,
--- a/packages/core/src/internal/fleet_polls.h
+++ b/packages/core/src/internal/fleet_polls.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPREAD_CORE_INTERNAL_FLEET_POLLS_H_
 #define BASILSPREAD_CORE_INTERNAL_FLEET_POLLS_H_
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -12,6 +13,9 @@
 /// Polls of workers, which renew leases and deliver the ends of runs.
 namespace basilspread::internal::fleet::polls {
 
+/// The steady clock of a worker may be slow by the inverse of this.
+inline constexpr std::int64_t kClockDriftDivisor = 50;
+
 /// The fencing token of calls to the worker: the leader's epoch, and within it
 /// a number that rises whenever the answer to a start was lost.
 std::uint64_t FenceOf(const Context& context, const FleetWorker& worker);
@@ -49,13 +53,6 @@
 /// Discards the numbers of the worker's ends, for example after its restart.
 void ForgetEnds(Context& context, FleetWorker& worker);
 
-/// To be called before a run is started on the worker.
-void BeforeStart(const Context& context, FleetWorker& worker,
-                 const RunName& name);
-/// Handles that the worker has carried out a start.
-void OnStartAnswered(Context& context, FleetWorker& worker,
-                     const RunOrdered& event);
-
 /// When a worker that the store no longer lists can be forgotten, since nothing
 /// runs there any more; unset for a listed worker.
 std::optional<TimePoint> RemovalTime(const Context& context,
