--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -75,11 +75,19 @@
   bool is_reconciled = false;
   /// The last answer may have lacked ends; see WorkerPolled.
   bool may_have_more_ends = false;
-  /// Part of the fence below the leader's epoch.
-  std::uint32_t fence_step = 0;
+  /// A poll that acknowledges ends was sent under the current fence and may
+  /// still be carried out.
+  bool has_open_acknowledgement = false;
+  /// A poll was lost since; it may be that one.
+  bool may_have_lost_acknowledgement = false;
   /// The last poll failed. Until one succeeds, nothing is started and no lease
   /// is renewed there.
   bool is_silent = false;
+  /// The last poll was lost together with the process that made it, and was
+  /// not counted as a failure of the worker. A second one is.
+  bool lost_poll_excused = false;
+  /// Part of the fence below the leader's epoch.
+  std::uint32_t fence_step = 0;
   /// Polls in flight.
   std::uint32_t polls = 0;
   /// Unset when no poll is needed.
@@ -100,9 +108,6 @@
   std::uint64_t relay_chosen_at = 0;
   /// Processes that lost calls to it since its last answer.
   std::set<NodeName> lost_through;
-  /// The last poll was lost together with the process that made it, and was
-  /// not counted as a failure of the worker. A second one is.
-  bool lost_poll_excused = false;
   /// Runs that occupy capacity, with what each reserves.
   std::map<RunName, Resources> runs;
   Resources reserved;
@@ -120,11 +125,6 @@
   /// ends and counts its time anew. Meanwhile no end is acknowledged and no
   /// lease is renewed.
   std::map<RunName, UnattributedStart> unattributed_starts;
-  /// A poll that acknowledges ends was sent under the current fence and may
-  /// still be carried out.
-  bool has_open_acknowledgement = false;
-  /// A poll was lost since; it may be that one.
-  bool may_have_lost_acknowledgement = false;
   /// Submissions whose runs failed there since the last success.
   std::set<SubmissionId> failed_for;
   /// Starts that it refused since the last success.
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -94,13 +94,12 @@
   if (is_new || has_moved) {
     RecordWorker(context, worker);
   }
-  if (is_new) {
-    polls::PollNow(context, worker);
-  } else if (has_restarted) {
+  if (has_restarted) {
     OnRestarted(context, worker, entry.incarnation);
-  } else if (!IsDescribed(worker)) {
-    // The entry is older than an answer of the worker, unless the clock that
-    // numbers its incarnations was set back. A poll tells.
+  } else if (is_new || !IsDescribed(worker)) {
+    // An entry that is older than an answer of the worker does not describe it,
+    // unless the clock that numbers its incarnations was set back. A poll
+    // tells.
     polls::PollNow(context, worker);
   } else if (!was_described) {
     context.Log(
