Let gangs that cannot start hold back nothing

Cause: a gang that has waited for the quota for 5 s goes before later work, and whether the quota can hold it was asked at the acceptance only.

Gangs that wait for the quota now have a list of their own, without those that the pool cannot hold, and before one of them holds back other work it is asked whether the quota in force can hold it beside the workspace's long-running tasks. A change of quotas wakes the workspace's submissions. The same cause on related paths: claims on workers for room that long-running tasks keep, and gangs wider than their pool as a queue for which others are rejected. A gang that can start still goes first; one beyond its quota stays queued and starts once the quota is raised. The operator sees the change of the quota and the reasons beyond-quota and beyond-pool.

--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -117,6 +117,8 @@
   /// Runs that occupy capacity, with what each reserves.
   std::map<RunName, RunReservation> runs;
   Resources reserved;
+  /// Part of `reserved` that long-running tasks hold.
+  Resources long_running;
   /// Runs that belong to no submission. What they use is unknown, so nothing is
   /// started on the worker until they have ended.
   std::set<RunName> orphans;
--- a/packages/core/include/basilspread/core/quota.h
+++ b/packages/core/include/basilspread/core/quota.h
@@ -22,9 +22,14 @@
                                    boost::thread_unsafe_counter> {
   WorkspaceName name;
   Resources reserved;
+  /// Part of `reserved` that long-running tasks hold.
+  Resources long_running;
   std::size_t runs = 0;
   /// Queued submissions that wait for the quota, the most urgent first.
   std::set<std::pair<QueueRank, SubmissionId>> waiting;
+  /// Submissions with a gang that waits for the quota, by their arrival. A gang
+  /// that the quota or the pool cannot hold is not among them.
+  std::set<std::pair<TimePoint, SubmissionId>> waiting_gangs;
 };
 
 using WorkspaceUsagePtr = boost::intrusive_ptr<WorkspaceUsage>;
@@ -34,6 +39,8 @@
   Resources demand;
   /// Null for a run of no known workspace.
   WorkspaceUsagePtr usage;
+  /// The run ends only when its submission is cancelled.
+  bool is_long_running = false;
 };
 
 /// The leader's ledger of what workspaces use.
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -119,8 +119,12 @@
   kAdvisorBusy,
   /// No set of allowed workers has room for the whole gang.
   kGang,
+  /// The pool has too few workers for the whole gang, even when they are idle.
+  kBeyondPool,
   /// The workspace's tasks use up its quota.
   kQuota,
+  /// The workspace's quota in force cannot hold the whole gang.
+  kBeyondQuota,
   /// No worker that the step may use has room.
   kRoom,
 };
--- a/packages/core/src/admission/queue_ahead.cc
+++ b/packages/core/src/admission/queue_ahead.cc
@@ -36,6 +36,12 @@
   return Seconds(run_time) * std::max(0.0, cores);
 }
 
+/// Whether tasks that wait for this reason wait while others go on.
+bool StandsAside(WaitReason reason) {
+  return reason == WaitReason::kQuota || reason == WaitReason::kBeyondQuota ||
+         reason == WaitReason::kBeyondPool;
+}
+
 /// Whether the step's tasks take capacity that other submissions wait for.
 /// Tasks that wait for their quota, that need a label or that fit no worker may
 /// wait while others go on.
@@ -44,7 +50,7 @@
   const StepSpec& spec = submission.spec->steps[step];
   return !spec.long_running && spec.required_label.empty() &&
          submission_runs::IsReady(submission, step) &&
-         submission.steps[step].wait_reason != WaitReason::kQuota &&
+         !StandsAside(submission.steps[step].wait_reason) &&
          Fits(spec.demand, pool.largest);
 }
 
--- a/packages/core/src/internal/queue_tables.cc
+++ b/packages/core/src/internal/queue_tables.cc
@@ -3,6 +3,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
+
+#include "quota/ledger.h"
 
 namespace basilspread::internal::queue_tables {
 namespace {
@@ -27,7 +30,10 @@
               {{"version", tables.version.value},
                {"before", Version(context).value},
                {"routes", tables.routes.size()}});
-  state.tables = tables;
+  const auto before = std::exchange(state.tables, tables);
+  if (before && before->workspaces && tables.workspaces) {
+    quota::OnTablesChanged(context, *before->workspaces, *tables.workspaces);
+  }
   if (is_first && !context.state.stopping) {
     context.Emit(SetReadiness{true});
   }
--- a/packages/core/src/internal/step_offers.cc
+++ b/packages/core/src/internal/step_offers.cc
@@ -81,6 +81,7 @@
                       {},
                       false,
                       false,
+                      false,
                       false};
   const bool is_gang_used_up =
       pending.spec.gang && attempts::IsUsedUp(submission, index, 0);
@@ -124,7 +125,8 @@
                            const FleetWorker& worker) {
   const bool may_be_used =
       IsEligible(pending, worker) && !worker.unlisted && !worker.entry.draining;
-  return may_be_used ? CountFitting(pending.spec.demand, worker.entry.capacity,
+  return may_be_used ? CountFitting(pending.spec.demand,
+                                    worker.entry.capacity - worker.long_running,
                                     MaxTasksOn(pending, worker))
                      : 0;
 }
@@ -190,6 +192,17 @@
   }
 }
 
+bool FitsPool(Context& context, const PendingStep& pending) {
+  std::size_t room = 0;
+  VisitWhenIdle(context, pending, [&](const Offer& offer) {
+    const bool is_forbidden =
+        pending.step.forbidden.contains(offer.worker->entry.name);
+    room += is_forbidden ? 0 : offer.room;
+    return room < pending.waiting.size();
+  });
+  return room >= pending.waiting.size();
+}
+
 std::uint32_t TotalRoom(const std::vector<Offer>& offers) {
   std::uint32_t total = 0;
   for (const Offer& offer : offers) {
--- a/packages/core/src/internal/step_offers.h
+++ b/packages/core/src/internal/step_offers.h
@@ -28,6 +28,8 @@
   bool has_delayed = false;
   /// Other tasks wait for the workspace's quota.
   bool is_limited_by_quota = false;
+  /// The quota in force cannot hold the gang.
+  bool is_beyond_quota = false;
   /// Other tasks wait for the outcome of earlier runs.
   bool awaits_outcome = false;
 };
@@ -50,7 +52,8 @@
 /// Number of the step's waiting tasks that fit on the worker now.
 std::uint32_t RoomOn(const Context& context, const PendingStep& pending,
                      const FleetWorker& worker);
-/// Number of the step's waiting tasks that would fit if the worker were idle.
+/// Number of the step's waiting tasks that would fit if nothing but
+/// long-running tasks ran on the worker.
 std::uint32_t RoomWhenIdle(const PendingStep& pending,
                            const FleetWorker& worker);
 
@@ -71,6 +74,10 @@
 void VisitWhenIdle(Context& context, const PendingStep& pending,
                    const std::function<bool(const Offer&)>& visit);
 
+/// Whether the workers that the step may use have room for all waiting tasks
+/// once everything but long-running tasks has ended there.
+bool FitsPool(Context& context, const PendingStep& pending);
+
 std::uint32_t TotalRoom(const std::vector<Offer>& offers);
 
 }  // namespace basilspread::internal::step_offers
--- a/packages/core/src/internal/step_placement.cc
+++ b/packages/core/src/internal/step_placement.cc
@@ -80,7 +80,8 @@
   fleet::RunOrder order;
   order.name = name;
   order.spec = pending.submission.spec;
-  order.reservation = {pending.spec.demand, pending.submission.usage};
+  order.reservation =
+      submission_runs::ReservationOf(pending.submission, pending.index);
   order.checkpoint = task.checkpoint;
   order.ticket =
       ticket == pending.step.allowed.end() ? "" : ticket->second.ticket;
@@ -271,7 +272,7 @@
 }
 
 /// Why tasks of the step wait after a pass over it.
-WaitReason ReasonOf(const Context& context, const Submission& submission,
+WaitReason ReasonOf(Context& context, const Submission& submission,
                     const PendingStep& pending) {
   if (!submission.accepted) {
     return WaitReason::kAcceptance;
@@ -297,8 +298,11 @@
       awaiting.contains({*submission.queue_rank, submission.id})) {
     return WaitReason::kAdvisorBusy;
   }
-  return step_offers::IsNewGang(pending) ? WaitReason::kGang
-                                         : WaitReason::kRoom;
+  if (!step_offers::IsNewGang(pending)) {
+    return WaitReason::kRoom;
+  }
+  return step_offers::FitsPool(context, pending) ? WaitReason::kGang
+                                                 : WaitReason::kBeyondPool;
 }
 
 /// Returns whether tasks of the step still wait.
@@ -322,7 +326,8 @@
     return true;
   }
   if (!quota::Limit(context, pending)) {
-    pending.step.wait_reason = WaitReason::kQuota;
+    pending.step.wait_reason =
+        pending.is_beyond_quota ? WaitReason::kBeyondQuota : WaitReason::kQuota;
     gang_claims::ReleaseClaims(context, submission.id);
     return true;
   }
--- a/packages/core/src/internal/submission_progress.cc
+++ b/packages/core/src/internal/submission_progress.cc
@@ -191,7 +191,7 @@
   // gang restarts only once its last member has ended.
   task.stopping = step.gang_broken || !submission.inherited;
   fleet::Adopt(context, worker, run.name,
-               {submission.spec->steps[index].demand, submission.usage});
+               submission_runs::ReservationOf(submission, index));
   OnStarted(context, run.name);
   if (worker.entry.draining) {
     long_running::OnDraining(context, worker);
@@ -327,9 +327,8 @@
   // Any poll of this leader settles whether the run exists.
   task->unconfirmed_start_fence = 0;
   step.gang_started_at = context.now;
-  fleet::Adopt(
-      context, worker, name,
-      {submission->spec->steps[name.task.step].demand, submission->usage});
+  fleet::Adopt(context, worker, name,
+               submission_runs::ReservationOf(*submission, name.task.step));
 }
 
 void OnListed(Context& context, FleetWorker& worker, const ListedRun& run) {
--- a/packages/core/src/internal/submission_runs.cc
+++ b/packages/core/src/internal/submission_runs.cc
@@ -69,6 +69,11 @@
   task.has_unknown_start = false;
 }
 
+RunReservation ReservationOf(const Submission& submission, std::uint32_t step) {
+  const StepSpec& spec = submission.spec->steps[step];
+  return {spec.demand, submission.usage, spec.long_running};
+}
+
 bool IsGang(const Submission& submission, std::uint32_t step) {
   return submission.spec->steps[step].gang;
 }
--- a/packages/core/src/internal/submission_runs.h
+++ b/packages/core/src/internal/submission_runs.h
@@ -36,6 +36,9 @@
 /// number of failed runs.
 std::size_t CountFailure(Submission& submission, const RunName& name);
 
+/// What each task of the step reserves.
+RunReservation ReservationOf(const Submission& submission, std::uint32_t step);
+
 bool IsGang(const Submission& submission, std::uint32_t step);
 /// The run that all members of a started gang share.
 Attempt CurrentRunOfGang(const StepState& step);
--- a/packages/core/src/internal/worker_room.cc
+++ b/packages/core/src/internal/worker_room.cc
@@ -28,6 +28,9 @@
     return false;
   }
   worker.reserved += run->second.demand;
+  if (run->second.is_long_running) {
+    worker.long_running += run->second.demand;
+  }
   quota::OnReserved(run->second);
   Update(context, worker);
   return true;
@@ -39,6 +42,9 @@
     return false;
   }
   worker.reserved -= run.mapped().demand;
+  if (run.mapped().is_long_running) {
+    worker.long_running -= run.mapped().demand;
+  }
   quota::OnFreed(context, run.mapped());
   Update(context, worker);
   return true;
--- a/packages/core/src/quota/ledger.cc
+++ b/packages/core/src/quota/ledger.cc
@@ -2,13 +2,16 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <iterator>
-#include <limits>
+#include <set>
+#include <string_view>
 
+#include "internal/leadership.h"
 #include "internal/queue_tables.h"
 #include "internal/step_placement.h"
 #include "internal/submission_progress.h"
 #include "internal/submission_runs.h"
+#include "quota/amounts.h"
+#include "quota/waiting_gangs.h"
 #include "takeover_wait/inherited_work.h"
 
 namespace basilspread::internal::quota {
@@ -20,44 +23,18 @@
 /// How long an upper bound of uncertain reservations is used; each takes a walk
 /// over all submissions.
 constexpr Duration kUncertainInterval = std::chrono::milliseconds(100);
+constexpr std::string_view kPart = "quota";
 constexpr double kMillicores = 1000;
-/// After this, a gang goes before later work of its workspace: smaller work
-/// would otherwise take what it waits for again and again.
-constexpr Duration kGangPatience = std::chrono::seconds(5);
-/// Gangs that are looked for in each tier.
-constexpr int kMaxGangsVisited = 4;
 /// Ranks change, so that a submission may have several entries. Beyond this
 /// many all are dropped, and the sweep of the queue finds the submissions.
 constexpr std::size_t kMaxEntries = 2048;
 
-QuotaState& StateOf(Context& context) {
-  return context.state.submissions.quota;
-}
-
-/// Number of tasks that may start while the usage is below the quota. The last
-/// of them may exceed it.
-std::int64_t CountBelow(std::int64_t quota, std::int64_t used,
-                        std::int64_t demand) {
-  if (quota <= 0 || demand <= 0) {
-    return std::numeric_limits<std::int64_t>::max();
-  }
-  return used >= quota ? 0 : (quota - used - 1) / demand + 1;
+double CoresOf(const Resources& amount) {
+  return static_cast<double>(amount.cpu_millicores) / kMillicores;
 }
 
-std::int64_t CountStartable(const Resources& quota, const Resources& used,
-                            const Resources& demand) {
-  return std::min(
-      {CountBelow(quota.cpu_millicores, used.cpu_millicores,
-                  demand.cpu_millicores),
-       CountBelow(quota.memory_mebibytes, used.memory_mebibytes,
-                  demand.memory_mebibytes),
-       CountBelow(quota.accelerators, used.accelerators, demand.accelerators)});
-}
-
-Resources Smaller(const Resources& left, const Resources& right) {
-  return {std::min(left.cpu_millicores, right.cpu_millicores),
-          std::min(left.memory_mebibytes, right.memory_mebibytes),
-          std::min(left.accelerators, right.accelerators)};
+QuotaState& StateOf(Context& context) {
+  return context.state.submissions.quota;
 }
 
 /// Capacity of the workers on which an earlier leader may have started tasks
@@ -68,12 +45,7 @@
   std::size_t undescribed = 0;
   for (const auto& [name, worker] : fleet.workers) {
     const Resources& capacity = worker.entry.capacity;
-    largest.cpu_millicores =
-        std::max(largest.cpu_millicores, capacity.cpu_millicores);
-    largest.memory_mebibytes =
-        std::max(largest.memory_mebibytes, capacity.memory_mebibytes);
-    largest.accelerators =
-        std::max(largest.accelerators, capacity.accelerators);
+    largest = Larger(largest, capacity);
     if (!worker.is_reconciled && !worker.has_known_runs) {
       total += capacity;
       undescribed += capacity == Resources{} ? 1 : 0;
@@ -128,41 +100,6 @@
   return found == uncertain.end() ? Resources{} : found->second;
 }
 
-/// Whether a gang of the submission waits to be started.
-bool HasWaitingGang(const Submission& submission) {
-  for (std::uint32_t i = 0; i < submission.steps.size(); ++i) {
-    const StepState& step = submission.steps[i];
-    if (submission.spec->steps[i].gang && !step.gang_started_at &&
-        step.succeeded < step.tasks.size() &&
-        submission_runs::IsReady(submission, i)) {
-      return true;
-    }
-  }
-  return false;
-}
-
-/// Whether an earlier gang of the workspace has waited for the quota for so
-/// long that this submission leaves the quota to it.
-bool YieldsToGang(Context& context, const Submission& submission) {
-  const auto& waiting = submission.usage->waiting;
-  for (const QueueTier tier :
-       {QueueTier::kLate, QueueTier::kBeyondShare, QueueTier::kTooLate}) {
-    auto entry = waiting.lower_bound({QueueRank{tier, TimePoint::min()}, {}});
-    for (int i = 0; i < kMaxGangsVisited && entry != waiting.end();
-         ++i, ++entry) {
-      const Submission* other =
-          submission_progress::Find(context, entry->second);
-      if (other != nullptr && other->queue_rank && other->spec &&
-          other->arrived < submission.arrived &&
-          context.now >= other->arrived + kGangPatience &&
-          HasWaitingGang(*other)) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
-
 void WaitForQuota(Context& context, step_offers::PendingStep& pending) {
   const Submission& submission = pending.submission;
   pending.is_limited_by_quota = true;
@@ -173,6 +110,49 @@
   context.Count(Metric::kQuotaWaits, submission.usage->name.value);
 }
 
+/// Nothing that ends makes room for the gang; only other tables do, or the end
+/// of long-running tasks.
+void WaitForOtherTables(Context& context, step_offers::PendingStep& pending,
+                        const Workspace& row) {
+  const Submission& submission = pending.submission;
+  waiting_gangs::Remove(submission);
+  pending.is_beyond_quota = true;
+  if (pending.step.wait_reason == WaitReason::kBeyondQuota) {
+    return;
+  }
+  context.Log(
+      LogLevel::kWarning, kPart,
+      "The quota in force cannot hold a gang; it waits for another quota.",
+      {{"id", submission.id.value},
+       {"step", pending.index},
+       {"workspace", row.name.value},
+       {"members", pending.waiting.size()},
+       {"member_cores", CoresOf(pending.spec.demand)},
+       {"quota_cores", CoresOf(row.quota)},
+       {"long_running_cores", CoresOf(submission.usage->long_running)},
+       {"tables", queue_tables::Version(context).value}});
+}
+
+/// Workspaces whose quotas differ between the tables.
+std::set<WorkspaceName> ChangedQuotas(Context& context,
+                                      const WorkspaceTable& before,
+                                      const WorkspaceTable& after) {
+  std::set<WorkspaceName> changed;
+  for (const auto& [name, row] : after.rows) {
+    const auto old = before.rows.find(name);
+    if (old == before.rows.end() || old->second.quota == row.quota) {
+      continue;
+    }
+    changed.insert(name);
+    context.Log(LogLevel::kInfo, kPart, "The quota of a workspace has changed.",
+                {{"workspace", name.value},
+                 {"cores_before", CoresOf(old->second.quota)},
+                 {"cores", CoresOf(row.quota)},
+                 {"tables", queue_tables::Version(context).value}});
+  }
+  return changed;
+}
+
 }  // namespace
 
 WorkspaceUsagePtr UsageOf(Context& context, const WorkspaceName& name) {
@@ -190,6 +170,9 @@
 void OnReserved(const RunReservation& reservation) {
   if (reservation.usage) {
     reservation.usage->reserved += reservation.demand;
+    if (reservation.is_long_running) {
+      reservation.usage->long_running += reservation.demand;
+    }
     ++reservation.usage->runs;
   }
 }
@@ -200,18 +183,17 @@
   }
   WorkspaceUsage& usage = *reservation.usage;
   usage.reserved -= reservation.demand;
+  if (reservation.is_long_running) {
+    usage.long_running -= reservation.demand;
+  }
   --usage.runs;
   auto entry = usage.waiting.begin();
   for (int i = 0; i < kMaxWoken && entry != usage.waiting.end(); ++i) {
-    Submission* submission = submission_progress::Find(context, entry->second);
-    const bool is_queued = submission != nullptr && submission->queue_rank;
-    if (is_queued) {
+    if (Submission* submission =
+            submission_progress::Find(context, entry->second)) {
       step_placement::Wake(context, *submission);
     }
-    // A gang keeps its entry, so that later work finds it.
-    entry = is_queued && HasWaitingGang(*submission)
-                ? std::next(entry)
-                : usage.waiting.erase(entry);
+    entry = usage.waiting.erase(entry);
   }
 }
 
@@ -223,7 +205,12 @@
   if (row == nullptr) {
     return true;
   }
-  if (YieldsToGang(context, pending.submission)) {
+  if (pending.spec.gang &&
+      !waiting_gangs::CanHold(*row, pending.submission, pending.index)) {
+    WaitForOtherTables(context, pending, *row);
+    return false;
+  }
+  if (waiting_gangs::MustYield(context, *row, pending.submission)) {
     WaitForQuota(context, pending);
     return false;
   }
@@ -234,15 +221,17 @@
   if (startable >= waiting) {
     if (pending.spec.gang) {
       // It may go on waiting for room, which must not hold up other work.
-      std::erase_if(usage->waiting, [&pending](const auto& entry) {
-        return entry.second == pending.submission.id;
-      });
+      waiting_gangs::Remove(pending.submission);
     }
     return true;
   }
   WaitForQuota(context, pending);
-  // A gang makes no progress before all of its members run.
-  if (startable == 0 || pending.spec.gang) {
+  if (pending.spec.gang) {
+    // A gang makes no progress before all of its members run.
+    waiting_gangs::Add(context, pending);
+    return false;
+  }
+  if (startable == 0) {
     return false;
   }
   pending.waiting.resize(static_cast<std::size_t>(startable));
@@ -260,12 +249,28 @@
                      });
 }
 
+void OnTablesChanged(Context& context, const WorkspaceTable& before,
+                     const WorkspaceTable& after) {
+  if (!leadership::IsLeading(context)) {
+    return;
+  }
+  const std::set<WorkspaceName> changed = ChangedQuotas(context, before, after);
+  if (changed.empty()) {
+    return;
+  }
+  for (const auto& [rank, id] : context.state.submissions.queue) {
+    Submission* submission = submission_progress::Find(context, id);
+    if (submission != nullptr && submission->usage &&
+        changed.contains(submission->usage->name)) {
+      step_placement::Wake(context, *submission);
+    }
+  }
+}
+
 void SetGauges(Context& context) {
   for (const auto& [name, usage] : StateOf(context).usage) {
-    context.Emit(SetGauge{
-        Metric::kQuotaUsedCores,
-        static_cast<double>(usage->reserved.cpu_millicores) / kMillicores,
-        name.value});
+    context.Emit(SetGauge{Metric::kQuotaUsedCores, CoresOf(usage->reserved),
+                          name.value});
   }
 }
 
--- a/packages/core/src/quota/ledger.h
+++ b/packages/core/src/quota/ledger.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPREAD_CORE_QUOTA_LEDGER_H_
 #define BASILSPREAD_CORE_QUOTA_LEDGER_H_
 
+#include "basilspread/core/queue_tables.h"
 #include "basilspread/core/quota.h"
 #include "internal/context.h"
 #include "internal/step_offers.h"
@@ -23,6 +24,11 @@
 /// Whether the quota in force can hold each gang of the submission as a whole.
 bool CanEverFit(const Context& context, const SubmissionSpec& spec);
 
+/// Has the submissions of workspaces whose quotas have changed considered
+/// again.
+void OnTablesChanged(Context& context, const WorkspaceTable& before,
+                     const WorkspaceTable& after);
+
 void SetGauges(Context& context);
 
 }  // namespace basilspread::internal::quota
--- a/packages/core/src/quota/ledger_test.cc
+++ b/packages/core/src/quota/ledger_test.cc
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <string>
 
-#include "support/store_world.h"
+#include "support/quota_world.h"
 
 namespace basilspread::test {
 namespace {
@@ -11,70 +11,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::int64_t kCore = 1000;
-
-std::string IdOf(const std::string& workspace, int number) {
-  return (workspace == "first" ? "00000000000000a" : "00000000000000b") +
-         std::to_string(number);
-}
-
-WorkspaceTable MakeTable(std::int64_t cores) {
-  WorkspaceTable table;
-  for (const std::string name : {"first", "other"}) {
-    const WorkspaceName workspace{name};
-    Workspace row;
-    row.name = workspace;
-    row.quota.cpu_millicores = name == "first" ? cores * kCore : 0;
-    table.rows.emplace(workspace, row);
-    table.by_key.emplace(name, workspace);
-  }
-  return table;
-}
-
-/// Four workers with room for four tasks each. The quota of "first" is three
-/// cores, that of "other" is not limited.
-struct World : StoreWorld {
-  World() : StoreWorld(3, {"w1", "w2", "w3", "w4"}, RelayMode::kOff) {
-    REQUIRE(this->Leader() >= 0);
-    this->PublishWorkspaces(MakeTable(3));
-    this->Run(milliseconds(50));
-  }
-
-  CallId SubmitAs(const std::string& workspace, int number,
-                  std::vector<StepSpec> steps) {
-    this->api_key = workspace;
-    return this->Submit(this->Leader(), IdOf(workspace, number),
-                        std::move(steps), "/previews/");
-  }
-
-  int Running(const std::string& workspace) {
-    const std::string prefix = IdOf(workspace, 0).substr(0, 15);
-    int count = 0;
-    for (const char* name : {"w1", "w2", "w3", "w4"}) {
-      for (const auto& [task, run] : this->Worker(name).runs) {
-        count += task.submission.value.starts_with(prefix) ? 1 : 0;
-      }
-    }
-    return count;
-  }
-
-  /// Most tasks of "first" at any time of the run.
-  int MostRunning(Duration duration) {
-    int most = 0;
-    for (const TimePoint end = this->Now() + duration; this->Now() < end;) {
-      this->Run(milliseconds(20));
-      most = std::max(most, this->Running("first"));
-    }
-    return most;
-  }
-};
-
 // Load: one workspace sends much more than its quota holds, and another one
 // sends as usual. Guards against tasks beyond the quota, and against a queue of
 // the first workspace that holds up the other.
 TEST_CASE("A workspace stays within its quota and does not hold up others",
           "[quota]") {
-  World world;
+  QuotaWorld world;
   world.run_time = milliseconds(600);
   for (int i = 0; i < 6; ++i) {
     world.SubmitAs("first", i, {Tasks(6)});
@@ -85,13 +27,14 @@
   world.Run(milliseconds(200));
   CHECK(world.Running("other") == 10);
   CHECK(world.MostRunning(seconds(9)) == 3);
-  CHECK(world.StatusOf(0, IdOf("other", 0)) == SubmissionState::kCompleted);
+  CHECK(world.StatusOf(0, WorkspaceId("other", 0)) ==
+        SubmissionState::kCompleted);
 }
 
 // Guards against a start that is carried out after its answer was lost, beside
 // others that took its place in the quota.
 TEST_CASE("Starts without an answer count against the quota", "[quota]") {
-  World world;
+  QuotaWorld world;
   world.run_time = seconds(1);
   world.start_delay = milliseconds(700);
   world.SubmitAs("first", 0, {Tasks(8)});
@@ -102,7 +45,7 @@
 // Guards against a new leader that does not count what runs on a worker that
 // does not answer it.
 TEST_CASE("The quota holds after a takeover with a silent worker", "[quota]") {
-  World world;
+  QuotaWorld world;
   world.run_time = seconds(20);
   world.SubmitAs("first", 0, {Tasks(3)});
   world.SubmitAs("first", 1, {Tasks(3)});
@@ -123,7 +66,7 @@
 // counts these twice.
 TEST_CASE("The quota holds while only some submissions wait after a takeover",
           "[quota][takeover-wait]") {
-  World world;
+  QuotaWorld world;
   world.run_time = seconds(60);
   world.SubmitAs("first", 0, {Tasks(2)});
   world.Run(milliseconds(300));
@@ -143,37 +86,38 @@
 
 TEST_CASE("A lower quota ends nothing, and a higher one starts what waits",
           "[quota]") {
-  World world;
+  QuotaWorld world;
   world.run_time = seconds(3);
   world.SubmitAs("first", 0, {Tasks(6)});
   world.Run(milliseconds(200));
   REQUIRE(world.Running("first") == 3);
   SECTION("lower") {
-    world.PublishWorkspaces(MakeTable(1));
+    world.PublishWorkspaces(MakeQuotaTable(1));
     world.Run(seconds(2));
     CHECK(world.Running("first") == 3);
     world.Run(milliseconds(1500));
     CHECK(world.Running("first") == 1);
   }
   SECTION("higher") {
-    world.PublishWorkspaces(MakeTable(6));
+    world.PublishWorkspaces(MakeQuotaTable(6));
     world.Run(milliseconds(500));
     CHECK(world.Running("first") == 6);
   }
   SECTION("the workspace is dropped") {
     world.PublishWorkspaces(WorkspaceTable{});
     world.Run(seconds(5));
-    world.PublishWorkspaces(MakeTable(3));
+    world.PublishWorkspaces(MakeQuotaTable(3));
     world.Run(milliseconds(1500));
     world.api_key = "first";
-    CHECK(world.StatusOf(0, IdOf("first", 0)) == SubmissionState::kCompleted);
+    CHECK(world.StatusOf(0, WorkspaceId("first", 0)) ==
+          SubmissionState::kCompleted);
   }
 }
 
 // Load: single tasks of the workspace arrive faster than its quota lets them
 // run. Guards against a gang that waits for ever for the whole quota.
 TEST_CASE("A gang gets the quota beside a stream of single tasks", "[quota]") {
-  World world;
+  QuotaWorld world;
   world.run_time = milliseconds(600);
   for (int i = 1; i < 4; ++i) {
     world.SubmitAs("first", i, {Tasks(1)});
@@ -188,11 +132,11 @@
                  {Tasks(1)}, "/previews/");
     world.Run(milliseconds(150));
   }
-  CHECK(world.Starts(IdOf("first", 0)) > 0);
+  CHECK(world.Starts(WorkspaceId("first", 0)) > 0);
 }
 
 TEST_CASE("A gang that the quota can never hold is rejected", "[quota]") {
-  World world;
+  QuotaWorld world;
   StepSpec gang = Tasks(4);
   gang.gang = true;
   const CallId large = world.SubmitAs("first", 0, {gang});
--- a/packages/core/src/submission.cc
+++ b/packages/core/src/submission.cc
@@ -43,8 +43,12 @@
       return "advisor-busy";
     case WaitReason::kGang:
       return "gang";
+    case WaitReason::kBeyondPool:
+      return "beyond-pool";
     case WaitReason::kQuota:
       return "quota";
+    case WaitReason::kBeyondQuota:
+      return "beyond-quota";
     case WaitReason::kRoom:
       return "room";
   }
