Name the run of a process that a message is for

Callers saw: the answer to another caller's call.

Cause: each run of a process numbered its calls from 1, and the leader sent answers to the node. The next run of the process has the same name and address, and took any answer whose number was open.

A frame now names the run of its receiver, and the reducer drops, counts and logs a message for another run before any handler sees it. It declines a call, so that the sender looks for the leader at once. All kinds of messages were gone through: answers and orders are for one run; heartbeats, reports of state and forwarded requests are for any. Answers to forwarded requests had the same fault. Calls are numbered from a number that the incarnation gives, so that answers of a leader of the earlier version, which name no run, match no call.

The simulated world records a violation if a message that is for one run names none.

--- a/packages/core/include/basilspread/core/effect.h
+++ b/packages/core/include/basilspread/core/effect.h
@@ -1,6 +1,7 @@
 #ifndef BASILSPREAD_CORE_EFFECT_H_
 #define BASILSPREAD_CORE_EFFECT_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -44,9 +45,12 @@
   PayloadPtr payload;
 };
 
+/// Sends a message to another entry process.
 struct SendToPeer {
   NodeName peer;
   PeerMessage message;
+  /// Incarnation of the run that the message is for; 0: any run of the node.
+  std::uint64_t incarnation = 0;
 };
 
 /// Connects to a peer; replaces the address that was in use for it.
--- a/packages/core/include/basilspread/core/event.h
+++ b/packages/core/include/basilspread/core/event.h
@@ -68,6 +68,8 @@
 struct PeerReceived {
   ProcessId from;
   PeerMessage message;
+  /// SendToPeer::incarnation.
+  std::uint64_t incarnation = 0;
 };
 
 /// The connection to a peer was opened or lost.
@@ -91,6 +93,8 @@
 struct PeerMessageNotSent {
   NodeName peer;
   PeerMessage message;
+  /// SendToPeer::incarnation.
+  std::uint64_t incarnation = 0;
 };
 
 /// How an append ended, as far as its writer can tell.
--- a/packages/core/include/basilspread/core/ids.h
+++ b/packages/core/include/basilspread/core/ids.h
@@ -58,6 +58,16 @@
   friend auto operator<=>(const ProcessId&, const ProcessId&) = default;
 };
 
+/// Call before the first one of a process. Calls of different runs of a node
+/// have different numbers, so that an answer to one run matches no call of
+/// another.
+constexpr CallId CallBeforeFirst(std::uint64_t incarnation) {
+  constexpr unsigned kCountBits = 32;
+  // The highest bit tells numbers of other origin apart.
+  constexpr std::uint64_t kRunMask = 0x7fff'ffff;
+  return CallId{(incarnation & kRunMask) << kCountBits};
+}
+
 }  // namespace basilspread
 
 template <typename Tag, typename T>
--- a/packages/core/include/basilspread/core/metric.h
+++ b/packages/core/include/basilspread/core/metric.h
@@ -29,6 +29,7 @@
   kTakeoverWait,
   kWorkersUnanswered,
   kOutdatedAnswers,
+  kMessagesForOtherRuns,
   kAdviceTime,
   kWorkersAvoided,
   kRelaysPaused,
--- a/packages/core/include/basilspread/core/peer_message.h
+++ b/packages/core/include/basilspread/core/peer_message.h
@@ -104,6 +104,13 @@
                  SubmissionAnswer, HelperReport, AdviceCall, AdviceAnswer,
                  LeaderReport, RelayOrders, RelayReports>;
 
+/// Whether the message is for one run of the receiver only: an answer, which
+/// belongs to the run that asked, or an order to the run that the sender chose.
+bool IsForOneRun(const PeerMessage& message);
+
+/// Stable name of the kind of message, for example "submission-answer".
+const char* NameOf(const PeerMessage& message);
+
 }  // namespace basilspread
 
 #endif  // BASILSPREAD_CORE_PEER_MESSAGE_H_
--- a/packages/core/include/basilspread/core/relays.h
+++ b/packages/core/include/basilspread/core/relays.h
@@ -49,7 +49,7 @@
   /// When the earliest of the pauses ends.
   std::optional<TimePoint> pause_ends;
   /// Orders gathered while the current event is handled, by relay.
-  std::map<NodeName, RelayOrders> outgoing;
+  std::map<ProcessId, RelayOrders> outgoing;
 };
 
 /// The calls that this process makes as a relay of the leader. Not persisted:
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -216,7 +216,7 @@
   TimePoint send_not_before;
   /// Processes that may have processed the call, with the number of copies sent
   /// there and not declined.
-  std::map<NodeName, std::uint32_t> recipients;
+  std::map<ProcessId, std::uint32_t> recipients;
 };
 
 /// A process that queries the advisor and makes calls to workers on behalf of
--- a/packages/core/src/internal/job_lookup.h
+++ b/packages/core/src/internal/job_lookup.h
@@ -7,6 +7,7 @@
 #include "basilspread/core/jobs.h"
 #include "internal/context.h"
 #include "internal/jobs.h"
+#include "internal/other_runs.h"
 #include "internal/ownership.h"
 
 namespace basilspread::internal::jobs {
@@ -51,7 +52,7 @@
   if (!owner || owner->node == context.state.settings.self.node) {
     return false;
   }
-  context.Emit(SendToPeer{owner->node, message});
+  other_runs::Send(context, *owner, message);
   return true;
 }
 
@@ -62,7 +63,7 @@
     OnMessage(context, to, message);
     return;
   }
-  context.Emit(SendToPeer{to.node, message});
+  other_runs::Send(context, to, message);
 }
 
 }  // namespace basilspread::internal::jobs
--- a/packages/core/src/internal/leadership_proof.cc
+++ b/packages/core/src/internal/leadership_proof.cc
@@ -5,6 +5,7 @@
 
 #include "internal/fleet_polls.h"
 #include "internal/leadership.h"
+#include "internal/other_runs.h"
 #include "internal/predecessors.h"
 #include "internal/step_placement.h"
 #include "internal/work_log.h"
@@ -174,7 +175,7 @@
                                        context.state.settings.peer_address});
   answer.generation = leadership.generation;
   answer.ack = {leadership.epoch, context.now, report.sent_at};
-  context.Emit(SendToPeer{from.node, std::move(answer)});
+  other_runs::Send(context, from, std::move(answer));
 }
 
 void OnResumed(Context& context) {
--- a/packages/core/src/internal/relay_agent.cc
+++ b/packages/core/src/internal/relay_agent.cc
@@ -4,6 +4,7 @@
 
 #include "internal/candidacy.h"
 #include "internal/leadership_proof.h"
+#include "internal/other_runs.h"
 #include "internal/own_load.h"
 
 namespace basilspread::internal::relay_agent {
@@ -133,9 +134,9 @@
 void OnTimer(Context& context) {
   RelayAgentState& relay = StateOf(context);
   if (relay.leader && !relay.reports.empty()) {
-    context.Emit(SendToPeer{
-        relay.leader->node,
-        RelayReports{relay.epoch, std::exchange(relay.reports, {})}});
+    other_runs::Send(
+        context, *relay.leader,
+        RelayReports{relay.epoch, std::exchange(relay.reports, {})});
   }
 }
 
--- a/packages/core/src/internal/relays.cc
+++ b/packages/core/src/internal/relays.cc
@@ -7,6 +7,7 @@
 #include "basilspread/core/random.h"
 #include "internal/fleet.h"
 #include "internal/leadership.h"
+#include "internal/other_runs.h"
 #include "internal/own_load.h"
 
 namespace basilspread::internal::relays {
@@ -325,15 +326,15 @@
   call.give_up_at = context.now + TimeoutOf(order) + kTransitMargin;
   state.by_time.emplace(call.give_up_at, number);
   state.relays[call.relay.node].open.insert(number);
-  RelayOrders& outgoing = state.outgoing[call.relay.node];
+  RelayOrders& outgoing = state.outgoing[call.relay];
   outgoing.epoch = context.state.submissions.leadership.epoch;
   outgoing.orders.push_back(std::move(order));
   state.open.emplace(number, std::move(call));
 }
 
 void Flush(Context& context) {
-  for (auto& [node, orders] : std::exchange(StateOf(context).outgoing, {})) {
-    context.Emit(SendToPeer{node, std::move(orders)});
+  for (auto& [relay, orders] : std::exchange(StateOf(context).outgoing, {})) {
+    other_runs::Send(context, relay, std::move(orders));
   }
 }
 
--- a/packages/core/src/internal/requests_answer.cc
+++ b/packages/core/src/internal/requests_answer.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "internal/other_runs.h"
 #include "internal/requests_keys.h"
 
 namespace basilspread::internal::requests {
@@ -25,7 +26,7 @@
     answer.kind = outcome.kind;
     answer.detail = std::move(outcome.detail);
     answer.payload = std::move(outcome.payload);
-    context.Emit(SendToPeer{key.origin.node, std::move(answer)});
+    other_runs::Send(context, key.origin, std::move(answer));
     return;
   }
   if (IsKeyRun(context, key.call)) {
--- a/packages/core/src/internal/step_advice.cc
+++ b/packages/core/src/internal/step_advice.cc
@@ -12,6 +12,7 @@
 #include "internal/fleet.h"
 #include "internal/leadership.h"
 #include "internal/leadership_proof.h"
+#include "internal/other_runs.h"
 #include "internal/own_load.h"
 #include "internal/relays.h"
 #include "internal/step_offers.h"
@@ -173,7 +174,7 @@
   if (asker == context.state.settings.self) {
     context.Emit(std::move(ask));
   } else {
-    context.Emit(SendToPeer{asker.node, AdviceCall{std::move(ask)}});
+    other_runs::Send(context, asker, AdviceCall{std::move(ask)});
   }
 }
 
@@ -275,7 +276,7 @@
   SubmissionsState& state = StateOf(context);
   const auto asked = state.relayed_queries.extract(event.number);
   if (!asked.empty()) {
-    context.Emit(SendToPeer{asked.mapped().node, AdviceAnswer{event}});
+    other_runs::Send(context, asked.mapped(), AdviceAnswer{event});
     return;
   }
   const auto found = state.advice_queries.find(event.number);
--- a/packages/core/src/internal/submission_calls.cc
+++ b/packages/core/src/internal/submission_calls.cc
@@ -13,6 +13,7 @@
 #include "basilspread/core/limits.h"
 #include "internal/leadership.h"
 #include "internal/load_shedding.h"
+#include "internal/other_runs.h"
 #include "internal/own_load.h"
 #include "internal/queue_tables.h"
 #include "internal/relay_agent.h"
@@ -143,12 +144,12 @@
     leadership::SuspectLeader(context);
   }
   call.send_not_before = context.now + kUnansweredDelay;
-  ++call.recipients[leader->process.node];
+  ++call.recipients[leader->process];
   const SubmissionCall message = call.message;
   if (leader->process == context.state.settings.self) {
     service::OnCall(context, leader->process, message);
   } else {
-    context.Emit(SendToPeer{leader->process.node, message});
+    other_runs::Send(context, leader->process, message);
   }
 }
 
@@ -171,7 +172,7 @@
 
 /// Records that the process did not process one copy of the call.
 void RetractRecipient(Context& context, OpenCall& call,
-                      const NodeName& recipient) {
+                      const ProcessId& recipient) {
   const auto found = call.recipients.find(recipient);
   if (found != call.recipients.end() && --found->second == 0) {
     call.recipients.erase(found);
@@ -181,11 +182,12 @@
 
 /// Whether the refusal settles the call. A leader knows everything that earlier
 /// leaders stored, so that its refusal is final unless another process may have
-/// processed the call.
+/// processed the call. An earlier run of its own node has ended.
 bool IsRefusalFinal(const OpenCall& call, const NodeName& refuser) {
-  return std::all_of(
-      call.recipients.begin(), call.recipients.end(),
-      [&refuser](const auto& recipient) { return recipient.first == refuser; });
+  return std::all_of(call.recipients.begin(), call.recipients.end(),
+                     [&refuser](const auto& recipient) {
+                       return recipient.first.node == refuser;
+                     });
 }
 
 /// Whether to fail open calls early: no process can become the leader while the
@@ -310,7 +312,7 @@
   context.ArmIn(TimerKind::kCalls, kCheckInterval);
 }
 
-void OnAnswer(Context& context, const NodeName& from,
+void OnAnswer(Context& context, const ProcessId& from,
               const SubmissionAnswer& answer) {
   SubmissionsState& state = StateOf(context);
   const auto found = state.calls.find(answer.call);
@@ -343,7 +345,7 @@
   }
   SubmissionAnswer reply = answer;
   reply.operation = found->second.message.operation;
-  if (is_refusal && !IsRefusalFinal(found->second, from)) {
+  if (is_refusal && !IsRefusalFinal(found->second, from.node)) {
     reply.kind = ErrorKind::kOutcomeUnknown;
   }
   const OpenCall call = std::move(found->second);
@@ -358,7 +360,8 @@
   }
   const auto found = StateOf(context).calls.find(message->call);
   if (found != StateOf(context).calls.end()) {
-    RetractRecipient(context, found->second, event.peer);
+    RetractRecipient(context, found->second,
+                     ProcessId{event.peer, event.incarnation});
   }
 }
 
--- a/packages/core/src/internal/submission_calls.h
+++ b/packages/core/src/internal/submission_calls.h
@@ -14,7 +14,7 @@
 void OnCallerGone(Context& context, const CallerDisconnected& event);
 void OnTimer(Context& context);
 /// Handles a response from the process `from`.
-void OnAnswer(Context& context, const NodeName& from,
+void OnAnswer(Context& context, const ProcessId& from,
               const SubmissionAnswer& answer);
 void OnMessageNotSent(Context& context, const PeerMessageNotSent& event);
 void OnLinkChanged(Context& context, const PeerLinkChanged& event);
--- a/packages/core/src/internal/submission_service.cc
+++ b/packages/core/src/internal/submission_service.cc
@@ -19,6 +19,7 @@
 #include "internal/leadership.h"
 #include "internal/load_shedding.h"
 #include "internal/long_running.h"
+#include "internal/other_runs.h"
 #include "internal/own_load.h"
 #include "internal/queue_tables.h"
 #include "internal/step_advice.h"
@@ -48,10 +49,10 @@
 void Reply(Context& context, const ProcessId& to,
            const SubmissionAnswer& answer) {
   if (to == context.state.settings.self) {
-    submission_calls::OnAnswer(context, to.node, answer);
+    submission_calls::OnAnswer(context, to, answer);
     return;
   }
-  context.Emit(SendToPeer{to.node, answer});
+  other_runs::Send(context, to, answer);
 }
 
 void Reply(Context& context, const ProcessId& to, CallId call, ErrorKind kind) {
--- a/packages/core/src/reducer.cc
+++ b/packages/core/src/reducer.cc
@@ -12,6 +12,7 @@
 #include "internal/leadership.h"
 #include "internal/log.h"
 #include "internal/membership.h"
+#include "internal/other_runs.h"
 #include "internal/outdated_answers.h"
 #include "internal/own_load.h"
 #include "internal/peers.h"
@@ -70,6 +71,10 @@
   }
 
   void operator()(const PeerReceived& event) const {
+    if (internal::other_runs::IsForOther(this->context, event)) {
+      internal::other_runs::Drop(this->context, event);
+      return;
+    }
     if (this->UsesStore()) {
       internal::leadership::OnPeerMessage(this->context, event.from);
     }
@@ -277,8 +282,7 @@
       internal::service::OnCall(this->context, this->from, message);
     }
     void operator()(const SubmissionAnswer& message) const {
-      internal::submission_calls::OnAnswer(this->context, this->from.node,
-                                           message);
+      internal::submission_calls::OnAnswer(this->context, this->from, message);
     }
     void operator()(const HelperReport& message) const {
       internal::step_advice::OnHelper(this->context, this->from, message);
--- a/packages/core/tests/random/fake_network.cc
+++ b/packages/core/tests/random/fake_network.cc
@@ -32,7 +32,8 @@
   const Ends ends{from.node, send.peer};
   Link& link = this->links[ends];
   if (!link.connected) {
-    this->deliver(from.node, PeerMessageNotSent{send.peer, send.message});
+    this->deliver(from.node, PeerMessageNotSent{send.peer, send.message,
+                                                send.incarnation});
     return;
   }
   if (link.silent) {
@@ -40,7 +41,7 @@
   }
   link.last_delivery =
       std::max(link.last_delivery, this->schedule.Now() + this->Delay());
-  const PeerReceived received{from, send.message};
+  const PeerReceived received{from, send.message, send.incarnation};
   this->schedule.After(link.last_delivery - this->schedule.Now(),
                        [this, ends, received, generation = link.generation] {
                          if (this->links[ends].generation == generation) {
--- a/packages/core/tests/support/fake_cluster.cc
+++ b/packages/core/tests/support/fake_cluster.cc
@@ -313,7 +313,8 @@
   if (!this->dropped_links.contains({index, to}) &&
       !this->stalled_links.contains({index, to})) {
     this->Post(to, kDelay,
-               PeerReceived{this->StateOf(index).settings.self, send.message});
+               PeerReceived{this->StateOf(index).settings.self, send.message,
+                            send.incarnation});
   }
 }
 
--- a/packages/core/tests/support/store_world.cc
+++ b/packages/core/tests/support/store_world.cc
@@ -305,12 +305,18 @@
   }
 
   void operator()(const SendToPeer& effect) const {
+    if (IsForOneRun(effect.message) && effect.incarnation == 0) {
+      this->world.violations.push_back(
+          std::string("a message names no run of its receiver: ") +
+          NameOf(effect.message));
+    }
     if (const auto* call = std::get_if<SubmissionCall>(&effect.message)) {
       ++this->world.calls_sent[{this->node.index, call->id}];
     }
     if (!this->node.links.contains(effect.peer)) {
-      this->world.PostAfter(this->node.index, kCallTime,
-                            PeerMessageNotSent{effect.peer, effect.message});
+      this->world.PostAfter(
+          this->node.index, kCallTime,
+          PeerMessageNotSent{effect.peer, effect.message, effect.incarnation});
       return;
     }
     ++this->world.messages[{this->node.index, effect.message.index()}];
@@ -322,9 +328,9 @@
           std::minmax(this->node.index, peer->index));
       if (peer->state.settings.self.node == effect.peer && peer->is_up &&
           !is_cut) {
-        this->world.PostAfter(
-            peer->index, kCallTime,
-            PeerReceived{this->node.state.settings.self, effect.message});
+        this->world.PostAfter(peer->index, kCallTime,
+                              PeerReceived{this->node.state.settings.self,
+                                           effect.message, effect.incarnation});
       }
     }
   }
--- a/packages/core/tests/virtual_cluster.cc
+++ b/packages/core/tests/virtual_cluster.cc
@@ -278,7 +278,8 @@
 void VirtualCluster::Handle(std::size_t node, const SendToPeer& send) {
   if (!this->links_up) {
     this->At(this->now, [this, node, send] {
-      this->Post(node, PeerMessageNotSent{send.peer, send.message});
+      this->Post(node,
+                 PeerMessageNotSent{send.peer, send.message, send.incarnation});
     });
     return;
   }
@@ -288,8 +289,8 @@
   }
   const ProcessId from = this->nodes[node]->state->settings.self;
   const std::size_t to = this->IndexOf(send.peer);
-  this->At(this->now + kPeerDelay, [this, to, from, message = send.message] {
-    this->Post(to, PeerReceived{from, message});
+  this->At(this->now + kPeerDelay, [this, to, from, send] {
+    this->Post(to, PeerReceived{from, send.message, send.incarnation});
   });
 }
 
--- a/packages/node/src/front_end.cc
+++ b/packages/node/src/front_end.cc
@@ -102,7 +102,10 @@
            HttpLoop::Hooks{[this](CallId call, const PayloadPtr& request) {
                              this->OnRequest(call, request);
                            },
-                           [this](CallId call) { this->OnDisconnect(call); }},
+                           [this](CallId call) { this->OnDisconnect(call); },
+                           {},
+                           NumberCallsAfter(CallBeforeFirst(
+                               node_settings.core.self.incarnation))},
            std::move(budget)) {}
 
 void FrontEnd::OnRequest(CallId call, const PayloadPtr& request) {
--- a/packages/node/src/http_loop.cc
+++ b/packages/node/src/http_loop.cc
@@ -45,6 +45,13 @@
 
 }  // namespace
 
+std::function<CallId()> NumberCallsAfter(CallId call) {
+  return [call]() mutable {
+    ++call.value;
+    return call;
+  };
+}
+
 HttpLoop::HttpLoop(const config::Endpoint& endpoint,
                    HttpLimits connection_limits, Hooks event_hooks,
                    ConnectionBudgetPtr connection_budget,
@@ -302,7 +309,7 @@
     this->Write(connection);
     return;
   }
-  connection->call = CallId{++this->last_call};
+  connection->call = this->hooks.number_call();
   this->calls.emplace(connection->call, connection);
   this->EnterPhase(connection, ConnectionPhase::kAnswering);
   this->Watch(connection);
--- a/packages/node/src/http_loop.h
+++ b/packages/node/src/http_loop.h
@@ -41,6 +41,9 @@
   Duration answer_timeout{};
 };
 
+/// Returns a hook that numbers the calls after this one.
+std::function<CallId()> NumberCallsAfter(CallId call);
+
 /// Event-driven HTTP server on one thread. Connections that are idle, slow or
 /// waiting for an answer occupy no thread, so that they do not block others.
 class HttpLoop {
@@ -53,6 +56,8 @@
     std::function<void(CallId)> on_disconnect;
     /// Creates the answer to a call that exceeded the answer timeout.
     std::function<PayloadPtr()> make_late_answer = {};
+    /// Returns the number of the next request.
+    std::function<CallId()> number_call = NumberCallsAfter({});
   };
 
   /// Without a budget, the memory of all connections is not limited.
@@ -133,7 +138,6 @@
   std::array<ConnectionList, kConnectionPhases> phases;
   std::map<Poco::Net::Socket, ConnectionPtr> connections;
   std::map<CallId, ConnectionPtr> calls;
-  std::uint64_t last_call = 0;
   bool is_listening = false;
   /// Set while no connections are accepted.
   std::optional<TimePoint> accept_again_at;
--- a/packages/node/src/inbound_connection.cc
+++ b/packages/node/src/inbound_connection.cc
@@ -78,8 +78,9 @@
     this->RejectFrame(frame.error(), *bytes);
     return false;
   }
-  return this->post(
-      PeerReceived{frame.value().sender, std::move(frame.value().message)});
+  return this->post(PeerReceived{frame.value().sender,
+                                 std::move(frame.value().message),
+                                 frame.value().receiver_incarnation});
 }
 
 std::optional<std::string> InboundConnection::Receive(std::size_t size,
--- a/packages/node/src/peer_links.cc
+++ b/packages/node/src/peer_links.cc
@@ -101,19 +101,19 @@
 void PeerLinks::Send(const SendToPeer& send) {
   const auto link = this->links.find(send.peer);
   if (link == this->links.end()) {
-    this->post(PeerMessageNotSent{send.peer, send.message});
+    this->post(PeerMessageNotSent{send.peer, send.message, send.incarnation});
     return;
   }
-  Result<std::string> frame =
-      wire::EncodeFrame({this->settings.core.self, send.message});
+  Result<std::string> frame = wire::EncodeFrame(
+      {this->settings.core.self, send.message, send.incarnation});
   if (!frame) {
     Log(LogLevel::kWarning, kPart, "Message cannot be encoded; not sending it.",
         {{"peer", send.peer.value}, {"reason", frame.error().detail}});
-    this->post(PeerMessageNotSent{send.peer, send.message});
+    this->post(PeerMessageNotSent{send.peer, send.message, send.incarnation});
     return;
   }
   if (!link->second->Send(std::move(frame).value())) {
-    this->post(PeerMessageNotSent{send.peer, send.message});
+    this->post(PeerMessageNotSent{send.peer, send.message, send.incarnation});
   }
 }
 
--- a/packages/node/tests/http_loop_test.cc
+++ b/packages/node/tests/http_loop_test.cc
@@ -3,6 +3,7 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <catch2/catch.hpp>
+#include <functional>
 #include <future>
 #include <stdexcept>
 #include <vector>
@@ -317,5 +318,12 @@
   CHECK(budget->Usage().connections < 11);
 }
 
+// Guards against calls of two runs of a process that have the same number.
+TEST_CASE("Calls are numbered from the call that the hook is given", "[http]") {
+  const std::function<CallId()> number = NumberCallsAfter(CallId{41});
+  CHECK(number() == CallId{42});
+  CHECK(number() == CallId{43});
+}
+
 }  // namespace
 }  // namespace basilspread::node
--- a/packages/wire/include/basilspread/wire/peer_codec.h
+++ b/packages/wire/include/basilspread/wire/peer_codec.h
@@ -26,6 +26,9 @@
 struct PeerFrame {
   ProcessId sender;
   PeerMessage message;
+  /// Incarnation of the run that the message is for; 0: any, or a sender that
+  /// does not tell.
+  std::uint64_t receiver_incarnation = 0;
 };
 
 /// Encodes a frame with its length prefix, ready to be written.
--- a/packages/wire/src/peer_codec.cc
+++ b/packages/wire/src/peer_codec.cc
@@ -111,6 +111,7 @@
   frame_builder.add_sender(sender);
   frame_builder.add_body_type(body.type);
   frame_builder.add_body(body.offset);
+  frame_builder.add_receiver_incarnation(frame.receiver_incarnation);
   builder.Finish(frame_builder.Finish());
   if (builder.GetSize() > kMaxFrameBytes) {
     return Error{ErrorKind::kTooLarge, "the frame exceeds the limit of 16 MiB"};
@@ -162,7 +163,8 @@
     return Error{ErrorKind::kBadRequest,
                  "a value of the frame is out of bounds"};
   }
-  return PeerFrame{wire::Unpack(*frame->sender()), std::move(message)};
+  return PeerFrame{wire::Unpack(*frame->sender()), std::move(message),
+                   frame->receiver_incarnation()};
 }
 
 }  // namespace basilspread::wire
--- a/packages/wire/tests/peer_codec_test.cc
+++ b/packages/wire/tests/peer_codec_test.cc
@@ -17,7 +17,7 @@
   forward.route = RouteName{"preview"};
   forward.time_left = std::chrono::milliseconds(1500);
   forward.payload = payload;
-  return PeerFrame{ProcessId{NodeName{"glasgow-1"}, 42}, forward};
+  return PeerFrame{ProcessId{NodeName{"glasgow-1"}, 42}, forward, 43};
 }
 
 std::string Body(const std::string& frame) {
@@ -30,6 +30,7 @@
 
   const PeerFrame frame = DecodeFrame(Body(bytes)).value();
   REQUIRE(frame.sender == ProcessId{NodeName{"glasgow-1"}, 42});
+  REQUIRE(frame.receiver_incarnation == 43);
   const auto& forward = std::get<ForwardRequest>(frame.message);
   REQUIRE(forward.call == CallId{7});
   REQUIRE(forward.time_left == std::chrono::milliseconds(1500));
