Keep specifications in the log until the last run has ended

Cause: the specification of an ended submission left the work log with the record of its end. The next leader found the runs and knew neither their workspace nor what they reserve, adopted them with an empty reservation, and left ended submissions out of the bound for workers that have not answered and of what closed workers may run.

Where the tables have workspaces, the log now keeps the specification until no run of the submission is reserved and no worker is left that may hold one unseen. Runs of ended submissions, and runs that are stopped beside another run of their task, are adopted with their reservations; ended submissions count in the bound for silent workers.

--- a/packages/core/include/basilspread/core/fleet.h
+++ b/packages/core/include/basilspread/core/fleet.h
@@ -157,6 +157,8 @@
   std::optional<TimePoint> timer_at;
   /// Workers that are not reconciled and whose runs are not known.
   std::set<HostName> unanswered;
+  /// Workers with runs of which RunReservation::is_unattributed is set.
+  std::set<HostName> with_unattributed;
   /// Workers that reported ends which are not stored yet.
   std::set<HostName> with_unstored_ends;
   /// Workers that answer, but have not listed all ends to this leader: a task
--- a/packages/core/include/basilspread/core/quota.h
+++ b/packages/core/include/basilspread/core/quota.h
@@ -41,6 +41,9 @@
   WorkspaceUsagePtr usage;
   /// The run ends only when its submission is cancelled.
   bool is_long_running = false;
+  /// The run is of no submission that is known, so that `demand` and `usage`
+  /// are not, either.
+  bool is_unattributed = false;
 };
 
 /// The leader's ledger of what workspaces use.
@@ -50,6 +53,11 @@
   /// on workers that have not answered, and when it was computed.
   std::map<WorkspaceName, Resources> uncertain;
   TimePoint uncertain_at;
+  /// Number of reserved runs by submission.
+  std::map<SubmissionId, std::size_t> runs;
+  /// Ended submissions whose specifications stay in the work log, so that a
+  /// later leader knows what their runs use.
+  std::set<SubmissionId> retained_specs;
 };
 
 }  // namespace basilspread
--- a/packages/core/include/basilspread/core/submissions.h
+++ b/packages/core/include/basilspread/core/submissions.h
@@ -165,7 +165,7 @@
     : boost::intrusive_ref_counter<Submission, boost::thread_unsafe_counter> {
   SubmissionId id;
   /// Unset while only its progress has been read from the log; stays unset if
-  /// the submission has ended.
+  /// the submission has ended, unless its specification was retained.
   SubmissionSpecPtr spec;
   QueuePolicy policy;
   RouteName route;
--- a/packages/core/src/internal/fleet.cc
+++ b/packages/core/src/internal/fleet.cc
@@ -533,11 +533,17 @@
   polls::StartPolling(context, worker);
 }
 
-void StopOrphan(Context& context, FleetWorker& worker, const RunName& name) {
+void AdoptOrphan(Context& context, FleetWorker& worker, const RunName& name,
+                 RunReservation reservation) {
   if (!worker.runs.contains(name)) {
-    Adopt(context, worker, name, {});
+    Adopt(context, worker, name, std::move(reservation));
     worker.orphans.insert(name);
   }
+}
+
+void StopOrphan(Context& context, FleetWorker& worker, const RunName& name,
+                RunReservation reservation) {
+  AdoptOrphan(context, worker, name, std::move(reservation));
   StopRunOn(context, worker, name);
 }
 
--- a/packages/core/src/internal/fleet.h
+++ b/packages/core/src/internal/fleet.h
@@ -54,9 +54,13 @@
 /// Accounts for a run that an earlier leader started.
 void Adopt(Context& context, FleetWorker& worker, const RunName& name,
            RunReservation reservation);
-/// Stops a run that belongs to no submission. Its reservation may be unknown,
-/// so nothing is started on the worker until it has ended.
-void StopOrphan(Context& context, FleetWorker& worker, const RunName& name);
+/// Accounts for a run that is not to go on. Nothing is started on the worker
+/// until it has ended.
+void AdoptOrphan(Context& context, FleetWorker& worker, const RunName& name,
+                 RunReservation reservation);
+/// Stops such a run.
+void StopOrphan(Context& context, FleetWorker& worker, const RunName& name,
+                RunReservation reservation);
 /// Frees the capacity that the run occupied.
 void Release(Context& context, FleetWorker& worker, const RunName& name);
 
--- a/packages/core/src/internal/queue_tables.cc
+++ b/packages/core/src/internal/queue_tables.cc
@@ -153,6 +153,11 @@
   return nullptr;
 }
 
+bool HasWorkspaces(const Context& context) {
+  const auto& tables = context.state.submissions.tables.tables;
+  return tables && tables->workspaces;
+}
+
 const Workspace* FindWorkspace(const Context& context,
                                const WorkspaceName& name) {
   const auto& tables = context.state.submissions.tables.tables;
--- a/packages/core/src/internal/queue_tables.h
+++ b/packages/core/src/internal/queue_tables.h
@@ -28,6 +28,8 @@
 const QueueRoute* Match(const Context& context, const std::string& authority,
                         const std::string& path);
 const QueueRoute* Find(const Context& context, const RouteName& name);
+/// Whether the tables in force have workspaces.
+bool HasWorkspaces(const Context& context);
 /// The workspace's row in the tables in force; null if it has none.
 const Workspace* FindWorkspace(const Context& context,
                                const WorkspaceName& name);
--- a/packages/core/src/internal/submission_loading.cc
+++ b/packages/core/src/internal/submission_loading.cc
@@ -10,6 +10,7 @@
 #include "internal/submission_progress.h"
 #include "internal/submission_runs.h"
 #include "quota/ledger.h"
+#include "quota/retained_specs.h"
 #include "run_times/summary.h"
 
 namespace basilspread::internal::submission_loading {
@@ -153,6 +154,9 @@
   }
   std::size_t live = 0;
   for (const auto& [id, submission] : state.all) {
+    if (HasEnded(submission->state) && submission->spec) {
+      retained_specs::OnLoaded(context, *submission);
+    }
     if (HasEnded(submission->state) || !submission->spec) {
       continue;
     }
--- a/packages/core/src/internal/submission_progress.cc
+++ b/packages/core/src/internal/submission_progress.cc
@@ -32,6 +32,16 @@
   return context.state.submissions;
 }
 
+/// What the run reserves, as far as the log tells.
+RunReservation ReservationOf(Submission* submission, const RunName& name) {
+  if (submission == nullptr || FindRun(*submission, name) == nullptr) {
+    RunReservation unknown;
+    unknown.is_unattributed = true;
+    return unknown;
+  }
+  return submission_runs::ReservationOf(*submission, name.task.step);
+}
+
 RunState* FindRun(Context& context, const RunName& name) {
   Submission* submission = Find(context, name.task.submission);
   return submission == nullptr ? nullptr : FindRun(*submission, name);
@@ -309,8 +319,12 @@
 void OnRecorded(Context& context, FleetWorker& worker, const RunName& name) {
   Submission* submission = Find(context, name.task.submission);
   RunState* task = FindRun(context, name);
-  const bool may_run = task != nullptr && !HasEnded(submission->state) &&
-                       task->phase != RunPhase::kSucceeded &&
+  if (task == nullptr || HasEnded(submission->state)) {
+    // The worker may still be stopping it.
+    fleet::AdoptOrphan(context, worker, name, ReservationOf(submission, name));
+    return;
+  }
+  const bool may_run = task->phase != RunPhase::kSucceeded &&
                        !task->failed_runs.contains(name.run);
   if (!may_run) {
     return;
@@ -372,7 +386,8 @@
     // It has not ended. Nothing is started beside an orphan.
     worker_room::Free(context, worker, run.name);
   }
-  fleet::StopOrphan(context, worker, run.name);
+  fleet::StopOrphan(context, worker, run.name,
+                    ReservationOf(submission, run.name));
   if (is_other) {
     attempts::AwaitOutcome(context, *submission, worker.entry.name, run.name);
   }
--- a/packages/core/src/internal/submission_service.cc
+++ b/packages/core/src/internal/submission_service.cc
@@ -29,6 +29,7 @@
 #include "internal/submission_runs.h"
 #include "internal/work_log.h"
 #include "quota/ledger.h"
+#include "quota/retained_specs.h"
 #include "run_times/run_times.h"
 #include "status_wait/status_wait.h"
 #include "takeover_wait/inherited_work.h"
@@ -331,6 +332,7 @@
   admission::OnSecond(context);
   takeover_wait::SetGauges(context);
   if (leadership::IsLeading(context)) {
+    retained_specs::DropUnneeded(context);
     LogLoad(context, usable, free);
     RecordWaits(context);
   }
@@ -437,7 +439,8 @@
   std::vector<SubmissionId> expired;
   for (const auto& [id, submission] : state.all) {
     if (HasEnded(submission->state) && submission->is_stored &&
-        submission->ended_at < before) {
+        submission->ended_at < before &&
+        !retained_specs::IsRetained(context, id)) {
       expired.push_back(id);
     }
   }
--- a/packages/core/src/internal/work_log.cc
+++ b/packages/core/src/internal/work_log.cc
@@ -14,6 +14,7 @@
 #include "internal/own_load.h"
 #include "internal/submission_loading.h"
 #include "internal/submission_service.h"
+#include "quota/retained_specs.h"
 #include "run_times/summary.h"
 #include "takeover_wait/leader_records.h"
 #include "takeover_wait/worker_records.h"
@@ -201,7 +202,8 @@
     }
     batch.Add(MakeProgressRecord(*found->second));
     state.log.in_flight_changed[*next] = found->second->state;
-    if (HasEnded(found->second->state)) {
+    if (HasEnded(found->second->state) &&
+        !retained_specs::Retain(context, *found->second)) {
       batch.Add(SpecDroppedRecord{*next});
     }
   }
--- a/packages/core/src/internal/worker_room.cc
+++ b/packages/core/src/internal/worker_room.cc
@@ -1,10 +1,23 @@
 #include "internal/worker_room.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "quota/ledger.h"
 
 namespace basilspread::internal::worker_room {
+namespace {
+
+void UpdateUnattributed(Context& context, const FleetWorker& worker) {
+  const bool has_unattributed =
+      std::any_of(worker.runs.begin(), worker.runs.end(),
+                  [](const auto& run) { return run.second.is_unattributed; });
+  if (!has_unattributed) {
+    context.state.submissions.fleet.with_unattributed.erase(worker.entry.name);
+  }
+}
+
+}  // namespace
 
 void Update(Context& context, FleetWorker& worker) {
   FleetState& fleet = context.state.submissions.fleet;
@@ -28,10 +41,13 @@
     return false;
   }
   worker.reserved += run->second.demand;
+  if (run->second.is_unattributed) {
+    context.state.submissions.fleet.with_unattributed.insert(worker.entry.name);
+  }
   if (run->second.is_long_running) {
     worker.long_running += run->second.demand;
   }
-  quota::OnReserved(run->second);
+  quota::OnReserved(context, name, run->second);
   Update(context, worker);
   return true;
 }
@@ -42,10 +58,13 @@
     return false;
   }
   worker.reserved -= run.mapped().demand;
+  if (run.mapped().is_unattributed) {
+    UpdateUnattributed(context, worker);
+  }
   if (run.mapped().is_long_running) {
     worker.long_running -= run.mapped().demand;
   }
-  quota::OnFreed(context, run.mapped());
+  quota::OnFreed(context, name, run.mapped());
   Update(context, worker);
   return true;
 }
--- a/packages/core/src/quota/ledger.cc
+++ b/packages/core/src/quota/ledger.cc
@@ -9,10 +9,9 @@
 #include "internal/queue_tables.h"
 #include "internal/step_placement.h"
 #include "internal/submission_progress.h"
-#include "internal/submission_runs.h"
 #include "quota/amounts.h"
+#include "quota/uncertain_usage.h"
 #include "quota/waiting_gangs.h"
-#include "takeover_wait/inherited_work.h"
 
 namespace basilspread::internal::quota {
 namespace {
@@ -20,9 +19,6 @@
 /// Submissions that one freed reservation wakes; each task that starts or ends
 /// later wakes further ones.
 constexpr int kMaxWoken = 4;
-/// How long an upper bound of uncertain reservations is used; each takes a walk
-/// over all submissions.
-constexpr Duration kUncertainInterval = std::chrono::milliseconds(100);
 constexpr std::string_view kPart = "quota";
 constexpr double kMillicores = 1000;
 /// Ranks change, so that a submission may have several entries. Beyond this
@@ -37,69 +33,6 @@
   return context.state.submissions.quota;
 }
 
-/// Capacity of the workers on which an earlier leader may have started tasks
-/// that this one does not know of.
-Resources UnknownCapacity(const FleetState& fleet) {
-  Resources largest;
-  Resources total;
-  std::size_t undescribed = 0;
-  for (const auto& [name, worker] : fleet.workers) {
-    const Resources& capacity = worker.entry.capacity;
-    largest = Larger(largest, capacity);
-    if (!worker.is_reconciled && !worker.has_known_runs) {
-      total += capacity;
-      undescribed += capacity == Resources{} ? 1 : 0;
-    }
-  }
-  return total + Times(largest, undescribed);
-}
-
-/// Resources of the submission's tasks that are not known to run, and may.
-/// Those of steps that need not wait for unanswered workers run on none of
-/// them.
-Resources UnknownDemand(const Context& context, const Submission& submission) {
-  Resources demand;
-  for (std::uint32_t i = 0; i < submission.steps.size(); ++i) {
-    const auto& tasks = submission.steps[i].tasks;
-    const auto waiting = std::count_if(
-        tasks.begin(), tasks.end(),
-        [](const RunState& task) { return task.phase == RunPhase::kWaiting; });
-    if (submission_runs::IsReady(submission, i) &&
-        !takeover_wait::MayStart(context, submission, i)) {
-      demand += Times(submission.spec->steps[i].demand,
-                      static_cast<std::size_t>(waiting));
-    }
-  }
-  return demand;
-}
-
-void UpdateUncertain(Context& context) {
-  QuotaState& state = StateOf(context);
-  if (context.now < state.uncertain_at + kUncertainInterval) {
-    return;
-  }
-  state.uncertain_at = context.now;
-  state.uncertain.clear();
-  const Resources capacity = UnknownCapacity(context.state.submissions.fleet);
-  for (const auto& [id, submission] : context.state.submissions.all) {
-    if (submission->inherited && submission->usage && submission->spec &&
-        !HasEnded(submission->state)) {
-      Resources& bound = state.uncertain[submission->usage->name];
-      bound = Smaller(bound + UnknownDemand(context, *submission), capacity);
-    }
-  }
-}
-
-Resources UncertainOf(Context& context, const WorkspaceName& name) {
-  if (takeover_wait::MayStartAll(context)) {
-    return {};
-  }
-  UpdateUncertain(context);
-  const auto& uncertain = StateOf(context).uncertain;
-  const auto found = uncertain.find(name);
-  return found == uncertain.end() ? Resources{} : found->second;
-}
-
 void WaitForQuota(Context& context, step_offers::PendingStep& pending) {
   const Submission& submission = pending.submission;
   pending.is_limited_by_quota = true;
@@ -167,7 +100,9 @@
   return usage;
 }
 
-void OnReserved(const RunReservation& reservation) {
+void OnReserved(Context& context, const RunName& run,
+                const RunReservation& reservation) {
+  ++StateOf(context).runs[run.task.submission];
   if (reservation.usage) {
     reservation.usage->reserved += reservation.demand;
     if (reservation.is_long_running) {
@@ -177,7 +112,13 @@
   }
 }
 
-void OnFreed(Context& context, const RunReservation& reservation) {
+void OnFreed(Context& context, const RunName& run,
+             const RunReservation& reservation) {
+  auto& runs = StateOf(context).runs;
+  const auto count = runs.find(run.task.submission);
+  if (count != runs.end() && --count->second == 0) {
+    runs.erase(count);
+  }
   if (!reservation.usage) {
     return;
   }
@@ -215,7 +156,7 @@
     return false;
   }
   const std::int64_t startable = CountStartable(
-      row->quota, usage->reserved + UncertainOf(context, usage->name),
+      row->quota, usage->reserved + uncertain_usage::Of(context, usage->name),
       pending.spec.demand);
   const auto waiting = static_cast<std::int64_t>(pending.waiting.size());
   if (startable >= waiting) {
--- a/packages/core/src/quota/ledger.h
+++ b/packages/core/src/quota/ledger.h
@@ -13,9 +13,11 @@
 /// Usage of the workspace; null for an empty name.
 WorkspaceUsagePtr UsageOf(Context& context, const WorkspaceName& name);
 
-void OnReserved(const RunReservation& reservation);
+void OnReserved(Context& context, const RunName& run,
+                const RunReservation& reservation);
 /// Also wakes submissions that wait for the quota.
-void OnFreed(Context& context, const RunReservation& reservation);
+void OnFreed(Context& context, const RunName& run,
+             const RunReservation& reservation);
 
 /// Limits the step's waiting tasks to those that the quota lets start now; the
 /// others wait for the quota. Returns whether any may start.
